--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool.
--- /dev/null
+++ b/crates/daemon/src/node/claims.rs
@@ -0,0 +1,243 @@
+//! Who owns what: one table row per scope, moved only by conditional writes.
+//!
+//! A scope is a partition of the requests or a rack. Rendezvous hashing over the live
+//! members proposes an owner; the row decides. A scope moves when its owner's lease has
+//! run out, or when the owner hands it over because the hashing proposes another.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use common::Name;
+use platform::table::{Row, Transaction};
+use policy::rendezvous;
+
+use super::membership::Membership;
+
+/// Prefix of the ownership rows.
+pub const PREFIX: &str = "own/";
+
+/// The members must have stayed the same this long before a scope is handed over.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Scopes handed over at once, so that most of the work stays where it is.
+const HANDOVERS_AT_ONCE: usize = 2;
+
+/// Scopes claimed in one transaction.
+pub const CLAIMS_AT_ONCE: usize = 32;
+
+/// Something that exactly one daemon owns.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Scope {
+    /// A partition of the requests.
+    Partition(u32),
+    /// A rack of workers.
+    Rack(Name),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Partition(number) => write!(f, "partition/{number:04}"),
+            Self::Rack(name) => write!(f, "rack/{name}"),
+        }
+    }
+}
+
+impl Scope {
+    /// The key of the scope's row.
+    pub fn key(&self) -> Name {
+        Name::from(format!("{PREFIX}{self}"))
+    }
+
+    fn from_key(key: &str) -> Option<Self> {
+        let (sort, name) = key.strip_prefix(PREFIX)?.split_once('/')?;
+        match sort {
+            "partition" => name.parse().ok().map(Self::Partition),
+            "rack" => Some(Self::Rack(Name::new(name))),
+            _ => None,
+        }
+    }
+}
+
+common::record! {
+    /// An ownership row.
+    pub struct Owner {
+        /// The owner's name; none where the scope was handed over to nobody yet.
+        pub member: Option<Name>,
+        /// The owner's incarnation.
+        pub incarnation: u64,
+        /// Grows with every claim.
+        pub epoch: u64,
+    }
+}
+
+/// A row as last read or written.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    /// The row.
+    pub owner: Owner,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A claim that we hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Claim {
+    /// The epoch under which we act.
+    pub epoch: u64,
+    /// The row's version; appends are conditional on it.
+    pub version: u64,
+}
+
+/// What to do next about ownership.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Scopes to claim.
+    pub claim: Vec<Scope>,
+    /// Scopes of ours to hand over.
+    pub release: Vec<Scope>,
+}
+
+/// Ownership as this daemon knows it.
+#[derive(Debug, Default)]
+pub struct Claims {
+    view: HashMap<Scope, Entry>,
+    held: BTreeMap<Scope, Claim>,
+}
+
+impl Claims {
+    /// Takes the rows read from the table; gives scopes that we turn out to have lost.
+    pub fn observe(&mut self, rows: &[Row]) -> Vec<Scope> {
+        for row in rows {
+            let scope = Scope::from_key(&row.key);
+            let owner: Option<Owner> = serde_json::from_str(&row.value).ok();
+            if let (Some(scope), Some(owner)) = (scope, owner) {
+                self.note(scope, Entry { owner, version: row.version });
+            }
+        }
+        let is_lost = |scope: &Scope, claim: &Claim| {
+            self.view.get(scope).is_some_and(|entry| entry.version > claim.version)
+        };
+        let lost = self.held.iter().filter(|(scope, claim)| is_lost(scope, claim));
+        lost.map(|(scope, _)| scope.clone()).collect()
+    }
+
+    fn note(&mut self, scope: Scope, entry: Entry) {
+        let is_newer = self.view.get(&scope).is_none_or(|old| old.version < entry.version);
+        if is_newer {
+            self.view.insert(scope, entry);
+        }
+    }
+
+    /// The scopes to claim and to hand over now.
+    pub fn plan(&self, scopes: &[Scope], membership: &Membership, now: Instant) -> Plan {
+        let staying = membership.staying();
+        let me = &membership.me().name;
+        let is_settled = now.saturating_duration_since(membership.changed_at) >= SETTLE;
+        let is_leaving = membership.me().is_leaving;
+        let mut plan = Plan::default();
+        for scope in scopes {
+            let proposed = rendezvous::pick(&scope.to_string(), &staying);
+            let is_ours = proposed == Some(me);
+            if self.held.contains_key(scope) {
+                // A leaving daemon hands over at once; others wait for calm.
+                if !is_ours && proposed.is_some() && (is_settled || is_leaving) {
+                    plan.release.push(scope.clone());
+                }
+            } else if is_ours && self.is_free(scope, membership, now) {
+                plan.claim.push(scope.clone());
+            }
+        }
+        plan.claim.truncate(CLAIMS_AT_ONCE);
+        if !is_leaving {
+            plan.release.truncate(HANDOVERS_AT_ONCE);
+        }
+        plan
+    }
+
+    fn is_free(&self, scope: &Scope, membership: &Membership, now: Instant) -> bool {
+        let Some(entry) = self.view.get(scope) else {
+            return true;
+        };
+        match &entry.owner.member {
+            None => true,
+            Some(name) => {
+                // A claim of ours whose answer was lost is claimed anew.
+                let is_me = *name == membership.me().name
+                    && entry.owner.incarnation == membership.me().incarnation;
+                is_me || !membership.is_alive(name, entry.owner.incarnation, now)
+            }
+        }
+    }
+
+    /// The transaction that claims scopes, and the claims that it would make.
+    pub fn claim(
+        &self,
+        scopes: &[Scope],
+        membership: &Membership,
+    ) -> (Transaction, Vec<(Scope, u64)>) {
+        let me = membership.me();
+        let mut transaction = Transaction::default();
+        let mut epochs = Vec::new();
+        for scope in scopes {
+            let old = self.view.get(scope);
+            let epoch = old.map_or(1, |entry| entry.owner.epoch + 1);
+            let owner = Owner { member: Some(me.name.clone()), incarnation: me.incarnation, epoch };
+            let value = serde_json::to_string(&owner).unwrap_or_default();
+            let version = old.map_or(0, |entry| entry.version);
+            transaction = transaction.check(scope.key(), version).put(scope.key(), value);
+            epochs.push((scope.clone(), epoch));
+        }
+        (transaction, epochs)
+    }
+
+    /// Takes a claim that took effect.
+    pub fn claimed(
+        &mut self,
+        scope: Scope,
+        epoch: u64,
+        version: u64,
+        me: &super::membership::Member,
+    ) {
+        let owner = Owner { member: Some(me.name.clone()), incarnation: me.incarnation, epoch };
+        self.note(scope.clone(), Entry { owner, version });
+        self.held.insert(scope, Claim { epoch, version });
+    }
+
+    /// The transaction that hands a scope over, where we hold it.
+    pub fn release(&self, scope: &Scope) -> Option<Transaction> {
+        let claim = self.held.get(scope)?;
+        let owner = Owner { member: None, incarnation: 0, epoch: claim.epoch };
+        let value = serde_json::to_string(&owner).unwrap_or_default();
+        Some(Transaction::default().check(scope.key(), claim.version).put(scope.key(), value))
+    }
+
+    /// Takes a hand-over that took effect.
+    pub fn released(&mut self, scope: &Scope, version: u64) {
+        if let Some(claim) = self.held.remove(scope) {
+            let owner = Owner { member: None, incarnation: 0, epoch: claim.epoch };
+            self.note(scope.clone(), Entry { owner, version });
+        }
+    }
+
+    /// Forgets a claim of ours that another owner's claim ended.
+    pub fn lose(&mut self, scope: &Scope) {
+        self.held.remove(scope);
+    }
+
+    /// The claim that we hold.
+    pub fn held(&self, scope: &Scope) -> Option<Claim> {
+        self.held.get(scope).copied()
+    }
+
+    /// Every scope that we hold.
+    pub fn all_held(&self) -> impl Iterator<Item = &Scope> {
+        self.held.keys()
+    }
+
+    /// The owner that the row names.
+    pub fn owner(&self, scope: &Scope) -> Option<&Entry> {
+        self.view.get(scope).filter(|entry| entry.owner.member.is_some())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/digests.rs
@@ -0,0 +1,148 @@
+//! Free room of every rack, as its owner last told it.
+//!
+//! A digest lags; a wrong one costs a refused reservation, never an overfilled worker.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use common::Name;
+use rand::{Rng, RngExt};
+use settings::quantity::Size;
+use wire::{Digest, Slots};
+
+/// What is known of one rack.
+#[derive(Debug, Clone, Default)]
+pub struct Room {
+    /// The rack's owner, who told it.
+    pub owner: Name,
+    /// The owner's epoch.
+    pub epoch: u64,
+    sequence: u64,
+    /// Free room of the worker with the most.
+    pub largest: Size,
+    /// Free slots by service.
+    pub slots: BTreeMap<Name, u32>,
+}
+
+/// What is known of all racks.
+#[derive(Debug, Default)]
+pub struct Digests {
+    rooms: BTreeMap<Name, Room>,
+}
+
+/// Racks that an equal choice is made among.
+const CHOICES: usize = 3;
+
+impl Digests {
+    /// Takes a digest; an older one than the known is ignored.
+    pub fn learn(&mut self, owner: &Name, digest: &Digest) {
+        let room = self.rooms.entry(Name::new(&digest.rack)).or_default();
+        if (digest.epoch, digest.sequence) <= (room.epoch, room.sequence) {
+            return;
+        }
+        let largest =
+            Size { cpu: digest.cpu, memory: digest.memory, accelerators: digest.accelerators };
+        let slots = digest.slots.iter().map(|slots| (Name::new(&slots.service), slots.free));
+        *room = Room {
+            owner: owner.clone(),
+            epoch: digest.epoch,
+            sequence: digest.sequence,
+            largest,
+            slots: slots.collect(),
+        };
+    }
+
+    /// Forgets racks that are in no inventory, and those of a member that is gone.
+    pub fn retain(&mut self, is_kept: impl Fn(&Name, &Room) -> bool) {
+        self.rooms.retain(|rack, room| is_kept(rack, room));
+    }
+
+    /// Every rack that is known.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Room)> {
+        self.rooms.iter()
+    }
+
+    /// Who told a rack's digest.
+    pub fn owner(&self, rack: &str) -> Option<&Name> {
+        self.rooms.get(rack).map(|room| &room.owner)
+    }
+
+    /// A rack with room for a size, a tight one, none of those tried.
+    pub fn pick(&self, size: &Size, tried: &[Name], random: &mut impl Rng) -> Option<Name> {
+        let open = self.rooms.iter();
+        let open = open.filter(|(name, room)| size.fits(&room.largest) && !tried.contains(name));
+        let mut open: Vec<_> = open.collect();
+        open.sort_by_key(|(_, room)| room.largest.minus(size).cpu);
+        choose(&open, random).map(|(name, _)| (*name).clone())
+    }
+
+    /// A rack with a free slot: of two sampled ones that with more.
+    ///
+    /// The choice takes the slot from what is known, so that the next goes elsewhere.
+    pub fn pick_slot(
+        &mut self,
+        service: &str,
+        tried: &[Name],
+        random: &mut impl Rng,
+    ) -> Option<Name> {
+        let free = |room: &Room| room.slots.get(service).copied().unwrap_or(0);
+        let open = self.rooms.iter();
+        let open = open.filter(|(name, room)| free(room) > 0 && !tried.contains(name));
+        let open: Vec<(&Name, u32)> = open.map(|(name, room)| (name, free(room))).collect();
+        if open.is_empty() {
+            return None;
+        }
+        let one = open[random.random_range(0..open.len())];
+        let other = open[random.random_range(0..open.len())];
+        let picked = if one.1 >= other.1 { one.0 } else { other.0 }.clone();
+        if let Some(slots) =
+            self.rooms.get_mut(&picked).and_then(|room| room.slots.get_mut(service))
+        {
+            *slots = slots.saturating_sub(1);
+        }
+        Some(picked)
+    }
+
+    /// Notes that a slot of a rack is free again.
+    pub fn freed(&mut self, rack: &str, service: &str) {
+        if let Some(slots) = self.rooms.get_mut(rack).and_then(|room| room.slots.get_mut(service)) {
+            *slots += 1;
+        }
+    }
+
+    /// Notes that a rack had no free slot after all.
+    pub fn exhausted(&mut self, rack: &str, service: &str) {
+        if let Some(slots) = self.rooms.get_mut(rack).and_then(|room| room.slots.get_mut(service)) {
+            *slots = 0;
+        }
+    }
+}
+
+fn choose<'o, T>(open: &'o [T], random: &mut impl Rng) -> Option<&'o T> {
+    if open.is_empty() {
+        return None;
+    }
+    open.get(random.random_range(0..open.len().min(CHOICES)))
+}
+
+/// The digest of a rack that we own.
+pub fn digest(
+    rack: &Name,
+    epoch: u64,
+    sequence: u64,
+    state: &policy::Rack,
+    now: Instant,
+) -> Digest {
+    let largest = state.largest_free(now);
+    let slots = state.free_slots(now).into_iter();
+    let slots = slots.map(|(service, free)| Slots { service: service.to_string(), free });
+    Digest {
+        rack: rack.to_string(),
+        epoch,
+        sequence,
+        cpu: largest.cpu,
+        memory: largest.memory,
+        accelerators: largest.accelerators,
+        slots: slots.collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,400 @@
+//! One daemon's state, as an actor: what comes in, what goes out, what time asks for.
+//!
+//! The parts that decide ([`home`], [`keeper`], [`quick`], [`claims`], [`membership`])
+//! do no I/O; they leave [`act::Act`]s that the node carries out after each input.
+
+pub mod act;
+mod apply;
+pub mod call;
+pub mod claims;
+pub mod digests;
+mod entry;
+pub mod gate;
+pub mod home;
+mod homes;
+pub mod keeper;
+mod leave;
+pub mod membership;
+mod ownership;
+mod peers;
+pub mod quick;
+mod racks;
+pub mod shared;
+pub mod store;
+pub mod survey;
+pub mod usage;
+pub mod versions;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use common::{Kind, Name};
+use platform::{Executors, Fleet, Objects, Table, Workers};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slog::Logger;
+use stakker::{CX, Ret, after, call};
+use wire::{Body, Frame};
+
+use self::act::{Act, Waiter};
+use self::call::{Call, Calls, Purpose};
+use self::claims::Scope;
+use self::home::Home;
+use self::keeper::Keeper;
+use self::membership::{Member, Membership};
+use self::shared::Shared;
+use self::store::Store;
+use crate::event::{Event, emit};
+use crate::front::Front;
+use crate::mesh::Mesh;
+use crate::telemetry::Metrics;
+
+/// Between looks at what time asks for.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Longest wait for a reply to a call that carries no time of its own.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// State of an answer by a home that is not there any more.
+const MOVED: &str = "moved";
+
+/// Everything outside the node.
+pub struct Borders {
+    /// The platform's table.
+    pub table: Box<dyn Table>,
+    /// The platform's object store.
+    pub objects: Box<dyn Objects>,
+    /// The workers.
+    pub workers: Box<dyn Workers>,
+    /// The executors.
+    pub executors: Box<dyn Executors>,
+    /// The list of VMs.
+    pub fleet: Box<dyn Fleet>,
+    /// The other daemons.
+    pub mesh: Box<dyn Mesh>,
+    /// Callers and operators.
+    pub front: Box<dyn Front>,
+}
+
+impl std::fmt::Debug for Borders {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Borders").finish_non_exhaustive()
+    }
+}
+
+/// What a node starts from.
+#[derive(Debug)]
+pub struct Setup {
+    /// The daemon's settings.
+    pub config: settings::Daemon,
+    /// Tells this start from others of the same name.
+    pub incarnation: u64,
+    /// Seed of jitter and sampling.
+    pub seed: u64,
+    /// The log.
+    pub log: Logger,
+    /// Metrics and traces.
+    pub metrics: Metrics,
+}
+
+/// One daemon.
+#[derive(Debug)]
+pub struct Node {
+    shared: Shared,
+    borders: Borders,
+    log: Logger,
+    metrics: Metrics,
+    calls: Calls,
+    failed_calls: Vec<u64>,
+    homes: HashMap<u32, Home>,
+    recovering: HashSet<u32>,
+    closing: BTreeMap<Scope, Closing>,
+    journals: homes::Journals,
+    resend_at: HashMap<u32, Instant>,
+    flush_at: HashMap<u32, Instant>,
+    keepers: BTreeMap<Name, Keeper>,
+    quicks: quick::Quicks,
+    gate: gate::Gate,
+    peers: HashMap<Name, peers::Heard>,
+    surveys: survey::Surveys,
+    applies: Vec<apply::Applying>,
+    leaving_vms: HashSet<Name>,
+    rates: HashMap<Name, platform::limit::Bucket>,
+    schedule: Schedule,
+    outage: Outage,
+    stop: Option<leave::Stop>,
+    loop_lag: Instant,
+}
+
+/// A scope that is being handed over.
+#[derive(Debug, Clone, Copy)]
+struct Closing {
+    is_sent: bool,
+}
+
+/// When recurring work is next due.
+#[derive(Debug)]
+struct Schedule {
+    renew: Instant,
+    read: Instant,
+    is_reading: bool,
+    is_renewing: bool,
+    claims_read: Instant,
+    heartbeat: Instant,
+    digest: Instant,
+    usage: Instant,
+    fleet: Instant,
+    is_claiming: bool,
+    is_fetching: bool,
+}
+
+/// What is known of the platform's outage and of our standing in it.
+#[derive(Debug, Default)]
+struct Outage {
+    /// Whether a majority of the members is connected and agrees that the table is down.
+    is_agreed: bool,
+    was_valid: bool,
+    was_confirmed: bool,
+}
+
+impl Node {
+    /// Starts the node.
+    pub fn init(cx: CX![], setup: Setup, borders: Borders) -> Option<Self> {
+        let now = cx.now();
+        let Setup { config, incarnation, seed, log, metrics } = setup;
+        let me = Member {
+            name: config.member.clone(),
+            incarnation,
+            domain: config.domain.clone(),
+            peer_address: config.peer_address,
+            http_address: config.http_address,
+            beat: 0,
+            is_leaving: false,
+        };
+        let membership = Membership::new(me, config.timing.lease, now);
+        let store = Store::new(config.budgets.table_writes, config.budgets.table_reads, now);
+        let shared = Shared {
+            config,
+            versions: versions::Versions::default(),
+            digests: digests::Digests::default(),
+            claims: claims::Claims::default(),
+            membership,
+            usages: usage::Usages::default(),
+            store,
+            random: StdRng::seed_from_u64(seed),
+            now,
+            wall_us: 0,
+            is_outage_agreed: false,
+        };
+        after!(Duration::ZERO, [cx], tick());
+        Some(Self {
+            shared,
+            borders,
+            log,
+            metrics,
+            calls: Calls::default(),
+            failed_calls: Vec::new(),
+            homes: HashMap::new(),
+            recovering: HashSet::new(),
+            closing: BTreeMap::new(),
+            journals: homes::Journals::default(),
+            resend_at: HashMap::new(),
+            flush_at: HashMap::new(),
+            keepers: BTreeMap::new(),
+            quicks: quick::Quicks::default(),
+            gate: gate::Gate::default(),
+            peers: HashMap::new(),
+            surveys: survey::Surveys::default(),
+            applies: Vec::new(),
+            leaving_vms: HashSet::new(),
+            rates: HashMap::new(),
+            schedule: Schedule::new(now),
+            outage: Outage::default(),
+            stop: None,
+            loop_lag: now,
+        })
+    }
+
+    /// Begins a graceful stop; `done` is called when nothing is left.
+    pub fn stop(&mut self, cx: CX![], done: Ret<bool>) {
+        self.touch(cx);
+        self.begin_stop(cx, done);
+    }
+
+    /// Takes the time of this turn of the loop.
+    fn touch(&mut self, cx: CX![]) {
+        self.shared.now = cx.now();
+        let since = cx.systime().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.shared.wall_us = since.as_micros() as u64;
+    }
+
+    fn note(&self, event: Event, detail: impl std::fmt::Display) {
+        emit(&self.log, event, detail);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.touch(cx);
+        let lag = self.shared.now.saturating_duration_since(self.loop_lag);
+        self.metrics.loop_lag(lag.saturating_sub(TICK));
+        self.loop_lag = self.shared.now;
+        self.judge_standing();
+        self.run_schedule(cx);
+        self.end_late_calls(cx);
+        self.tick_homes();
+        self.tick_racks();
+        self.quicks.tick(&mut self.shared);
+        self.retry_parked(cx);
+        self.clean_journals(cx);
+        self.continue_releases(cx);
+        self.end_applies();
+        self.end_surveys();
+        self.perform(cx);
+        self.continue_stop(cx);
+        after!(TICK, [cx], tick());
+    }
+
+    fn tick_homes(&mut self) {
+        if !self.shared.may_own() {
+            return;
+        }
+        for home in self.homes.values_mut() {
+            home.tick(&mut self.shared);
+        }
+    }
+
+    fn tick_racks(&mut self) {
+        for keeper in self.keepers.values_mut() {
+            keeper.tick(&self.shared);
+        }
+    }
+
+    // Carrying out what the parts decided.
+
+    /// Carries out everything that is wanted, and flushes the journals.
+    fn perform(&mut self, cx: CX![]) {
+        loop {
+            let mut acts = self.quicks.take_acts();
+            for home in self.homes.values_mut() {
+                acts.append(&mut home.take_acts());
+            }
+            for keeper in self.keepers.values_mut() {
+                acts.append(&mut keeper.take_acts());
+            }
+            if acts.is_empty() {
+                break;
+            }
+            for act in acts {
+                self.act(cx, act);
+            }
+        }
+        self.send_orders(cx);
+        self.flush_journals(cx);
+        let waits = std::mem::take(&mut self.quicks.waits_us);
+        for wait in waits {
+            self.metrics.quick_wait(Duration::from_micros(wait));
+        }
+    }
+
+    fn act(&mut self, cx: CX![], act: Act) {
+        match act {
+            Act::Answer(to, answer) => self.answer(cx, to, *answer),
+            Act::Ack(to, kind, text) => {
+                let code = kind.map_or(0, Kind::code);
+                self.reply(cx, &to, Body::Ack(wire::Ack { code, text }));
+            }
+            Act::AskRack(rack, body, purpose) => {
+                let owner = self.shared.owner_of(&Scope::Rack(rack));
+                self.ask(cx, owner, body, purpose);
+            }
+            Act::TellRack(rack, body) => {
+                if let Some(owner) = self.shared.owner_of(&Scope::Rack(rack)) {
+                    self.tell(cx, &owner, body);
+                }
+            }
+            Act::AskHome(partition, body, purpose) => {
+                let owner = self.shared.owner_of(&Scope::Partition(partition));
+                self.ask(cx, owner, body, purpose);
+            }
+            Act::Log(event, detail) => self.note(event, detail),
+        }
+    }
+
+    /// Sends a call; one that cannot be sent fails on the next turn.
+    fn ask(&mut self, cx: CX![], to: Option<Name>, body: Body, purpose: Purpose) {
+        let timeout = match (&purpose, &body) {
+            (Purpose::Quick { .. } | Purpose::Once { .. }, Body::Quick(quick)) => {
+                Duration::from_millis(quick.remaining_ms) + gate::GRACE
+            }
+            (Purpose::Forward(token), _) => {
+                let until = self.gate.get(*token).map(|forward| forward.until);
+                let left = until.map(|until| until.saturating_duration_since(self.shared.now));
+                left.unwrap_or_default() + gate::GRACE
+            }
+            _ => CALL_TIMEOUT,
+        };
+        let deadline = self.shared.now + timeout;
+        let is_known = to.is_some();
+        let to = to.unwrap_or_default();
+        let number = self.calls.add(Call { to: to.clone(), deadline, purpose });
+        let frame = Frame::call(number, body);
+        let is_sent = is_known && self.send(cx, &to, frame);
+        if !is_sent {
+            self.failed_calls.push(number);
+            call!([cx], end_failed_calls());
+        }
+    }
+
+    fn tell(&mut self, cx: CX![], to: &Name, body: Body) {
+        let _ = self.send(cx, to, Frame::notice(body));
+    }
+
+    fn reply(&mut self, cx: CX![], to: &Waiter, body: Body) {
+        if let Waiter::Peer(peer, call) = to {
+            let _ = self.send(cx, peer, Frame::reply(*call, body));
+        }
+    }
+
+    /// Sends a frame; one to ourselves comes in on a later turn.
+    fn send(&mut self, cx: CX![], to: &Name, frame: Frame) -> bool {
+        if *to == *self.shared.me() {
+            let me = to.clone();
+            call!([cx], frame(me, frame));
+            return true;
+        }
+        self.borders.mesh.send(to, &frame)
+    }
+
+    fn end_failed_calls(&mut self, cx: CX![]) {
+        self.touch(cx);
+        for number in std::mem::take(&mut self.failed_calls) {
+            if let Some(call) = self.calls.remove(number) {
+                self.replied(cx, call.purpose, None, false);
+            }
+        }
+        self.perform(cx);
+    }
+
+    fn end_late_calls(&mut self, cx: CX![]) {
+        for call in self.calls.take_late(self.shared.now) {
+            self.replied(cx, call.purpose, None, true);
+        }
+    }
+}
+
+impl Schedule {
+    fn new(now: Instant) -> Self {
+        Self {
+            renew: now,
+            read: now,
+            is_reading: false,
+            is_renewing: false,
+            claims_read: now,
+            heartbeat: now,
+            digest: now,
+            usage: now,
+            fleet: now,
+            is_claiming: false,
+            is_fetching: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/ownership.rs
@@ -0,0 +1,401 @@
+//! Renewal of our membership, looks at the table, claims and hand-overs.
+
+use std::time::{Duration, Instant};
+
+use common::Name;
+use platform::table::{Committed, Query, Rows, Transaction};
+use stakker::{CX, call, ret_some_to};
+use wire::Body;
+
+use super::claims::{self, Plan, Scope};
+use super::keeper::Keeper;
+use super::membership;
+use super::peers::{DIGEST, HEARTBEAT};
+use super::store::Priority;
+use super::versions::HEAD;
+use super::{Closing, Node};
+use crate::event::Event;
+
+/// Between full looks at the ownership rows.
+const CLAIMS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Between looks at the list of VMs.
+const FLEET_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Between changes of what customers hold.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Node {
+    pub(super) fn run_schedule(&mut self, cx: CX![]) {
+        let now = self.shared.now;
+        let renew = self.shared.config.timing.renew;
+        if now >= self.schedule.renew && !self.schedule.is_renewing {
+            self.schedule.renew = now + renew;
+            self.renew_member(cx);
+        }
+        if now >= self.schedule.read && !self.schedule.is_reading {
+            self.schedule.read = now + renew;
+            self.read_table(cx);
+        }
+        if now >= self.schedule.digest {
+            self.schedule.digest = now + DIGEST;
+            self.tell_news(cx);
+        }
+        if now >= self.schedule.fleet {
+            self.schedule.fleet = now + FLEET_INTERVAL;
+            let ret = ret_some_to!([cx], fleet_read() as (platform::fleet::Vms));
+            self.borders.fleet.list(ret);
+        }
+    }
+
+    /// Tells the peers of changed room at once, and everything else with the heartbeat.
+    fn tell_news(&mut self, cx: CX![]) {
+        let now = self.shared.now;
+        let me = self.shared.me().clone();
+        let mut digests = Vec::new();
+        for keeper in self.keepers.values_mut() {
+            if let Some(digest) = keeper.news(&self.shared) {
+                self.shared.digests.learn(&me, &digest);
+                digests.push(digest);
+            }
+        }
+        let mut usages = Vec::new();
+        if now >= self.schedule.usage {
+            self.schedule.usage = now + USAGE_INTERVAL;
+            self.sum_usage();
+            usages = self.shared.usages.changes();
+        }
+        let is_due = now >= self.schedule.heartbeat;
+        if is_due || !digests.is_empty() || !usages.is_empty() {
+            self.schedule.heartbeat = now + HEARTBEAT;
+            self.send_heartbeats(cx, digests, usages);
+        }
+    }
+
+    // Our own row.
+
+    pub(super) fn renew_member(&mut self, cx: CX![]) {
+        let now = self.shared.now;
+        self.schedule.is_renewing = true;
+        let key = self.shared.membership.my_key();
+        let row = self.shared.membership.next_row();
+        let version = self.shared.membership.version;
+        let transaction = Transaction::default().check(key.clone(), version).put(key, row);
+        self.shared.store.may_write(1, Priority::Ownership, now, &mut self.shared.random);
+        let ret = ret_some_to!([cx], member_renewed(now) as (Committed));
+        self.borders.table.commit(transaction, ret);
+    }
+
+    fn member_renewed(&mut self, cx: CX![], sent: Instant, answer: Committed) {
+        self.touch(cx);
+        self.schedule.is_renewing = false;
+        self.note_table(answer.is_ok());
+        match answer {
+            Ok(commit) if commit.committed => {
+                self.shared.membership.renewed(sent, commit.version);
+            }
+            Ok(_) => self.check_own_row(cx),
+            Err(_) => {}
+        }
+    }
+
+    /// Our row is not as we left it: an earlier answer was lost, or it is not ours.
+    fn check_own_row(&mut self, cx: CX![]) {
+        let key = self.shared.membership.my_key();
+        let query = Query { keys: vec![key], prefixes: Vec::new() };
+        self.shared.store.note_read(1, self.shared.now);
+        let ret = ret_some_to!([cx], own_row_read() as (Rows));
+        self.borders.table.read(query, ret);
+    }
+
+    fn own_row_read(&mut self, cx: CX![], answer: Rows) {
+        self.touch(cx);
+        self.note_table(answer.is_ok());
+        let Ok(rows) = answer else { return };
+        let me = self.shared.membership.me().clone();
+        let row = rows.first();
+        let found = row.and_then(|row| serde_json::from_str::<membership::Member>(&row.value).ok());
+        let version = row.map_or(0, |row| row.version);
+        match found {
+            Some(found) if found.incarnation > me.incarnation => {
+                self.note(Event::Superseded, found.incarnation);
+                cx.fail_str("another incarnation took the member name");
+            }
+            _ => {
+                self.shared.membership.version = version;
+                self.schedule.renew = self.shared.now;
+            }
+        }
+    }
+
+    pub(super) fn note_table(&mut self, is_ok: bool) {
+        let now = self.shared.now;
+        let change = self.shared.store.note(is_ok, now, &mut self.shared.random);
+        match change {
+            Some(true) => self.note(Event::TableUp, ""),
+            Some(false) => self.note(Event::TableDown, ""),
+            None => {}
+        }
+    }
+
+    // Everybody's rows.
+
+    /// Looks at the table on the next turn.
+    pub(super) fn read_soon(&mut self) {
+        self.schedule.read = self.schedule.read.min(self.shared.now);
+        self.schedule.claims_read = self.shared.now;
+    }
+
+    fn read_table(&mut self, cx: CX![]) {
+        let now = self.shared.now;
+        self.schedule.is_reading = true;
+        let mut prefixes = vec![Name::new(membership::PREFIX)];
+        let with_claims = now >= self.schedule.claims_read;
+        if with_claims {
+            self.schedule.claims_read = now + CLAIMS_INTERVAL;
+            prefixes.push(Name::new(claims::PREFIX));
+        }
+        let query = Query { keys: vec![Name::new(HEAD)], prefixes };
+        let rows = 1 + self.shared.membership.live().len();
+        self.shared.store.note_read(rows, now);
+        let ret = ret_some_to!([cx], table_read(now, with_claims) as (Rows));
+        self.borders.table.read(query, ret);
+    }
+
+    fn table_read(&mut self, cx: CX![], sent: Instant, with_claims: bool, answer: Rows) {
+        self.touch(cx);
+        self.schedule.is_reading = false;
+        self.note_table(answer.is_ok());
+        let Ok(rows) = answer else { return };
+        self.settings_read(cx, sent, &rows);
+        let members: Vec<_> =
+            rows.iter().filter(|row| row.key.starts_with(membership::PREFIX)).cloned().collect();
+        self.members_read(&members);
+        let owners: Vec<_> =
+            rows.iter().filter(|row| row.key.starts_with(claims::PREFIX)).cloned().collect();
+        if with_claims {
+            self.shared.store.note_read(owners.len(), self.shared.now);
+        }
+        for scope in self.shared.claims.observe(&owners) {
+            self.lose_scope(cx, &scope);
+        }
+        if with_claims {
+            self.plan_ownership(cx);
+        }
+        self.perform(cx);
+    }
+
+    fn members_read(&mut self, rows: &[platform::table::Row]) {
+        let change = self.shared.membership.observe(rows, self.shared.now);
+        if change.joined.is_empty() && change.gone.is_empty() {
+            return;
+        }
+        for name in &change.joined {
+            self.note(Event::MemberJoined, name);
+        }
+        for name in &change.gone {
+            self.note(Event::MemberGone, name);
+            self.shared.usages.forget(name);
+        }
+        let peers = self.shared.membership.peers();
+        let members = peers.len() + 1;
+        self.borders.mesh.set_peers(peers);
+        self.shared.store.share(members);
+        self.schedule.read = self.shared.now;
+        self.schedule.claims_read = self.shared.now;
+    }
+
+    /// Every scope that the cell has.
+    fn scopes(&self) -> Vec<Scope> {
+        let partitions = (0..self.shared.config.partitions).map(Scope::Partition);
+        let racks = self.shared.versions.inventory.racks.keys().cloned().map(Scope::Rack);
+        partitions.chain(racks).collect()
+    }
+
+    /// Claims and hands over; only right after a look at the table.
+    fn plan_ownership(&mut self, cx: CX![]) {
+        if !self.shared.membership.is_valid(self.shared.now) || !self.shared.versions.is_complete()
+        {
+            return;
+        }
+        let scopes = self.scopes();
+        let Plan { claim, release } =
+            self.shared.claims.plan(&scopes, &self.shared.membership, self.shared.now);
+        if !claim.is_empty() && !self.schedule.is_claiming {
+            self.claim(cx, &claim);
+        }
+        for scope in release {
+            self.begin_release(&scope);
+        }
+    }
+
+    fn claim(&mut self, cx: CX![], scopes: &[Scope]) {
+        self.schedule.is_claiming = true;
+        let (transaction, epochs) = self.shared.claims.claim(scopes, &self.shared.membership);
+        let now = self.shared.now;
+        let rows = transaction.writes();
+        self.shared.store.may_write(rows, Priority::Ownership, now, &mut self.shared.random);
+        let ret = ret_some_to!([cx], claimed(epochs) as (Committed));
+        self.borders.table.commit(transaction, ret);
+    }
+
+    fn claimed(&mut self, cx: CX![], epochs: Vec<(Scope, u64)>, answer: Committed) {
+        self.touch(cx);
+        self.schedule.is_claiming = false;
+        self.note_table(answer.is_ok());
+        let commit = match answer {
+            Ok(commit) if commit.committed => commit,
+            // Lost or raced: the rows tell at the next look.
+            _ => return self.read_soon(),
+        };
+        let me = self.shared.membership.me().clone();
+        for (scope, epoch) in epochs {
+            self.shared.claims.claimed(scope.clone(), epoch, commit.version, &me);
+            self.note(Event::ScopeClaimed, format!("{scope} epoch {epoch}"));
+            self.take_up(cx, &scope);
+        }
+        self.schedule.claims_read = self.shared.now;
+        self.announce(cx);
+        self.perform(cx);
+    }
+
+    fn take_up(&mut self, cx: CX![], scope: &Scope) {
+        let Some(claim) = self.shared.claims.held(scope) else {
+            return;
+        };
+        match scope {
+            Scope::Partition(partition) => self.recover(cx, *partition),
+            Scope::Rack(rack) => {
+                let mut keeper = Keeper::new(rack.clone(), claim, &self.shared);
+                let leaving = &self.leaving_vms;
+                keeper.rack.set_leaving(|name| leaving.contains(name));
+                self.keepers.insert(rack.clone(), keeper);
+                self.note(Event::ScopeReady, scope);
+            }
+        }
+    }
+
+    /// Tells the peers that ownership moved.
+    pub(super) fn announce(&mut self, cx: CX![]) {
+        for peer in self.shared.membership.peers() {
+            self.tell(cx, &peer.name, Body::Changed(wire::Changed::default()));
+        }
+    }
+
+    // Hand-over and loss.
+
+    fn begin_release(&mut self, scope: &Scope) {
+        if self.closing.contains_key(scope) {
+            return;
+        }
+        self.closing.insert(scope.clone(), Closing { is_sent: false });
+        match scope {
+            Scope::Partition(partition) => {
+                if let Some(home) = self.homes.get_mut(partition) {
+                    home.is_closing = true;
+                }
+            }
+            Scope::Rack(rack) => {
+                if let Some(keeper) = self.keepers.get_mut(rack) {
+                    keeper.is_closing = true;
+                }
+            }
+        }
+    }
+
+    /// Hands over closing scopes that have come to rest.
+    pub(super) fn continue_releases(&mut self, cx: CX![]) {
+        let waiting = self.closing.iter().filter(|(_, closing)| !closing.is_sent);
+        let waiting: Vec<Scope> = waiting.map(|(scope, _)| scope.clone()).collect();
+        for scope in waiting {
+            if !self.is_calm(&scope) {
+                continue;
+            }
+            let Some(transaction) = self.shared.claims.release(&scope) else {
+                self.closing.remove(&scope);
+                continue;
+            };
+            let now = self.shared.now;
+            if !self.shared.store.may_write(1, Priority::Settings, now, &mut self.shared.random) {
+                return;
+            }
+            self.closing.insert(scope.clone(), Closing { is_sent: true });
+            let ret = ret_some_to!([cx], released(scope) as (Committed));
+            self.borders.table.commit(transaction, ret);
+        }
+    }
+
+    fn is_calm(&mut self, scope: &Scope) -> bool {
+        match scope {
+            Scope::Partition(partition) => {
+                if self.recovering.contains(partition) {
+                    return false;
+                }
+                self.homes.get(partition).is_none_or(super::Home::is_calm)
+            }
+            Scope::Rack(rack) => self.keepers.get(rack).is_none_or(Keeper::is_calm),
+        }
+    }
+
+    fn released(&mut self, cx: CX![], scope: Scope, answer: Committed) {
+        self.touch(cx);
+        self.note_table(answer.is_ok());
+        match answer {
+            Ok(commit) if commit.committed => {
+                self.shared.claims.released(&scope, commit.version);
+                self.note(Event::ScopeReleased, &scope);
+                self.drop_scope(cx, &scope);
+                self.announce(cx);
+            }
+            // A lost answer or a conflict shows at the next look at the rows.
+            _ => {
+                self.closing.insert(scope, Closing { is_sent: false });
+                self.read_soon();
+            }
+        }
+        self.perform(cx);
+    }
+
+    pub(super) fn lose_scope(&mut self, cx: CX![], scope: &Scope) {
+        self.note(Event::ScopeLost, scope);
+        self.shared.claims.lose(scope);
+        self.drop_scope(cx, scope);
+    }
+
+    /// Stops acting for a scope; everybody who waits there is told that it moved.
+    fn drop_scope(&mut self, cx: CX![], scope: &Scope) {
+        self.closing.remove(scope);
+        match scope {
+            Scope::Partition(partition) => {
+                self.recovering.remove(partition);
+                if let Some(home) = self.homes.remove(partition) {
+                    self.dismiss(cx, home);
+                }
+            }
+            Scope::Rack(rack) => {
+                self.keepers.remove(rack);
+            }
+        }
+    }
+
+    fn fleet_read(&mut self, cx: CX![], answer: platform::fleet::Vms) {
+        self.touch(cx);
+        let Ok(vms) = answer else { return };
+        let leaving = vms.into_iter().filter(|vm| vm.leaving).map(|vm| vm.name);
+        let leaving: std::collections::HashSet<Name> = leaving.collect();
+        for name in leaving.difference(&self.leaving_vms) {
+            self.note(Event::VmLeaving, name);
+        }
+        self.leaving_vms = leaving;
+        for keeper in self.keepers.values_mut() {
+            let leaving = &self.leaving_vms;
+            keeper.rack.set_leaving(|name| leaving.contains(name));
+        }
+        call!([cx], after_fleet());
+    }
+
+    fn after_fleet(&mut self, cx: CX![]) {
+        self.touch(cx);
+        self.perform(cx);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/peers.rs
@@ -0,0 +1,264 @@
+//! What goes between the daemons: heartbeats, calls, replies.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use common::{Kind, Name};
+use journal::event::Key;
+use stakker::CX;
+use wire::{Body, Frame};
+
+use super::Node;
+use super::act::Waiter;
+use super::call::Purpose;
+use super::home::from_wire;
+use crate::event::Event;
+use crate::mesh::Input;
+
+/// Between heartbeats to each peer.
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
+
+/// Between looks for digests that changed.
+pub(super) const DIGEST: Duration = Duration::from_millis(100);
+
+/// A peer not heard for this long counts as not connected.
+const HEARD_LIMIT: Duration = Duration::from_secs(2);
+
+/// An age that stands for "never confirmed", in milliseconds.
+const NEVER_MS: u64 = u64::MAX / 4;
+
+/// What a peer last told.
+#[derive(Debug, Clone)]
+pub(super) struct Heard {
+    pub at: Instant,
+    pub settings: u64,
+    pub is_table_down: bool,
+    pub is_leaving: bool,
+}
+
+impl Node {
+    /// Takes what comes from the other daemons.
+    pub fn mesh(&mut self, cx: CX![], input: Input) {
+        match input {
+            Input::Up(peer) => {
+                self.touch(cx);
+                self.note(Event::PeerUp, &peer);
+                self.introduce(cx, &peer);
+            }
+            Input::Down(peer) => {
+                self.touch(cx);
+                self.note(Event::PeerDown, &peer);
+                self.peers.remove(&peer);
+                for call in self.calls.take_all(&peer) {
+                    self.replied(cx, call.purpose, None, true);
+                }
+                self.perform(cx);
+            }
+            Input::Frame(peer, frame) => self.frame(cx, peer, frame),
+            Input::Refused(reason) => self.note(Event::PeerRefused, reason),
+            Input::Silent(peer) => self.note(Event::PeerSilent, peer),
+        }
+    }
+
+    /// Takes one frame.
+    pub(super) fn frame(&mut self, cx: CX![], from: Name, frame: Frame) {
+        self.touch(cx);
+        let Some(body) = frame.body else { return };
+        if frame.is_reply {
+            if let Some(call) = self.calls.take(frame.call, &from) {
+                self.replied(cx, call.purpose, Some(body), true);
+            }
+        } else {
+            self.called(cx, Waiter::Peer(from, frame.call), body);
+        }
+        self.perform(cx);
+    }
+
+    fn called(&mut self, cx: CX![], from: Waiter, body: Body) {
+        match body {
+            Body::Heartbeat(heartbeat) => self.heard(cx, &from, &heartbeat),
+            Body::Submit(submit) => self.submitted(cx, from, submit),
+            Body::Query(query) => self.queried(cx, from, &query),
+            Body::Cancel(cancel) => self.cancelled(cx, from, &cancel),
+            Body::Quick(quick) => self.serve_quick(cx, from, quick),
+            Body::Reserve(reserve) => self.reserve(cx, &from, &reserve),
+            Body::Release(release) => self.release(&release),
+            Body::Start(start) => self.start(cx, &from, &start),
+            Body::Probe(probe) => self.probe(cx, &from, &probe),
+            Body::Report(report) => self.reported(cx, from, report),
+            Body::Stop(stop) => self.stop_task(&stop),
+            Body::Changed(_) => self.read_soon(),
+            Body::Survey(survey) => self.surveyed(cx, &from, &survey),
+            Body::Greeting(_) | Body::Answer(_) | Body::Grant(_) | Body::Ack(_) | Body::View(_) => {
+            }
+        }
+    }
+
+    /// Takes the end of a call: its reply, or none where it is lost or was never sent.
+    pub(super) fn replied(
+        &mut self,
+        cx: CX![],
+        purpose: Purpose,
+        body: Option<Body>,
+        is_sent: bool,
+    ) {
+        match purpose {
+            Purpose::Forward(token) => self.forward_ended(cx, token, body, is_sent),
+            Purpose::Reserve { partition, key, rack } => {
+                let grant = body.and_then(grant_of);
+                if let Some(digest) = grant.as_ref().and_then(|grant| grant.digest.as_ref())
+                    && let Some(owner) = self.shared.rack_owner(&rack)
+                {
+                    self.shared.digests.learn(&owner, digest);
+                }
+                if let Some(home) = self.homes.get_mut(&partition) {
+                    home.granted(&mut self.shared, &key, &rack, grant);
+                }
+            }
+            Purpose::Start { partition, key, task, attempt } => {
+                let ack = body.and_then(ack_of);
+                if let Some(home) = self.homes.get_mut(&partition) {
+                    home.start_answered(&self.shared, &key, task, attempt, ack);
+                }
+            }
+            Purpose::Probe { partition } => {
+                if let (Some(home), Some(Body::Report(report))) =
+                    (self.homes.get_mut(&partition), body)
+                {
+                    home.report(&self.shared, report, None);
+                }
+            }
+            Purpose::Report { rack, run } => {
+                let ack = body.and_then(ack_of);
+                if let Some(keeper) = self.keepers.get_mut(&rack) {
+                    keeper.acknowledged(&self.shared, &run, ack);
+                }
+            }
+            Purpose::Quick { key, rack } => {
+                let answer = answer_or_unsent(body, is_sent);
+                self.quicks.answered(&mut self.shared, &key, &rack, answer);
+            }
+            Purpose::Once { partition, key, attempt } => {
+                let answer = answer_or_unsent(body, is_sent);
+                if let Some(home) = self.homes.get_mut(&partition) {
+                    home.once_answered(&self.shared, &key, attempt, answer);
+                }
+            }
+            Purpose::Survey(number) => self.survey_part(number, body),
+        }
+    }
+
+    // Heartbeats.
+
+    pub(super) fn send_heartbeats(
+        &mut self,
+        cx: CX![],
+        digests: Vec<wire::Digest>,
+        usages: Vec<wire::Usage>,
+    ) {
+        let heartbeat = self.heartbeat(digests, usages);
+        for peer in self.shared.membership.peers() {
+            self.tell(cx, &peer.name, Body::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    fn heartbeat(&self, digests: Vec<wire::Digest>, usages: Vec<wire::Usage>) -> wire::Heartbeat {
+        let versions = &self.shared.versions;
+        let age = versions.age(self.shared.now);
+        wire::Heartbeat {
+            settings: versions.head.version,
+            confirmed_age_ms: age.map_or(NEVER_MS, |age| age.as_millis() as u64),
+            leaving: self.shared.membership.me().is_leaving,
+            digests,
+            table_down: self.shared.store.is_down(),
+            usages,
+        }
+    }
+
+    /// Tells a new peer everything at once.
+    fn introduce(&mut self, cx: CX![], peer: &Name) {
+        let digests = self.keepers.values().filter_map(super::Keeper::told).collect();
+        let heartbeat = self.heartbeat(digests, self.shared.usages.all());
+        self.tell(cx, peer, Body::Heartbeat(heartbeat));
+    }
+
+    fn heard(&mut self, cx: CX![], from: &Waiter, heartbeat: &wire::Heartbeat) {
+        let Waiter::Peer(peer, _) = from else { return };
+        let now = self.shared.now;
+        for digest in &heartbeat.digests {
+            self.shared.digests.learn(peer, digest);
+        }
+        self.shared.usages.learn(peer, &heartbeat.usages);
+        if heartbeat.confirmed_age_ms < NEVER_MS {
+            let age = Duration::from_millis(heartbeat.confirmed_age_ms);
+            self.shared.versions.hear(heartbeat.settings, age, now);
+        }
+        let heard = Heard {
+            at: now,
+            settings: heartbeat.settings,
+            is_table_down: heartbeat.table_down,
+            is_leaving: heartbeat.leaving,
+        };
+        self.peers.insert(peer.clone(), heard);
+        if self.shared.versions.wanted > self.shared.versions.head.version {
+            self.fetch_settings(cx);
+        }
+    }
+
+    /// Peers heard lately.
+    pub(super) fn heard_peers(&self) -> HashMap<&Name, &Heard> {
+        let now = self.shared.now;
+        let is_fresh = |heard: &Heard| now.saturating_duration_since(heard.at) < HEARD_LIMIT;
+        self.peers.iter().filter(|(_, heard)| is_fresh(heard)).collect()
+    }
+
+    /// Whether we are connected with a majority of the live members, ourselves counted.
+    pub(super) fn has_majority(&self) -> bool {
+        let live = self.shared.membership.live();
+        let heard = self.heard_peers();
+        let connected = live.iter().filter(|name| heard.contains_key(name)).count() + 1;
+        connected * 2 > live.len().max(1)
+    }
+
+    /// Judges whether we may act and decide, and logs where that changes.
+    pub(super) fn judge_standing(&mut self) {
+        let everybody_is_out = self.heard_peers().values().all(|heard| heard.is_table_down);
+        self.outage.is_agreed =
+            self.shared.store.is_down() && everybody_is_out && self.has_majority();
+        self.shared.is_outage_agreed = self.outage.is_agreed;
+        let is_valid = self.shared.may_own();
+        if is_valid != self.outage.was_valid {
+            let event = if is_valid { Event::LeaseRegained } else { Event::LeaseLapsed };
+            self.note(event, self.shared.me());
+            self.outage.was_valid = is_valid;
+        }
+        let is_confirmed = self.shared.may_decide();
+        if is_confirmed != self.outage.was_confirmed {
+            let event = if is_confirmed { Event::Confirmed } else { Event::Unconfirmed };
+            self.note(event, self.shared.versions.head.version);
+            self.outage.was_confirmed = is_confirmed;
+        }
+    }
+}
+
+fn grant_of(body: Body) -> Option<wire::Grant> {
+    if let Body::Grant(grant) = body { Some(grant) } else { None }
+}
+
+fn ack_of(body: Body) -> Option<wire::Ack> {
+    if let Body::Ack(ack) = body { Some(ack) } else { None }
+}
+
+/// The answer to a quick call; one that was never sent surely did not run.
+fn answer_or_unsent(body: Option<Body>, is_sent: bool) -> Option<wire::Answer> {
+    match body {
+        Some(Body::Answer(answer)) => Some(answer),
+        _ if is_sent => None,
+        _ => Some(super::act::failure(Kind::NoOwner, "the rack's owner is not connected")),
+    }
+}
+
+/// The key in a message; an empty one finds nothing.
+pub(super) fn key_in(key: Option<&wire::Key>) -> Key {
+    key.map_or_else(|| Key { customer: Name::default(), id: Name::default() }, from_wire)
+}
--- /dev/null
+++ b/crates/daemon/src/node/quick.rs
@@ -0,0 +1,260 @@
+//! Quick requests at their home: joined by id, sent to a rack with a free slot.
+//!
+//! Nothing here is durable: the work is repeatable, so a home that is lost costs a
+//! second run, never a wrong answer. A request waits at its home, not at an executor,
+//! until some rack has a free slot; so none queues behind a slow one.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use common::{Kind, Name, Ran};
+use journal::event::Key;
+use settings::Spec;
+use wire::{Answer, Body, Span};
+
+use super::act::{Act, Waiter, failure};
+use super::call::Purpose;
+use super::home::{span, to_wire};
+use super::shared::Shared;
+
+/// How long an answer is kept for callers who ask again.
+const KEEP: Duration = Duration::from_mins(1);
+
+/// Answers kept at most.
+const KEEP_MAX: usize = 10_000;
+
+/// Tries after a lost answer.
+const RUNS_MAX: u32 = 3;
+
+/// Racks remembered as tried without success.
+const TRIED_MAX: usize = 8;
+
+/// A quick request as it arrives.
+#[derive(Debug)]
+pub struct Arrival {
+    /// What the caller sent.
+    pub spec: Spec,
+    /// The service that answers it.
+    pub service: Name,
+    /// Who waits.
+    pub waiter: Waiter,
+    /// Until when.
+    pub until: Instant,
+    /// The trace context.
+    pub trace: String,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Waiting,
+    Sent,
+    Done(Box<Answer>),
+}
+
+#[derive(Debug)]
+struct Entry {
+    spec: Spec,
+    service: Name,
+    waiters: Vec<Waiter>,
+    until: Instant,
+    stage: Stage,
+    /// Sendings that may have run.
+    runs: u32,
+    tried: Vec<Name>,
+    trace: String,
+    arrived_us: u64,
+    sent_us: u64,
+}
+
+/// The quick requests whose home we are.
+#[derive(Debug, Default)]
+pub struct Quicks {
+    entries: HashMap<Key, Entry>,
+    waiting: BTreeSet<(Instant, Key)>,
+    done: VecDeque<(Instant, Key)>,
+    acts: Vec<Act>,
+    /// Waits of requests sent since the last look, in microseconds.
+    pub waits_us: Vec<u64>,
+}
+
+impl Quicks {
+    /// What is wanted done.
+    pub fn take_acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// Requests without an answer.
+    pub fn open(&self) -> usize {
+        self.entries.len() - self.done.len()
+    }
+
+    /// Takes in a request, or joins the caller to the one that is there.
+    pub fn submit(&mut self, shared: &mut Shared, arrival: Arrival) {
+        let key = Key::of(&arrival.spec);
+        if let Some(entry) = self.entries.get_mut(&key) {
+            if entry.spec != arrival.spec {
+                let text = format!("request {key} was submitted with another body");
+                return self.answer(arrival.waiter, failure(Kind::IdTaken, text));
+            }
+            if let Stage::Done(answer) = &entry.stage {
+                let answer = (**answer).clone();
+                return self.answer(arrival.waiter, answer);
+            }
+            entry.waiters.push(arrival.waiter);
+            return;
+        }
+        if self.waiting.len() >= shared.config.bounds.waiting {
+            let text = "too many quick requests wait for a slot";
+            return self.answer(arrival.waiter, failure(Kind::Overloaded, text));
+        }
+        self.insert(shared, key, arrival);
+    }
+
+    fn insert(&mut self, shared: &mut Shared, key: Key, arrival: Arrival) {
+        let entry = Entry {
+            spec: arrival.spec,
+            service: arrival.service,
+            waiters: vec![arrival.waiter],
+            until: arrival.until,
+            stage: Stage::Waiting,
+            runs: 0,
+            tried: Vec::new(),
+            trace: arrival.trace,
+            arrived_us: shared.wall_us,
+            sent_us: 0,
+        };
+        self.waiting.insert((entry.until, key.clone()));
+        self.entries.insert(key.clone(), entry);
+        self.dispatch(shared, &key);
+    }
+
+    /// Sends a waiting request to a rack with a free slot; false where there is none.
+    fn dispatch(&mut self, shared: &mut Shared, key: &Key) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return true;
+        };
+        let rack = shared.digests.pick_slot(&entry.service, &entry.tried, &mut shared.random);
+        let Some(rack) = rack else {
+            entry.tried.clear();
+            return false;
+        };
+        let left = entry.until.saturating_duration_since(shared.now);
+        let quick = wire::Quick {
+            key: Some(to_wire(key)),
+            rack: rack.to_string(),
+            service: entry.service.to_string(),
+            body: entry.spec.payload.clone().into_bytes(),
+            remaining_ms: left.as_millis() as u64,
+            trace: entry.trace.clone(),
+        };
+        entry.stage = Stage::Sent;
+        if entry.sent_us == 0 {
+            self.waits_us.push(shared.wall_us.saturating_sub(entry.arrived_us));
+        }
+        entry.sent_us = shared.wall_us;
+        self.waiting.remove(&(entry.until, key.clone()));
+        let purpose = Purpose::Quick { key: key.clone(), rack: rack.clone() };
+        self.acts.push(Act::AskRack(rack, Body::Quick(quick), purpose));
+        true
+    }
+
+    /// Takes a rack's answer; none where it is lost.
+    pub fn answered(
+        &mut self,
+        shared: &mut Shared,
+        key: &Key,
+        rack: &Name,
+        answer: Option<Answer>,
+    ) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let service = entry.service.clone();
+        let kind = answer.as_ref().map(|answer| Kind::from_code(answer.code));
+        match kind {
+            Some(None | Some(Kind::Failed)) => {
+                shared.digests.freed(rack, &service);
+                self.finish(shared, key, answer.unwrap_or_default());
+            }
+            Some(Some(kind)) if kind.ran() == Ran::No => {
+                shared.digests.exhausted(rack, &service);
+                self.wait_again(shared, key, rack);
+            }
+            Some(Some(_)) | None => {
+                entry.runs += 1;
+                if entry.runs >= RUNS_MAX {
+                    let text = "the executors' answers were lost";
+                    self.finish(shared, key, failure(Kind::Unknown, text));
+                } else {
+                    self.wait_again(shared, key, rack);
+                }
+            }
+        }
+    }
+
+    fn wait_again(&mut self, shared: &mut Shared, key: &Key, rack: &Name) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.stage = Stage::Waiting;
+        entry.tried.push(rack.clone());
+        if entry.tried.len() > TRIED_MAX {
+            entry.tried.remove(0);
+        }
+        self.waiting.insert((entry.until, key.clone()));
+        self.dispatch(shared, key);
+    }
+
+    fn finish(&mut self, shared: &Shared, key: &Key, mut answer: Answer) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        self.waiting.remove(&(entry.until, key.clone()));
+        let waited = entry.sent_us.saturating_sub(entry.arrived_us);
+        let here: Span = span("home", shared.me(), entry.arrived_us, waited);
+        answer.spans.insert(0, here);
+        let waiters = std::mem::take(&mut entry.waiters);
+        entry.stage = Stage::Done(Box::new(answer.clone()));
+        self.done.push_back((shared.now + KEEP, key.clone()));
+        for waiter in waiters {
+            self.answer(waiter, answer.clone());
+        }
+    }
+
+    fn answer(&mut self, to: Waiter, answer: Answer) {
+        self.acts.push(Act::Answer(to, Box::new(answer)));
+    }
+
+    /// Does what time asks for.
+    pub fn tick(&mut self, shared: &mut Shared) {
+        self.expire(shared);
+        self.forget(shared.now);
+        let waiting: Vec<Key> = self.waiting.iter().map(|(_, key)| key.clone()).collect();
+        let mut full: Vec<Name> = Vec::new();
+        for key in waiting {
+            let service = self.entries.get(&key).map(|entry| entry.service.clone());
+            let service = service.unwrap_or_default();
+            if !full.contains(&service) && !self.dispatch(shared, &key) {
+                full.push(service);
+            }
+        }
+    }
+
+    fn expire(&mut self, shared: &Shared) {
+        let over = self.waiting.iter().take_while(|(until, _)| *until <= shared.now);
+        let over: Vec<Key> = over.map(|(_, key)| key.clone()).collect();
+        for key in over {
+            let runs = self.entries.get(&key).map_or(0, |entry| entry.runs);
+            let answer = if runs == 0 {
+                failure(Kind::Expired, "no executor had a free slot in time")
+            } else {
+                failure(Kind::Unknown, "the executors' answers were lost")
+            };
+            self.finish(shared, &key, answer);
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while let Some((at, key)) = self.done.front() {
+            if *at > now && self.done.len() <= KEEP_MAX {
+                return;
+            }
+            self.entries.remove(key);
+            self.done.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/racks.rs
@@ -0,0 +1,200 @@
+//! The node's side of the racks: calls from homes, orders to workers, quick requests.
+
+use std::time::Duration;
+
+use common::{Kind, Name};
+use platform::executors::{self, Call};
+use platform::workers::{Done, Run, Tasks};
+use stakker::{CX, ret_some_to};
+use wire::{Answer, Body};
+
+use super::Node;
+use super::act::{Waiter, failure};
+use super::home::span;
+use super::homes::unconfirmed;
+use super::keeper::Order;
+use super::peers::key_in;
+
+/// A quick request that an executor works on.
+#[derive(Debug, Clone)]
+struct Serving {
+    rack: Name,
+    executor: Name,
+    from: Waiter,
+    started_us: u64,
+}
+
+impl Node {
+    // Calls from homes.
+
+    pub(super) fn reserve(&mut self, cx: CX![], from: &Waiter, reserve: &wire::Reserve) {
+        let grant = match self.keepers.get_mut(reserve.rack.as_str()) {
+            Some(keeper) if self.shared.may_own() && self.shared.may_decide() => {
+                keeper.reserve(&self.shared, reserve)
+            }
+            _ => wire::Grant {
+                code: Kind::NoOwner.code(),
+                text: "this daemon does not own the rack".to_owned(),
+                ..Default::default()
+            },
+        };
+        self.reply(cx, from, Body::Grant(grant));
+    }
+
+    pub(super) fn release(&mut self, release: &wire::Release) {
+        if let Some(keeper) = self.keepers.get_mut(release.rack.as_str()) {
+            keeper.release(&release.reservations);
+        }
+    }
+
+    pub(super) fn start(&mut self, cx: CX![], from: &Waiter, start: &wire::Start) {
+        let may_own = self.shared.may_own();
+        let taken = match self.keepers.get_mut(start.rack.as_str()) {
+            Some(keeper) if may_own => keeper.start(&self.shared, start),
+            // A rack that we do not act for sends nothing; but only its keeper can
+            // promise that nothing was sent, so the home is left to probe.
+            _ => return,
+        };
+        let ack = match taken {
+            Ok(()) => wire::Ack::default(),
+            Err(text) => wire::Ack { code: Kind::NoOwner.code(), text },
+        };
+        self.reply(cx, from, Body::Ack(ack));
+    }
+
+    pub(super) fn probe(&mut self, cx: CX![], from: &Waiter, probe: &wire::Probe) {
+        let may_own = self.shared.may_own();
+        let Some(keeper) = self.keepers.get_mut(probe.rack.as_str()).filter(|_| may_own) else {
+            return;
+        };
+        let report = keeper.probe(&self.shared, probe);
+        self.reply(cx, from, Body::Report(report));
+    }
+
+    pub(super) fn stop_task(&mut self, stop: &wire::Stop) {
+        if let Some(keeper) = self.keepers.get_mut(stop.rack.as_str()) {
+            keeper.stop(&self.shared, stop);
+        }
+    }
+
+    // Orders to workers.
+
+    pub(super) fn send_orders(&mut self, cx: CX![]) {
+        let mut orders = Vec::new();
+        for keeper in self.keepers.values_mut() {
+            let rack = keeper.name.clone();
+            orders.extend(keeper.take_orders().into_iter().map(|order| (rack.clone(), order)));
+        }
+        for (rack, order) in orders {
+            self.send_order(cx, rack, order);
+        }
+    }
+
+    fn send_order(&mut self, cx: CX![], rack: Name, order: Order) {
+        let workers = &mut self.borders.workers;
+        match order {
+            Order::Start(worker, start) => {
+                let run = start.run.clone();
+                let ret = ret_some_to!([cx], start_done(rack, run) as (Done));
+                workers.start(worker, start, ret);
+            }
+            Order::Stop(worker, stop) => {
+                let ret = ret_some_to!([cx], stop_done() as (Done));
+                workers.stop(worker, stop, ret);
+            }
+            Order::Renew(worker, renew) => {
+                let forget = renew.forget.clone();
+                let to = worker.clone();
+                let ret = ret_some_to!([cx], renew_done(rack, worker, forget) as (Tasks));
+                workers.renew(to, renew, ret);
+            }
+        }
+    }
+
+    fn start_done(&mut self, cx: CX![], rack: Name, run: Run, answer: Done) {
+        self.touch(cx);
+        if let Some(keeper) = self.keepers.get_mut(&rack) {
+            keeper.started(&self.shared, &run, answer);
+        }
+        self.perform(cx);
+    }
+
+    fn stop_done(&mut self, _cx: CX![], _answer: Done) {
+        // The next renewal shows whether the task stopped; the home asks again if not.
+    }
+
+    fn renew_done(&mut self, cx: CX![], rack: Name, worker: Name, forget: Vec<Run>, answer: Tasks) {
+        self.touch(cx);
+        if let Some(keeper) = self.keepers.get_mut(&rack) {
+            keeper.renewed(&self.shared, &worker, forget, answer);
+        }
+        self.perform(cx);
+    }
+
+    // Quick requests.
+
+    pub(super) fn serve_quick(&mut self, cx: CX![], from: Waiter, quick: wire::Quick) {
+        if !self.shared.may_decide() {
+            return self.answer(cx, from, unconfirmed());
+        }
+        let now = self.shared.now;
+        let may_own = self.shared.may_own();
+        let keeper = self.keepers.get_mut(quick.rack.as_str());
+        let Some(keeper) = keeper.filter(|keeper| may_own && !keeper.is_closing) else {
+            let text = "this daemon does not own the rack";
+            return self.answer(cx, from, failure(Kind::NoOwner, text));
+        };
+        let Ok(executor) = keeper.rack.take_slot(&quick.service, &[], now) else {
+            let text = "no executor of the rack has a free slot";
+            return self.answer(cx, from, failure(Kind::Overloaded, text));
+        };
+        let serving = Serving {
+            rack: Name::from(quick.rack),
+            executor: executor.clone(),
+            from,
+            started_us: self.shared.wall_us,
+        };
+        let key = key_in(quick.key.as_ref());
+        let call = Call {
+            executor,
+            request: key.to_string(),
+            trace: quick.trace,
+            payload: quick.body,
+            timeout: Duration::from_millis(quick.remaining_ms.max(1)),
+        };
+        self.metrics.placed();
+        let ret = ret_some_to!([cx], served(serving) as (executors::Answer));
+        self.borders.executors.call(call, ret);
+    }
+
+    fn served(&mut self, cx: CX![], serving: Serving, result: executors::Answer) {
+        self.touch(cx);
+        let verdict = match &result {
+            Ok(_) => Some(true),
+            Err(error) if error.may_have_happened() => Some(false),
+            Err(platform::Error::Refused { .. }) => Some(false),
+            Err(_) => None,
+        };
+        if let Some(keeper) = self.keepers.get_mut(&serving.rack) {
+            keeper.rack.free_slot(&serving.executor, verdict, self.shared.now);
+        }
+        let mut answer = answer_of(result);
+        let length = self.shared.wall_us.saturating_sub(serving.started_us);
+        answer.spans.push(span("rack", self.shared.me(), serving.started_us, 0));
+        answer.spans.push(span("executor", &serving.executor, serving.started_us, length));
+        answer.worker = serving.executor.to_string();
+        self.answer(cx, serving.from, answer);
+        self.perform(cx);
+    }
+}
+
+fn answer_of(result: executors::Answer) -> Answer {
+    match result {
+        Ok(reply) if reply.is_ok => {
+            Answer { state: "done".to_owned(), body: reply.body, ..Answer::default() }
+        }
+        Ok(reply) => failure(Kind::Failed, String::from_utf8_lossy(&reply.body)),
+        Err(error) if error.may_have_happened() => failure(Kind::Unknown, error.to_string()),
+        Err(error) => failure(Kind::Overloaded, error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,230 @@
+//! The daemon's life: settings, borders, the loop, signals, the exit code.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use platform::http;
+use settings::Faults;
+use slog::{Level, Logger};
+use snafu::{ResultExt, Snafu};
+use stakker::{Stakker, StopCause, actor_new, call, fwd_do, ret_do, ret_some_do};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+
+use crate::args::Args;
+use crate::event::{Event, emit};
+use crate::front::Server;
+use crate::logger::{self, Format};
+use crate::mesh::Tcp;
+use crate::node::{Borders, Node, Setup};
+use crate::telemetry::Metrics;
+
+/// Why the daemon ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// A graceful stop, or a check without faults.
+    Clean,
+    /// Something failed while it ran.
+    Failed,
+    /// The settings or the command line are wrong.
+    Usage,
+}
+
+impl Exit {
+    /// The process's exit code.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Clean => 0,
+            Self::Failed => 1,
+            Self::Usage => 2,
+        }
+    }
+}
+
+/// Why the daemon cannot run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The settings file cannot be read.
+    #[snafu(display("{path}: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The settings file has faults.
+    #[snafu(display("{}", show(path, source)))]
+    Settings {
+        /// The file.
+        path: String,
+        /// The faults.
+        source: Faults,
+    },
+    /// An option's value is not one of those that it takes.
+    #[snafu(display("--{option}: {text}"))]
+    Option {
+        /// The option.
+        option: &'static str,
+        /// What it takes.
+        text: String,
+    },
+    /// An address cannot be bound, or the system refused something else.
+    #[snafu(display("{what}: {source}"))]
+    System {
+        /// What was tried.
+        what: &'static str,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// Metrics or traces cannot be set up.
+    #[snafu(display("telemetry: {text}"))]
+    Telemetry {
+        /// What failed.
+        text: String,
+    },
+}
+
+impl Error {
+    /// The exit code for the error.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Read { .. } | Self::Settings { .. } | Self::Option { .. } => Exit::Usage,
+            Self::System { .. } | Self::Telemetry { .. } => Exit::Failed,
+        }
+    }
+}
+
+fn show(path: &str, faults: &Faults) -> String {
+    let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
+    lines.join("\n")
+}
+
+/// Longest wait of the loop for input.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Events taken from the system at once.
+const EVENTS: usize = 1024;
+
+/// Runs the daemon until it is stopped.
+///
+/// # Errors
+///
+/// [`Error`] where it cannot start.
+pub fn run(args: &Args) -> Result<Exit, Error> {
+    let text =
+        std::fs::read_to_string(&args.settings).context(ReadSnafu { path: &args.settings })?;
+    let config = settings::Daemon::parse(&text).context(SettingsSnafu { path: &args.settings })?;
+    let format: Format = args.log.parse().map_err(|text: &str| option("log", text))?;
+    let level = parse_level(&args.level)?;
+    if args.check {
+        return Ok(Exit::Clean);
+    }
+    let log = logger::start(format, level, &config.member);
+    let otlp = config.otlp.as_deref();
+    let metrics = Metrics::start(&config.member, otlp).map_err(|text| Error::Telemetry { text })?;
+    serve(config, &log, metrics)
+}
+
+fn option(option: &'static str, text: &str) -> Error {
+    Error::Option { option, text: text.to_owned() }
+}
+
+fn parse_level(text: &str) -> Result<Level, Error> {
+    match text {
+        "error" => Ok(Level::Error),
+        "warning" => Ok(Level::Warning),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        _ => Err(option("level", "expected error, warning, info or debug")),
+    }
+}
+
+/// A number that grows with each start, as long as the clock does not run backwards.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
+fn serve(mut config: settings::Daemon, log: &Logger, metrics: Metrics) -> Result<Exit, Error> {
+    let poll = Poll::new().context(SystemSnafu { what: "poll" })?;
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let mio = MioPoll::new(s, poll, Events::with_capacity(EVENTS), 10);
+    let mio = mio.context(SystemSnafu { what: "poll" })?;
+    let incarnation = incarnation();
+
+    // The node is made after the borders that send to it.
+    let node = actor_new!(s, Node, ret_do!(|_| ()));
+    let to = node.clone();
+    let inputs = fwd_do!(move |input| call!([to], mesh(input)));
+    let tcp = Tcp::start(s, &mio, &config, incarnation, inputs);
+    let tcp = tcp.context(SystemSnafu { what: "peer address" })?;
+    let to = node.clone();
+    let requests = fwd_do!(move |(token, request)| call!([to], request(token, request)));
+    let server = Server::start(s, config.http_address, config.bounds.clone(), &metrics, requests);
+    let server = server.context(SystemSnafu { what: "http address" })?;
+    config.peer_address = tcp.address();
+    config.http_address = server.address();
+    let detail = format!("http {} peers {}", config.http_address, config.peer_address);
+    emit(log, Event::Started, detail);
+
+    let flush = tcp.flusher();
+    let platform = &config.platform;
+    let borders = Borders {
+        table: Box::new(http::Table::new(s, platform.table.clone())),
+        objects: Box::new(http::Objects::new(s, platform.objects.clone())),
+        workers: Box::new(http::Workers::new(s, platform.workers.clone())),
+        executors: Box::new(http::Executors::new(
+            s,
+            platform.executors.clone(),
+            config.bounds.calls,
+        )),
+        fleet: Box::new(http::Fleet::new(s, platform.fleet.clone())),
+        mesh: Box::new(tcp),
+        front: Box::new(server),
+    };
+    let setup = Setup { config, incarnation, seed: incarnation, log: log.clone(), metrics };
+    call!([node], <Node>::init(setup, borders));
+
+    let stop = signals()?;
+    let mut is_stopping = false;
+    let mut idle_pending = s.run(Instant::now(), false);
+    let mut io_pending = false;
+    while s.not_shutdown() {
+        if stop.load(Ordering::Relaxed) && !is_stopping {
+            is_stopping = true;
+            let deferrer = s.deferrer();
+            let done = ret_some_do!(move |is_clean: bool| {
+                let cause = if is_clean { StopCause::Stopped } else { StopCause::Dropped };
+                deferrer.defer(move |s| s.shutdown(cause));
+            });
+            call!([node], stop(done));
+        }
+        flush();
+        let wait = s.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        let (activity, io) = mio.poll(wait).context(SystemSnafu { what: "poll" })?;
+        io_pending = io;
+        s.set_systime(Some(SystemTime::now()));
+        idle_pending = s.run(Instant::now(), !activity);
+        if node.is_zombie() {
+            return Ok(Exit::Failed);
+        }
+    }
+    let is_clean = matches!(s.shutdown_reason(), Some(StopCause::Stopped));
+    Ok(if is_clean { Exit::Clean } else { Exit::Failed })
+}
+
+/// A flag that SIGTERM and SIGINT set; a second signal ends the process at once.
+fn signals() -> Result<Arc<AtomicBool>, Error> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        let context = SystemSnafu { what: "signals" };
+        let flag = Arc::clone(&stop);
+        signal_hook::flag::register_conditional_shutdown(signal, 1, Arc::clone(&flag))
+            .context(context)?;
+        signal_hook::flag::register(signal, flag).context(context)?;
+    }
+    Ok(stop)
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! The measures of the brief.
--- /dev/null
+++ b/crates/policy/src/rack.rs
@@ -0,0 +1,362 @@
+//! The room of one rack, as its single owner accounts for it.
+//!
+//! Reservations and tasks take room; a worker whose tasks are not known counts as full.
+//! The owner is the only one to say yes, so racing requests cannot overfill a worker.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use common::Name;
+use settings::inventory::{Executor, Inventory};
+use settings::quantity::Size;
+
+use crate::Health;
+
+common::data! {
+    /// Why there is no room.
+    pub enum Refusal {
+        /// No worker of the rack has enough free of this resource.
+        Full(&'static str),
+        /// Room is there, but on workers that are unknown, leaving, in quarantine or avoided.
+        Withheld,
+        /// No worker of the rack could ever hold it.
+        Impossible(&'static str),
+        /// No executor of the service has a free slot.
+        NoSlot,
+    }
+
+    /// Room set aside on a worker.
+    pub struct Place {
+        /// The reservation's number.
+        pub reservation: u64,
+        /// The worker.
+        pub worker: Name,
+    }
+
+    /// Room set aside, until it is used or expires.
+    pub struct Reservation {
+        /// The worker.
+        pub worker: Name,
+        /// How much.
+        pub size: Size,
+        /// When it ends unused.
+        pub expires: Instant,
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Worker {
+    room: Size,
+    used: Size,
+    tasks: usize,
+    is_known: bool,
+    is_leaving: bool,
+    health: Health,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Server {
+    service: Name,
+    worker: Name,
+    slots: u32,
+    used: u32,
+    is_leaving: bool,
+    health: Health,
+}
+
+/// The room of one rack.
+#[derive(Debug, Clone, Default)]
+pub struct Rack {
+    workers: BTreeMap<Name, Worker>,
+    servers: BTreeMap<Name, Server>,
+    reservations: HashMap<u64, Reservation>,
+    next: u64,
+}
+
+impl Rack {
+    /// Takes over the rack's part of an inventory; running work keeps its room.
+    pub fn set_inventory(&mut self, rack: &str, inventory: &Inventory) {
+        let listed = inventory.racks.get(rack).map_or(&[][..], |rack| &rack.workers);
+        self.workers.retain(|name, worker| {
+            worker.tasks > 0 || listed.iter().any(|listed| listed.name == *name)
+        });
+        for worker in self.workers.values_mut() {
+            worker.room = Size::default();
+        }
+        for listed in listed {
+            self.workers.entry(listed.name.clone()).or_default().room = listed.room;
+        }
+        self.set_servers(inventory);
+    }
+
+    fn set_servers(&mut self, inventory: &Inventory) {
+        let mut servers = BTreeMap::new();
+        for (service, listed) in &inventory.services {
+            let here = listed.executors.iter();
+            for executor in here.filter(|one| self.workers.contains_key(&one.worker)) {
+                let old = self.servers.remove(&executor.name).unwrap_or_default();
+                servers.insert(executor.name.clone(), Server::renewed(old, service, executor));
+            }
+        }
+        // Servers that are gone stay until their requests are answered.
+        for (name, mut server) in std::mem::take(&mut self.servers) {
+            if server.used > 0 {
+                server.slots = 0;
+                servers.insert(name, server);
+            }
+        }
+        self.servers = servers;
+    }
+
+    /// Names of all workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Name> {
+        self.workers.keys()
+    }
+
+    /// Room, use, number of tasks and a word for the standing of each worker.
+    pub fn view(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Name, Size, Size, usize, &'static str)> {
+        self.workers.iter().map(move |(name, worker)| {
+            (name, worker.room, worker.used, worker.tasks, worker.standing(now))
+        })
+    }
+
+    /// Marks a worker whose tasks are all accounted for, or one that is silent.
+    pub fn set_known(&mut self, worker: &str, is_known: bool) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.is_known = is_known;
+        }
+    }
+
+    /// Marks workers and executors that are leaving; all others are not.
+    pub fn set_leaving(&mut self, is_leaving: impl Fn(&str) -> bool) {
+        for (name, worker) in &mut self.workers {
+            worker.is_leaving = is_leaving(name);
+        }
+        for (name, server) in &mut self.servers {
+            server.is_leaving = is_leaving(name) || is_leaving(&server.worker);
+        }
+    }
+
+    /// Sets room aside for up to `count` tasks of a size, the tightest fit first.
+    ///
+    /// Gives fewer places where the rack has room for fewer, but at least one.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] where there is room for none.
+    pub fn reserve(
+        &mut self,
+        size: &Size,
+        count: usize,
+        avoid: &[Name],
+        now: Instant,
+        expires: Instant,
+    ) -> Result<Vec<Place>, Refusal> {
+        let mut places = Vec::new();
+        while places.len() < count {
+            let Some(worker) = self.best_fit(size, avoid, now) else {
+                break;
+            };
+            places.push(self.set_aside(worker, *size, now, expires));
+        }
+        if places.is_empty() { Err(self.refusal(size)) } else { Ok(places) }
+    }
+
+    fn set_aside(&mut self, name: Name, size: Size, now: Instant, expires: Instant) -> Place {
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.take(&size);
+            worker.health.sent(now);
+        }
+        self.next += 1;
+        let worker = name.clone();
+        self.reservations.insert(self.next, Reservation { worker: name, size, expires });
+        Place { reservation: self.next, worker }
+    }
+
+    fn best_fit(&self, size: &Size, avoid: &[Name], now: Instant) -> Option<Name> {
+        let open = self.workers.iter().filter(|(name, worker)| {
+            worker.is_open(now) && size.fits(&worker.free()) && !avoid.contains(name)
+        });
+        let tightest =
+            open.min_by(|(_, one), (_, other)| one.slack(size).total_cmp(&other.slack(size)));
+        tightest.map(|(name, _)| name.clone())
+    }
+
+    fn refusal(&self, size: &Size) -> Refusal {
+        let mut nearest = None;
+        for worker in self.workers.values() {
+            if size.fits(&worker.free()) {
+                return Refusal::Withheld;
+            }
+            if size.fits(&worker.room) {
+                nearest = size.excess(&worker.free());
+            }
+        }
+        if let Some(dimension) = nearest {
+            return Refusal::Full(dimension);
+        }
+        let excess = self.workers.values().find_map(|worker| size.excess(&worker.room));
+        Refusal::Impossible(excess.unwrap_or("workers"))
+    }
+
+    /// A reservation that still stands.
+    pub fn reservation(&self, number: u64) -> Option<&Reservation> {
+        self.reservations.get(&number)
+    }
+
+    /// Turns a reservation into a task that keeps its room.
+    pub fn commit(&mut self, number: u64) -> Option<Reservation> {
+        self.reservations.remove(&number)
+    }
+
+    /// Gives a reservation's room back.
+    pub fn release(&mut self, number: u64) {
+        if let Some(reservation) = self.reservations.remove(&number) {
+            self.give_back(&reservation.worker, &reservation.size);
+        }
+    }
+
+    /// Ends reservations whose time has come.
+    pub fn expire(&mut self, now: Instant) {
+        let is_over = |reservation: &Reservation| reservation.expires <= now;
+        let over = self.reservations.iter().filter(|(_, one)| is_over(one));
+        let over: Vec<u64> = over.map(|(number, _)| *number).collect();
+        for number in over {
+            self.release(number);
+        }
+    }
+
+    /// Accounts for a task that was found running.
+    pub fn adopt(&mut self, worker: &Name, size: &Size) {
+        self.workers.entry(worker.clone()).or_default().take(size);
+    }
+
+    /// Gives a task's or reservation's room back.
+    pub fn give_back(&mut self, worker: &str, size: &Size) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.used = worker.used.minus(size);
+            worker.tasks = worker.tasks.saturating_sub(1);
+            worker.health.withdrawn();
+        }
+    }
+
+    /// Notes how a task on a worker ended.
+    pub fn note(&mut self, worker: &str, is_ok: bool, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            if is_ok {
+                worker.health.succeeded();
+            } else {
+                worker.health.failed(now);
+            }
+        }
+    }
+
+    /// Takes a slot on the service's executor with the most free slots.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoSlot`] where none is free.
+    pub fn take_slot(
+        &mut self,
+        service: &str,
+        avoid: &[Name],
+        now: Instant,
+    ) -> Result<Name, Refusal> {
+        let open = self.servers.iter_mut().filter(|(name, server)| {
+            &*server.service == service && server.is_open(now) && !avoid.contains(name)
+        });
+        let best = open.max_by_key(|(_, server)| server.slots - server.used);
+        let Some((name, server)) = best else {
+            return Err(Refusal::NoSlot);
+        };
+        server.used += 1;
+        server.health.sent(now);
+        Ok(name.clone())
+    }
+
+    /// Gives a slot back; `verdict` says whether the executor did its part.
+    pub fn free_slot(&mut self, executor: &str, verdict: Option<bool>, now: Instant) {
+        let Some(server) = self.servers.get_mut(executor) else {
+            return;
+        };
+        server.used = server.used.saturating_sub(1);
+        match verdict {
+            Some(true) => server.health.succeeded(),
+            Some(false) => server.health.failed(now),
+            None => server.health.withdrawn(),
+        }
+    }
+
+    /// Slots in use, over all services.
+    pub fn slots_used(&self) -> u32 {
+        self.servers.values().map(|server| server.used).sum()
+    }
+
+    /// Free slots of each service.
+    pub fn free_slots(&self, now: Instant) -> BTreeMap<Name, u32> {
+        let mut free = BTreeMap::new();
+        for server in self.servers.values() {
+            let here = if server.is_open(now) { server.slots - server.used } else { 0 };
+            *free.entry(server.service.clone()).or_default() += here;
+        }
+        free
+    }
+
+    /// The free room of the open worker with the most, by processors.
+    pub fn largest_free(&self, now: Instant) -> Size {
+        let open = self.workers.values().filter(|worker| worker.is_open(now));
+        let free = open.map(Worker::free);
+        free.max_by_key(|size| (size.cpu, size.memory, size.accelerators)).unwrap_or_default()
+    }
+}
+
+impl Worker {
+    fn take(&mut self, size: &Size) {
+        self.used = self.used.plus(size);
+        self.tasks += 1;
+    }
+
+    fn free(&self) -> Size {
+        self.room.minus(&self.used)
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        self.is_known && !self.is_leaving && self.health.allows(now, self.tasks)
+    }
+
+    fn standing(&self, now: Instant) -> &'static str {
+        if !self.is_known {
+            "unknown"
+        } else if self.is_leaving {
+            "leaving"
+        } else if self.health.is_quarantined(now) {
+            "quarantined"
+        } else {
+            "open"
+        }
+    }
+
+    /// What stays free after a task of a size, as the sum of shares of the room.
+    fn slack(&self, size: &Size) -> f64 {
+        let left = self.free().minus(size);
+        let share = |left: u64, room: u64| if room == 0 { 0.0 } else { left as f64 / room as f64 };
+        // An accelerator that no task uses is the scarcest thing to hold back.
+        share(left.cpu, self.room.cpu)
+            + share(left.memory, self.room.memory)
+            + 4.0 * share(left.accelerators, self.room.accelerators)
+    }
+}
+
+impl Server {
+    fn renewed(old: Self, service: &Name, executor: &Executor) -> Self {
+        let (service, worker) = (service.clone(), executor.worker.clone());
+        Self { service, worker, slots: executor.slots, ..old }
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        self.used < self.slots && !self.is_leaving && self.health.allows(now, self.used as usize)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,36 @@
+//! Protocol between the daemons.
+//!
+//! Every connection carries length-prefixed [`Frame`]s. `peer.proto` is the source of
+//! the messages; `peer.rs` is generated from it and committed, and a test compares the
+//! two. Unknown fields are skipped, so that versions can differ during an upgrade.
+
+mod codec;
+mod fate;
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::allow_attributes, clippy::pedantic, clippy::empty_structs_with_brackets, reason = "generated from peer.proto")]
+mod peer;
+
+pub use codec::{Codec, Error, FRAME_LIMIT, VERSION};
+pub use fate::Fate;
+pub use peer::frame::Body;
+pub use peer::{
+    Ack, Answer, Cancel, Changed, Digest, Frame, Grant, Greeting, Heartbeat, Key, Place, Probe,
+    Query, Quick, Release, Report, Reserve, Slots, Span, Start, Stop, Submit, Survey, Usage, View,
+};
+
+impl Frame {
+    /// A call that expects a reply with the same number.
+    pub fn call(call: u64, body: Body) -> Self {
+        Self { call, is_reply: false, body: Some(body) }
+    }
+
+    /// The reply to a call.
+    pub fn reply(call: u64, body: Body) -> Self {
+        Self { call, is_reply: true, body: Some(body) }
+    }
+
+    /// A frame that expects no reply.
+    pub fn notice(body: Body) -> Self {
+        Self { call: 0, is_reply: false, body: Some(body) }
+    }
+}
