A claim whose answer was lost is always claimed anew

Cause: a claim took effect, its answer was lost, and before the next look the hashing proposed another member again. The row then named a live member that did not know it; nobody else could take the scope, and it did not repeat the claim, since it was not proposed. Requests of that partition stayed 'running' for ever. Change: a scope whose row names our own incarnation is claimed anew whatever the hashing says, and handed over after.

--- a/crates/daemon/src/node/claims.rs
+++ b/crates/daemon/src/node/claims.rs
@@ -145,7 +145,9 @@
                 if !is_ours && proposed.is_some() && (is_settled || is_leaving) {
                     plan.release.push(scope.clone());
                 }
-            } else if is_ours && self.is_free(scope, membership, now) {
+            } else if self.is_left_behind(scope, membership)
+                || (is_ours && self.is_free(scope, membership, now))
+            {
                 plan.claim.push(scope.clone());
             }
         }
@@ -162,15 +164,22 @@
         };
         match &entry.owner.member {
             None => true,
-            Some(name) => {
-                // A claim of ours whose answer was lost is claimed anew.
-                let is_me = *name == membership.me().name
-                    && entry.owner.incarnation == membership.me().incarnation;
-                is_me || !membership.is_alive(name, entry.owner.incarnation, now)
-            }
+            Some(name) => !membership.is_alive(name, entry.owner.incarnation, now),
         }
     }
 
+    /// Whether a claim of ours took effect and its answer was lost.
+    ///
+    /// Nobody else can take such a scope, so it is claimed anew even where the hashing
+    /// now proposes another member, and then handed over.
+    fn is_left_behind(&self, scope: &Scope, membership: &Membership) -> bool {
+        let me = membership.me();
+        let owner = self.owner(scope).map(|entry| &entry.owner);
+        owner.is_some_and(|owner| {
+            owner.member.as_ref() == Some(&me.name) && owner.incarnation == me.incarnation
+        })
+    }
+
     /// The transaction that claims scopes, and the claims that it would make.
     pub fn claim(
         &self,
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -127,7 +127,8 @@
 
 #[test]
 fn kill_home_once_at_each_step() {
-    let json = r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=1000"}"#;
+    let json =
+        r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=1000"}"#;
     for step in 0..30 {
         let mut cell = Cell::new(5, 28);
         let home = cell.home_of("b1");
@@ -144,7 +145,8 @@
 
 #[test]
 fn kill_rack_owner_once_at_each_step() {
-    let json = r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=6000"}"#;
+    let json =
+        r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=6000"}"#;
     for step in 0..30 {
         let mut cell = Cell::new(5, 29);
         let home = cell.home_of("b1");
@@ -172,7 +174,9 @@
     let mut cell = Cell::new(5, 30);
     cell.world.borrow_mut().faults.lose_commits = 0.2;
     let tokens: Vec<u64> = (0..20)
-        .map(|number| cell.work(number % 5, &format!("s{number}"), "filling-study", "ms=200", 50_000))
+        .map(|number| {
+            cell.work(number % 5, &format!("s{number}"), "filling-study", "ms=200", 50_000)
+        })
         .collect();
     for token in tokens {
         let answer = cell.answer(token, 55.0);
@@ -182,12 +186,34 @@
     cell.check_promises();
 }
 
+#[test]
+fn lose_claim_answer_scope_served() {
+    // Seed 40 of the schedules: a claim took effect, its answer was lost, and the former
+    // owner came back before the claim was repeated.
+    for seed in 0..12 {
+        let mut cell = Cell::new(3, 4600 + seed);
+        cell.kill(2);
+        cell.run_for(3.0);
+        cell.world.borrow_mut().faults.lose_commits = 0.5;
+        cell.run_for(2.5);
+        cell.boot(2);
+        cell.run_for(1.0);
+        cell.heal();
+        cell.run_for(20.0);
+        let rows = cell.survey(0, "members");
+        let held: u64 = rows.iter().filter_map(|row| row["partitions"].as_u64()).sum();
+        assert_eq!(held, 24, "seed {seed}: every partition is in service: {rows:?}");
+    }
+}
+
 #[test]
 fn lose_starts_no_second_place() {
     let mut cell = Cell::new(5, 31);
     cell.world.borrow_mut().faults.lose_starts = 0.5;
     let tokens: Vec<u64> = (0..20)
-        .map(|number| cell.work(number % 5, &format!("s{number}"), "billed-study", "once ms=200", 50_000))
+        .map(|number| {
+            cell.work(number % 5, &format!("s{number}"), "billed-study", "once ms=200", 50_000)
+        })
         .collect();
     for token in tokens {
         let answer = cell.answer(token, 55.0);
@@ -223,12 +249,14 @@
 #[test]
 fn table_down_scopes_stay() {
     let mut cell = Cell::new(5, 33);
-    let before: Vec<usize> = (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
+    let before: Vec<usize> =
+        (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
     cell.world.borrow_mut().faults.table_down = true;
     cell.run_for(60.0);
     cell.heal();
     cell.run_for(10.0);
-    let after: Vec<usize> = (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
+    let after: Vec<usize> =
+        (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
     assert_eq!(before, after, "an outage for all moves nothing");
 }
 
@@ -253,7 +281,8 @@
     let rows = cell.survey(2, "members");
     let own = rows.iter().find(|row| row["member"] == "m2").expect("its row");
     assert_eq!(own["lease"], false, "{own}");
-    let owners: Vec<usize> = (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
+    let owners: Vec<usize> =
+        (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect();
     assert!(!owners.contains(&2), "the others took over: {owners:?}");
 }
 
@@ -272,7 +301,8 @@
 #[test]
 fn worker_silent_once_unknown() {
     let mut cell = Cell::new(5, 37);
-    let json = r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=5000"}"#;
+    let json =
+        r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=5000"}"#;
     let token = cell.submit(0, json, 59_000);
     cell.run_for(1.0);
     let (_, worker) = cell.place_of(0, "b1");
@@ -288,7 +318,9 @@
     let mut cell = Cell::new(3, 38);
     cell.world.borrow_mut().workers.set_failing("es-north-w01", true);
     let tokens: Vec<u64> = (0..60)
-        .map(|number| cell.work(number % 3, &format!("s{number}"), "filling-study", "ms=300", 59_000))
+        .map(|number| {
+            cell.work(number % 3, &format!("s{number}"), "filling-study", "ms=300", 59_000)
+        })
         .collect();
     for token in tokens {
         let answer = cell.answer(token, 60.0);
@@ -300,8 +332,10 @@
 #[test]
 fn vm_leaving_no_new_work() {
     let mut cell = Cell::new(3, 39);
-    let leaving: Vec<Name> =
-        (1..=12).flat_map(|one| [format!("es-north-w{one:02}"), format!("flowcheck-{one:02}")]).map(Name::from).collect();
+    let leaving: Vec<Name> = (1..=12)
+        .flat_map(|one| [format!("es-north-w{one:02}"), format!("flowcheck-{one:02}")])
+        .map(Name::from)
+        .collect();
     {
         let mut world = cell.world.borrow_mut();
         world.workers.set_leaving(leaving.iter().cloned().collect());
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -13,11 +13,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use bronzeraild::Node;
 use bronzeraild::front::{Answer, Request};
 use bronzeraild::mesh::Input;
 use bronzeraild::node::{Borders, Setup};
 use bronzeraild::telemetry::Metrics;
-use bronzeraild::Node;
 use common::Name;
 use journal::event::Key;
 use rand::rngs::StdRng;
@@ -103,7 +103,12 @@
 impl Cell {
     /// A cell of so many daemons with es-north's inventory and rules in force.
     pub fn new(size: usize, seed: u64) -> Self {
-        Self::with_files(size, seed, &file("es-north", "inventory.jsonc"), &file("es-north", "rules.jsonc"))
+        Self::with_files(
+            size,
+            seed,
+            &file("es-north", "inventory.jsonc"),
+            &file("es-north", "rules.jsonc"),
+        )
     }
 
     pub fn with_files(size: usize, seed: u64, inventory: &str, rules: &str) -> Self {
@@ -193,7 +198,8 @@
         let mut world = self.world.borrow_mut();
         world.lives[index] = 0;
         world.inputs[index] = None;
-        let gone: Vec<_> = world.up.iter().filter(|(a, b)| *a == index || *b == index).copied().collect();
+        let gone: Vec<_> =
+            world.up.iter().filter(|(a, b)| *a == index || *b == index).copied().collect();
         for link in gone {
             world.link_down(link);
         }
@@ -465,7 +471,12 @@
         self.queue.insert(key, (to, Box::new(guarded)));
     }
 
-    fn after(&mut self, delay: Duration, to: Option<usize>, happening: impl FnOnce(&Shared) + 'static) {
+    fn after(
+        &mut self,
+        delay: Duration,
+        to: Option<usize>,
+        happening: impl FnOnce(&Shared) + 'static,
+    ) {
         let at = self.now + delay;
         self.at(at, to, happening);
     }
