Tell an unchanged digest again every second

Cause: a home takes what it sends off its copy of a rack's digest, and sets it to nothing when the rack refuses. The owner told a digest only when it changed, so a home could hold a rack's slots to be used up for ever; with every rack in that state a request waited without end. Ruled out: leaked slots (the owner's own count was whole). Change: a digest is told again after a second even if nothing changed. Before: schedule_stale_digest fails. After: it passes. Cost: a digest is about 60 bytes, so a rack costs 60 bytes a second to each peer.

--- a/crates/daemon/src/node/keeper.rs
+++ b/crates/daemon/src/node/keeper.rs
@@ -36,6 +36,9 @@
 /// How long an attempt with a lost answer is kept on its worker after it ended.
 const FORGET_PAUSE: Duration = Duration::from_mins(1);
 
+/// Longest time between two digests of a rack that does not change.
+const RETELL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tries of a start whose answers are lost, before the worker's list decides.
 const START_TRIES: u32 = 5;
 
@@ -108,6 +111,7 @@
     pub is_closing: bool,
     sequence: u64,
     told: Option<wire::Digest>,
+    told_at: Instant,
     acts: Vec<Act>,
     orders: Vec<Order>,
 }
@@ -127,6 +131,7 @@
             is_closing: false,
             sequence: 0,
             told: None,
+            told_at: shared.now,
             acts: Vec::new(),
             orders: Vec::new(),
         };
@@ -221,7 +226,10 @@
         super::digests::digest(&self.name, self.claim.epoch, self.sequence, &self.rack, shared.now)
     }
 
-    /// A digest, where it differs from the last one that was told.
+    /// A digest, where it differs from the last one or that one is old.
+    ///
+    /// Homes take what they send off the digest, so even an unchanged one must be told
+    /// again for their figures to recover.
     pub fn news(&mut self, shared: &Shared) -> Option<wire::Digest> {
         let mut digest = self.digest(shared);
         if self.is_closing {
@@ -231,9 +239,10 @@
         let is_same = self.told.as_ref().is_some_and(|told| {
             wire::Digest { sequence: told.sequence, ..digest.clone() } == *told
         });
-        if is_same {
+        if is_same && shared.now < self.told_at + RETELL_INTERVAL {
             return None;
         }
+        self.told_at = shared.now;
         self.told = Some(digest.clone());
         Some(digest)
     }
--- a/crates/daemon/tests/schedules.rs
+++ b/crates/daemon/tests/schedules.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use arbtest::arbitrary::{Result, Unstructured};
+use bronzeraild::front::Request;
 use common::Name;
 use support::Cell;
 
@@ -111,7 +112,11 @@
         let answer = cell.answer(token, 12.0);
         let state = answer.body["state"].as_str().unwrap_or_default();
         let is_open = matches!(state, "queued" | "running" | "cancelling");
-        assert!(!is_open, "seed {seed}: {id} never ended: {}", answer.body);
+        if is_open {
+            let token = cell.request(0, Request::Explain { key: support::key(&id) });
+            let why = cell.answer(token, 12.0);
+            panic!("seed {seed}: {id} never ended: {}", why.body["text"]);
+        }
     }
 }
 
@@ -133,6 +138,12 @@
     .seed(seed << 32 | ENTROPY);
 }
 
+#[test]
+fn schedule_stale_digest() {
+    // A home held a rack's slots to be used up, and its owner had nothing new to tell.
+    run(2574);
+}
+
 #[test]
 fn schedule_fixed_seeds() {
     let count = std::env::var("BRONZERAIL_SCHEDULES").ok().and_then(|text| text.parse().ok());
