Fake links fall silent while a daemon is paused

Cause: the fake mesh kept a paused daemon's links up, where the real one drops them after 2 s of silence. Change: it does so too.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -33,6 +33,9 @@
 /// One step of the clock.
 const STEP: Duration = Duration::from_millis(5);
 
+/// Silence after which a connection is dropped.
+const SILENCE: Duration = Duration::from_secs(2);
+
 /// Wall clock at the start of every test: 2026-12-01, a Tuesday, 12:00 in Madrid.
 const WALL_START_S: u64 = 1_796_122_800;
 
@@ -71,6 +74,7 @@
     lives: Vec<u64>,
     inputs: Vec<Option<Rc<dyn Fn(Input)>>>,
     up: BTreeSet<(usize, usize)>,
+    paused: BTreeSet<usize>,
 }
 
 pub type Shared = Rc<RefCell<World>>;
@@ -78,7 +82,6 @@
 struct Daemon {
     stakker: Stakker,
     node: ActorOwn<Node>,
-    is_paused: bool,
     stopped: Rc<RefCell<Option<bool>>>,
     log: Logger,
 }
@@ -142,6 +145,7 @@
             lives: vec![0; size],
             inputs: (0..size).map(|_| None).collect(),
             up: BTreeSet::new(),
+            paused: BTreeSet::new(),
         };
         let world = Rc::new(RefCell::new(world));
         let daemons = (0..size).map(|_| None).collect();
@@ -179,7 +183,7 @@
         };
         call!([node], <Node>::init(setup, borders));
         let stopped = Rc::default();
-        self.daemons[index] = Some(Daemon { stakker, node, is_paused: false, stopped, log });
+        self.daemons[index] = Some(Daemon { stakker, node, stopped, log });
     }
 
     pub fn now(&self) -> Instant {
@@ -198,23 +202,29 @@
         let mut world = self.world.borrow_mut();
         world.lives[index] = 0;
         world.inputs[index] = None;
-        let gone: Vec<_> =
-            world.up.iter().filter(|(a, b)| *a == index || *b == index).copied().collect();
-        for link in gone {
-            world.link_down(link);
-        }
+        world.paused.remove(&index);
+        world.links_down(index);
     }
 
     /// Stops a daemon's clock, as SIGSTOP would.
+    ///
+    /// Its peers drop their connections after 2 s of silence.
     pub fn pause(&mut self, index: usize) {
-        if let Some(daemon) = &mut self.daemons[index] {
-            daemon.is_paused = true;
-        }
+        let mut world = self.world.borrow_mut();
+        world.paused.insert(index);
+        let at = world.now + SILENCE;
+        world.at(at, None, move |world| {
+            let mut world = world.borrow_mut();
+            if world.paused.contains(&index) {
+                world.links_down(index);
+            }
+        });
     }
 
     pub fn wake(&mut self, index: usize) {
-        if let Some(daemon) = &mut self.daemons[index] {
-            daemon.is_paused = false;
+        let mut world = self.world.borrow_mut();
+        if world.paused.remove(&index) {
+            world.after(STEP * 4, None, move |world| world.borrow_mut().links_up(index));
         }
     }
 
@@ -227,7 +237,7 @@
         let link = pair(one, other);
         let mut world = self.world.borrow_mut();
         world.faults.cuts.insert(link);
-        let at = world.now + Duration::from_secs(2);
+        let at = world.now + SILENCE;
         world.at(at, None, move |world| {
             let mut world = world.borrow_mut();
             if world.faults.cuts.contains(&link) {
@@ -288,25 +298,24 @@
         let now = self.now();
         let wall = self.wall();
         self.deliver(now);
-        for daemon in self.daemons.iter_mut().flatten().filter(|daemon| !daemon.is_paused) {
+        let paused = self.world.borrow().paused.clone();
+        let daemons = self.daemons.iter_mut().enumerate();
+        let running = daemons.filter(|(index, _)| !paused.contains(index));
+        for daemon in running.filter_map(|(_, daemon)| daemon.as_mut()) {
             daemon.stakker.set_systime(Some(wall));
             while daemon.stakker.run(now, false) {}
         }
     }
 
     fn deliver(&mut self, now: Instant) {
-        let paused: Vec<bool> = self
-            .daemons
-            .iter()
-            .map(|daemon| daemon.as_ref().is_some_and(|daemon| daemon.is_paused))
-            .collect();
+        let paused = self.world.borrow().paused.clone();
         let due = {
             let mut world = self.world.borrow_mut();
             let later = world.queue.split_off(&(now, u64::MAX));
             std::mem::replace(&mut world.queue, later)
         };
         for (key, (to, happening)) in due {
-            if to.is_some_and(|index| paused[index]) {
+            if to.is_some_and(|index| paused.contains(&index)) {
                 self.world.borrow_mut().queue.insert(key, (to, happening));
             } else {
                 happening(&self.world);
@@ -503,9 +512,24 @@
         }
     }
 
+    fn links_down(&mut self, index: usize) {
+        let is_its = |link: &&(usize, usize)| link.0 == index || link.1 == index;
+        let gone: Vec<_> = self.up.iter().filter(is_its).copied().collect();
+        for link in gone {
+            self.link_down(link);
+        }
+    }
+
+    fn links_up(&mut self, index: usize) {
+        for other in (0..self.names.len()).filter(|other| *other != index) {
+            self.link_up(pair(index, other));
+        }
+    }
+
     fn link_up(&mut self, link: (usize, usize)) {
         let (one, other) = link;
-        let are_alive = self.lives[one] > 0 && self.lives[other] > 0;
+        let are_alive =
+            [one, other].iter().all(|end| self.lives[*end] > 0 && !self.paused.contains(end));
         if are_alive && !self.faults.cuts.contains(&link) && self.up.insert(link) {
             let names = (self.names[one].clone(), self.names[other].clone());
             self.input(one, STEP, Input::Up(names.1));
