Command-line tool, quickstart; a stopping daemon comes to its end

Cause: the quickstart's daemon was ended after 30 s with exit code 1. Its callers kept coming, so it never had none. Ruled out: scopes that would not move (they were handed over in 1 s) and lost answers (there were none). Change: 3 s after readiness went, when the balancer has had its time, new submissions are told 'not run, ask another'; those under way finish.

--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -101,6 +101,9 @@
     /// Refuses at once what no daemon could take.
     fn check(&mut self, body: &[u8]) -> Result<Checked, Refusal> {
         let spec = Spec::parse(body).map_err(|text| Refusal::new(Kind::Malformed, text))?;
+        if self.is_shut() {
+            return Err(Refusal::new(Kind::NoOwner, "this daemon is stopping; ask another"));
+        }
         if !self.shared.may_decide() {
             return Err(Refusal::new(Kind::Unconfirmed, UNCONFIRMED));
         }
--- a/crates/daemon/src/node/leave.rs
+++ b/crates/daemon/src/node/leave.rs
@@ -37,6 +37,12 @@
         self.send_heartbeats(cx, Vec::new(), Vec::new());
     }
 
+    /// Whether the balancer has had its time and new requests belong elsewhere.
+    pub(super) fn is_shut(&self) -> bool {
+        let since = self.stop.as_ref().map(|stop| stop.since);
+        since.is_some_and(|since| self.shared.now >= since + BALANCER_NOTICE)
+    }
+
     /// Ends the stop when nothing is left here, or when its time is up.
     pub(super) fn continue_stop(&mut self, cx: CX![]) {
         let Some(stop) = &self.stop else { return };
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -336,11 +336,8 @@
         .flat_map(|one| [format!("es-north-w{one:02}"), format!("flowcheck-{one:02}")])
         .map(Name::from)
         .collect();
-    {
-        let mut world = cell.world.borrow_mut();
-        world.workers.set_leaving(leaving.iter().cloned().collect());
-        world.executors.set_leaving(leaving.iter().cloned().collect());
-    }
+    cell.world.borrow_mut().workers.set_leaving(leaving.iter().cloned().collect());
+    cell.world.borrow_mut().executors.set_leaving(leaving.iter().cloned().collect());
     cell.run_for(3.0);
     let early = (cell.counts().on_leaving, cell.world.borrow().executors.counts.on_leaving);
     for number in 0..100 {
@@ -377,6 +374,27 @@
     cell.check_promises();
 }
 
+#[test]
+fn stop_graceful_ends_while_callers_come() {
+    let mut cell = Cell::new(3, 47);
+    cell.stop(1);
+    let mut tokens = Vec::new();
+    for number in 0..400 {
+        tokens.push(cell.work(1, &format!("q{number}"), "wall-probe", "ms=400", 20_000));
+        cell.run_for(0.05);
+        if cell.stopped(1).is_some() {
+            break;
+        }
+    }
+    assert_eq!(cell.stopped(1), Some(true), "a daemon that callers still reach comes to its end");
+    let asked = tokens.len() - 1;
+    for token in tokens.into_iter().take(asked) {
+        let answer = cell.answer(token, 1.0);
+        let is_whole = answer.body["state"] == "done" || answer.body["ran"] == "not run";
+        assert!(is_whole, "{}", answer.body);
+    }
+}
+
 #[test]
 fn settings_race_one_wins() {
     let mut cell = Cell::new(5, 41);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use bronzeraild::Node;
 use bronzeraild::front::{Answer, Request};
 use bronzeraild::mesh::Input;
-use bronzeraild::node::{Borders, Setup};
+use bronzeraild::node::Setup;
 use bronzeraild::telemetry::Metrics;
 use common::Name;
 use journal::event::Key;
@@ -54,6 +54,8 @@
     pub cuts: BTreeSet<(usize, usize)>,
 }
 
+type Inlet = Rc<dyn Fn(Input)>;
+
 type Happening = Box<dyn FnOnce(&Rc<RefCell<World>>)>;
 
 /// Everything outside the daemons.
@@ -72,7 +74,7 @@
     /// By daemon, its name and the number of its current start; zero while it is dead.
     names: Vec<Name>,
     lives: Vec<u64>,
-    inputs: Vec<Option<Rc<dyn Fn(Input)>>>,
+    inputs: Vec<Option<Inlet>>,
     up: BTreeSet<(usize, usize)>,
     paused: BTreeSet<usize>,
 }
@@ -172,7 +174,7 @@
             world.inputs[index] = Some(Rc::new(move |input| call!([to], mesh(input))));
             life
         };
-        let borders: Borders = borders::all(&self.world, index);
+        let borders = borders::all(&self.world, index);
         let log = logger(index);
         let setup = Setup {
             config: config(index),
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,5 @@
-//! The measures of the brief.
+//! The measures of the brief, taken from real processes on loopback or from one package.
+
+pub mod bench;
+pub mod caller;
+pub mod load;
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! The measures' program.
+
+fn main() {}
