--- /dev/null
+++ b/crates/journal/tests/log.rs
@@ -0,0 +1,230 @@
+//! The log against a table that loses answers, and a naive model of it.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use common::Name;
+use journal::event::{Event, Key, Outcome, Place, Terms};
+use journal::log::Step;
+use journal::segment::{self, Segment};
+use journal::snapshot::{self, Head};
+use journal::{Book, Log};
+use platform::table::{Query, Transaction};
+use settings::Spec;
+use settings::quantity::Size;
+use settings::rules::{Class, Mode};
+use standin::table::Table;
+
+const OWNER: &str = "own/partition/0003";
+const PARTITION: u32 = 3;
+
+/// Random inputs of one test.
+const INPUTS: u64 = 1500;
+
+fn key(number: usize) -> Key {
+    Key { customer: "c".into(), id: Name::from(format!("r{number}")) }
+}
+
+fn admitted(number: usize, is_repeatable: bool) -> Event {
+    let spec = Spec {
+        customer: "c".into(),
+        id: key(number).id,
+        kind: "k".into(),
+        payload: "p".to_owned(),
+        size: None,
+        tasks: None,
+        within_ms: None,
+        repeatable: None,
+    };
+    let terms = Terms {
+        mode: Mode::Study,
+        class: Class::Normal,
+        is_repeatable,
+        attempts: 3,
+        size: Size::default(),
+        tasks: 1,
+        admitted_ms: 0,
+        start_by_ms: None,
+    };
+    Event::Admitted { key: key(number), spec, terms }
+}
+
+fn started(number: usize, attempt: u32) -> Event {
+    let place = Place { task: 0, attempt, rack: "r".into(), worker: "w".into(), rack_epoch: 1 };
+    Event::Started { key: key(number), places: vec![place] }
+}
+
+fn claim(table: &mut Table) -> u64 {
+    let commit = table.commit(Transaction::default().put(OWNER, "me".to_owned()));
+    commit.version
+}
+
+fn rows(table: &mut Table) -> Vec<(Name, String)> {
+    let query = Query { keys: Vec::new(), prefixes: vec![segment::prefix(PARTITION).into()] };
+    table.read(&query).into_iter().map(|row| (row.key, row.value)).collect()
+}
+
+#[test]
+fn commit_lost_answers_each_event_once() {
+    for seed in 0..INPUTS {
+        arbtest::arbtest(lossy_run).seed(seed << 32 | 512);
+    }
+}
+
+/// Appends events while answers are lost and another owner may claim; then recovers.
+fn lossy_run(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut table = Table::default();
+    let version = claim(&mut table);
+    let mut log = Log::new(PARTITION, 1, OWNER.into(), version, 0);
+    let mut told = Vec::new();
+    let mut next = 0;
+    let mut is_fenced = false;
+    let mut nonce = 0;
+    for _ in 0..20 {
+        for _ in 0..u.choose_index(3)? {
+            log.append(admitted(next, true), next as u64);
+            next += 1;
+        }
+        if u.ratio(1, 15)? {
+            claim(&mut table);
+            is_fenced = true;
+        }
+        nonce += 1;
+        let Some(transaction) = log.take(nonce).or_else(|| log.resend()) else {
+            continue;
+        };
+        let is_received = u.ratio(3, 4)?;
+        let commit = is_received.then(|| table.commit(transaction));
+        let is_answered = u.ratio(3, 4)?;
+        let mut step = log.answer(commit.as_ref().filter(|_| is_answered));
+        if let Step::Read(query) = &step {
+            step = log.settle(&table.read(query));
+        }
+        match step {
+            Step::Durable(tokens) => told.extend(tokens),
+            Step::Fenced => {
+                assert!(is_fenced, "nobody else claimed");
+                break;
+            }
+            Step::Resend => {}
+            Step::Read(_) => panic!("settled reads lead on"),
+        }
+    }
+    let (book, _) = snapshot::recover(&Head::default(), None, &rows(&mut table))
+        .expect("what was written can be read");
+    for token in &told {
+        assert!(book.get(&key(*token as usize)).is_some(), "{token} was said to be durable");
+    }
+    let mut sorted = told.clone();
+    sorted.dedup();
+    assert_eq!(sorted, told, "each is said once, in order");
+    Ok(())
+}
+
+#[test]
+fn append_after_fence_refused() {
+    let mut table = Table::default();
+    let version = claim(&mut table);
+    let mut log = Log::new(PARTITION, 1, OWNER.into(), version, 0);
+    log.append(admitted(0, true), 0);
+    let transaction = log.take(7).expect("an event waits");
+    claim(&mut table);
+    let commit = table.commit(transaction);
+    assert!(!commit.committed);
+    let Step::Read(query) = log.answer(Some(&commit)) else {
+        panic!("a conflict is looked into");
+    };
+    assert_eq!(log.settle(&table.read(&query)), Step::Fenced);
+    assert!(rows(&mut table).is_empty());
+}
+
+#[test]
+fn withdraw_only_before_flight() {
+    let mut log = Log::new(PARTITION, 1, OWNER.into(), 1, 0);
+    log.append(admitted(0, true), 1);
+    assert!(log.withdraw(1).is_some());
+    log.append(admitted(0, true), 2);
+    log.take(1).expect("an event waits");
+    assert!(log.withdraw(2).is_none());
+}
+
+#[test]
+fn decode_damaged_refused() {
+    let segment = Segment { epoch: 3, nonce: 9, events: vec![admitted(0, true)] };
+    let text = segment.encode();
+    assert_eq!(Segment::decode(&text).expect("it is whole"), segment);
+    for at in 0..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[at] ^= 1;
+        let is_same = String::from_utf8(bytes).is_ok_and(|changed| {
+            Segment::decode(&changed).is_ok_and(|read| read.events != segment.events)
+        });
+        assert!(!is_same, "a change at {at} went unseen");
+    }
+    Segment::decode("something else").expect_err("refused");
+    let newer = text.replacen("bronzerail-journal 1", "bronzerail-journal 2", 1);
+    assert!(Segment::decode(&newer).expect_err("refused").to_string().contains("version 2"));
+}
+
+#[test]
+fn recover_gap_refused() {
+    let text = Segment { epoch: 1, nonce: 1, events: vec![admitted(0, true)] }.encode();
+    let rows = [(Name::from(segment::key(PARTITION, 1)), text)];
+    let error = snapshot::recover(&Head::default(), None, &rows).expect_err("refused");
+    assert!(error.to_string().contains("segment 0 is missing"));
+}
+
+#[test]
+fn recover_snapshot_and_tail() {
+    let mut book = Book::default();
+    book.apply(admitted(0, true)).expect("it fits");
+    let (bytes, crc) = snapshot::encode(&book);
+    let head = Head { version: snapshot::VERSION, object: Some("o".into()), crc, next: 5 };
+    let tail = Segment { epoch: 1, nonce: 1, events: vec![started(0, 1)] }.encode();
+    let rows = [(Name::from(segment::key(PARTITION, 5)), tail)];
+    let (book, next) = snapshot::recover(&head, Some(&bytes), &rows).expect("it reads");
+    assert_eq!(next, 6);
+    assert_eq!(book.get(&key(0)).map(journal::book::Request::word), Some("running"));
+    snapshot::recover(&head, Some(&bytes[1..]), &rows).expect_err("damaged");
+    snapshot::recover(&head, None, &rows).expect_err("missing");
+}
+
+#[test]
+fn apply_once_no_second_attempt() {
+    let mut book = Book::default();
+    book.apply(admitted(0, false)).expect("it fits");
+    book.apply(started(0, 1)).expect("it fits");
+    let again = |may_have_run| Event::Again {
+        key: key(0),
+        task: 0,
+        attempt: 1,
+        may_have_run,
+        reason: String::new(),
+    };
+    assert!(book.apply(again(true)).is_err());
+    book.apply(again(false)).expect("it never ran");
+    book.apply(started(0, 2)).expect("it fits");
+}
+
+#[test]
+fn apply_not_run_answer_only_when_true() {
+    let mut book = Book::default();
+    book.apply(admitted(0, true)).expect("it fits");
+    book.apply(started(0, 1)).expect("it fits");
+    let answer = journal::event::Answer {
+        code: common::Kind::Cancelled.code(),
+        text: String::new(),
+        results: Vec::new(),
+        at_ms: 0,
+    };
+    let closed = Event::Closed { key: key(0), answer };
+    assert!(book.apply(closed.clone()).is_err());
+    let ended = Event::Ended {
+        key: key(0),
+        task: 0,
+        attempt: 1,
+        outcome: Outcome::Done,
+        result: "r".to_owned(),
+    };
+    book.apply(ended.clone()).expect("it fits");
+    assert!(book.apply(ended).is_err(), "an outcome counts once");
+    assert!(book.apply(closed).is_err());
+}
