--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,3 +3,6 @@
 pub mod bench;
 pub mod caller;
 pub mod load;
+pub mod path;
+pub mod process;
+pub mod setting;
