--- a/crates/daemon/src/front/api.rs
+++ b/crates/daemon/src/front/api.rs
@@ -35,7 +35,7 @@
         ("POST", ["v1", "requests"]) => {
             let wait_ms = number(query, "wait_ms")?;
             let trace = parts.trace.filter(|trace| is_trace(trace)).map(str::to_owned);
-            Ok(Request::Submit { body, wait_ms, trace })
+            Ok(Request::Submit { body, wait_ms, trace, arrived_us: 0 })
         }
         ("GET", ["v1", "requests", customer, id]) => {
             let wait_ms = number(query, "wait_ms")?.unwrap_or(0);
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -23,6 +23,8 @@
             wait_ms: Option<u64>,
             /// The caller's trace context.
             trace: Option<String>,
+            /// When it came in, in microseconds since 1970; zero where nobody looked.
+            arrived_us: u64,
         },
         /// Tell where a request stands.
         Status {
--- a/crates/daemon/src/front/server.rs
+++ b/crates/daemon/src/front/server.rs
@@ -10,7 +10,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::Kind;
 use stakker::{Core, Fwd, Waker, fwd};
@@ -133,8 +133,14 @@
             "/healthz" => return respond(exchange, 200, "ok\n".to_owned(), "text/plain"),
             _ => {}
         }
+        let came_us = now_us();
         match self.read(&mut exchange) {
-            Ok(request) => self.hand_over(exchange, request),
+            Ok(mut request) => {
+                if let Request::Submit { arrived_us, .. } = &mut request {
+                    *arrived_us = came_us;
+                }
+                self.hand_over(exchange, request);
+            }
             Err(answer) => respond_json(exchange, &answer),
         }
     }
@@ -186,6 +192,11 @@
     }
 }
 
+fn now_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
 fn header<'e>(exchange: &'e Exchange, name: &'static str) -> Option<&'e str> {
     let mut headers = exchange.headers().iter();
     headers.find(|header| header.field.equiv(name)).map(|header| header.value.as_str())
--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -40,8 +40,9 @@
     pub fn request(&mut self, cx: CX![], token: Token, request: Request) {
         self.touch(cx);
         match request {
-            Request::Submit { body, wait_ms, trace } => {
+            Request::Submit { body, wait_ms, trace, arrived_us } => {
                 self.submit(cx, token, body, wait_ms, trace);
+                self.gate.stamp(token, arrived_us);
             }
             Request::Status { key, wait_ms } => {
                 let wants_result = wait_ms > 0;
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -114,6 +114,13 @@
         self.open.insert(forward.token, forward);
     }
 
+    /// Corrects when a request came in, where its reader saw that.
+    pub fn stamp(&mut self, token: Token, arrived_us: u64) {
+        if let Some(forward) = self.open.get_mut(&token).filter(|_| arrived_us > 0) {
+            forward.arrived_us = arrived_us;
+        }
+    }
+
     /// A request in progress.
     pub fn get(&self, token: Token) -> Option<&Forward> {
         self.open.get(&token)
--- a/crates/daemon/src/node/racks.rs
+++ b/crates/daemon/src/node/racks.rs
@@ -174,10 +174,12 @@
         if let Some(keeper) = self.keepers.get_mut(&serving.rack) {
             keeper.rack.free_slot(&serving.executor, verdict, self.shared.now);
         }
+        let asked_us = result.as_ref().map_or(0, |reply| reply.asked_us).max(serving.started_us);
         let mut answer = answer_of(result);
-        let length = self.shared.wall_us.saturating_sub(serving.started_us);
-        answer.spans.push(span("rack", self.shared.me(), serving.started_us, 0));
-        answer.spans.push(span("executor", &serving.executor, serving.started_us, length));
+        let queued = asked_us - serving.started_us;
+        let length = self.shared.wall_us.saturating_sub(asked_us);
+        answer.spans.push(span("rack", self.shared.me(), serving.started_us, queued));
+        answer.spans.push(span("executor", &serving.executor, asked_us, length));
         answer.worker = serving.executor.to_string();
         self.answer(cx, serving.from, answer);
         self.perform(cx);
--- a/crates/daemon/tests/support/borders.rs
+++ b/crates/daemon/tests/support/borders.rs
@@ -198,7 +198,7 @@
         self.exchange(WORKER_TIME + length, false, ret, move |world| {
             world.borrow_mut().executors.end(&call.executor);
             let body = format!("result of {}", call.request).into_bytes();
-            Ok(executors::Reply { is_ok: !work.fails, body })
+            Ok(executors::Reply { is_ok: !work.fails, body, asked_us: 0 })
         });
     }
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -338,7 +338,10 @@
 
     pub fn submit(&mut self, at: usize, json: &str, wait_ms: u64) -> u64 {
         let body = json.as_bytes().to_vec();
-        self.request(at, Request::Submit { body, wait_ms: Some(wait_ms), trace: None })
+        self.request(
+            at,
+            Request::Submit { body, wait_ms: Some(wait_ms), trace: None, arrived_us: 0 },
+        )
     }
 
     /// Submits work of a kind for the trim supplier.
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -171,7 +171,7 @@
     let start = |hop: &str| {
         spans.iter().find(|span| span["hop"] == hop).and_then(|span| span["start_us"].as_u64())
     };
-    start("rack")?.checked_sub(start("entry")?)
+    start("executor")?.checked_sub(start("entry")?)
 }
 
 /// What broke, judged by what callers were told and what the platform counted.
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -28,6 +28,8 @@
         pub is_ok: bool,
         /// The result, or the failure's text.
         pub body: Vec<u8>,
+        /// When the request was sent, in microseconds since 1970.
+        pub asked_us: u64,
     }
 }
 
--- a/crates/platform/src/http/agent.rs
+++ b/crates/platform/src/http/agent.rs
@@ -12,6 +12,9 @@
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Buffer of each connection, each way, in bytes.
+const BUFFER: usize = 8 * 1024;
+
 /// Largest answer, in bytes.
 const ANSWER_LIMIT: u64 = 64 * 1024 * 1024;
 
@@ -22,6 +25,8 @@
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_global(Some(timeout))
         .max_redirects(0)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .max_idle_connections(connections)
         .max_idle_connections_per_host(connections)
         .build();
--- a/crates/platform/src/http/executors.rs
+++ b/crates/platform/src/http/executors.rs
@@ -1,6 +1,6 @@
 //! Executors over HTTP: `POST {base}/{executor}`, the payload as body.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::Name;
 use stakker::{Core, Ret};
@@ -32,21 +32,27 @@
     }
 }
 
+fn now_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
 fn exchange(agent: &Agent, url: &str, call: &Call) -> Answer {
+    let asked_us = now_us();
     let request = agent.post(url).header("x-request", &call.request);
     let request = request.header("traceparent", &call.trace);
     let request = request.config().timeout_global(Some(call.timeout)).build();
     let answer = request.send(&call.payload).map_err(|error| failure(&error))?;
     if answer.status().as_u16() == 422 {
-        return failed(answer);
+        return failed(answer, asked_us);
     }
-    read(answer).map(|body| Reply { is_ok: true, body })
+    read(answer).map(|body| Reply { is_ok: true, body, asked_us })
 }
 
-fn failed(mut answer: ureq::http::Response<ureq::Body>) -> Answer {
+fn failed(mut answer: ureq::http::Response<ureq::Body>, asked_us: u64) -> Answer {
     let body = answer.body_mut().read_to_vec();
     let body = body.map_err(|error| Error::Lost { text: error.to_string() })?;
-    Ok(Reply { is_ok: false, body })
+    Ok(Reply { is_ok: false, body, asked_us })
 }
 
 impl crate::Executors for Executors {
