--- a/crates/measure/src/bench.rs
+++ b/crates/measure/src/bench.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
 use crate::caller::Caller;
@@ -180,10 +181,11 @@
     }
 
     /// Sends a signal to a daemon.
-    pub fn signal(&self, index: usize, signal: i32) {
-        if let Some(pid) = self.pid(index) {
-            let pid = i32::try_from(pid).unwrap_or(i32::MAX);
-            kill(pid, signal);
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let pid = self.pid(index).and_then(|pid| i32::try_from(pid).ok());
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            // A process that has ended already is no error.
+            let _ = kill_process(pid, signal);
         }
     }
 
@@ -196,7 +198,7 @@
 
     /// Stops a daemon gracefully; gives its exit code, none where it had to be ended.
     pub fn stop(&mut self, index: usize) -> Option<i32> {
-        self.signal(index, signal_hook::consts::SIGTERM);
+        self.signal(index, Signal::TERM);
         let mut child = self.daemons[index].child.take()?;
         let limit = Instant::now() + STOP_WAIT;
         while Instant::now() < limit {
@@ -230,15 +232,6 @@
     let _ = child.wait();
 }
 
-/// Sends a signal to a process that we started.
-fn kill(pid: i32, signal: i32) {
-    let result =
-        rustix::process::Pid::from_raw(pid).zip(rustix::process::Signal::from_named_raw(signal));
-    if let Some((pid, signal)) = result {
-        let _ = rustix::process::kill_process(pid, signal);
-    }
-}
-
 fn address_in(log: &str) -> Option<String> {
     let started = log.lines().find(|line| line.contains("\"event\":1001"))?;
     let line: Value = serde_json::from_str(started).ok()?;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,11 +1,13 @@
 //! The measures' program.
 
+#![expect(clippy::empty_structs_with_brackets, reason = "argh derives from braced structs only")]
+
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use measure::bench::Result;
-use measure::path;
 use measure::setting::Setting;
+use measure::{faults, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -24,6 +26,8 @@
 enum Measure {
     /// The whole path.
     Path(Path),
+    /// One fault after another.
+    Faults(Faults),
 }
 
 /// Nine daemons under quick and patient load together.
@@ -35,6 +39,11 @@
     rate: f64,
 }
 
+/// One fault after another on nine daemons under load.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+struct Faults {}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args.measure) {
@@ -52,5 +61,6 @@
 fn run(measure: &Measure) -> Result<Value> {
     match measure {
         Measure::Path(args) => path::run(&Setting::find()?, args.rate),
+        Measure::Faults(_) => faults::run(&Setting::find()?),
     }
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether neither quarantine nor trial is in the way, now or later.
+    pub fn is_plain(&self) -> bool {
+        self.until.is_none()
+    }
+
     /// Notes that work was sent there.
     pub fn sent(&mut self, now: Instant) {
         if self.until.is_some_and(|until| now >= until) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,9 +4,11 @@
 //! same decisions.
 
 pub mod health;
+pub mod index;
 pub mod order;
 pub mod rack;
 pub mod rendezvous;
 
 pub use health::Health;
+pub use index::Index;
 pub use rack::Rack;
--- a/crates/policy/src/rack.rs
+++ b/crates/policy/src/rack.rs
@@ -3,14 +3,14 @@
 //! Reservations and tasks take room; a worker whose tasks are not known counts as full.
 //! The owner is the only one to say yes, so racing requests cannot overfill a worker.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Instant;
 
 use common::Name;
 use settings::inventory::{Executor, Inventory};
 use settings::quantity::Size;
 
-use crate::Health;
+use crate::{Health, Index};
 
 common::data! {
     /// Why there is no room.
@@ -46,6 +46,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Worker {
+    name: Name,
     room: Size,
     used: Size,
     tasks: usize,
@@ -67,7 +68,11 @@
 /// The room of one rack.
 #[derive(Debug, Clone, Default)]
 pub struct Rack {
-    workers: BTreeMap<Name, Worker>,
+    workers: Vec<Worker>,
+    numbers: HashMap<Name, u32>,
+    /// Workers in good standing; the others are looked at one by one.
+    open: Index,
+    guarded: BTreeSet<u32>,
     servers: BTreeMap<Name, Server>,
     reservations: HashMap<u64, Reservation>,
     next: u64,
@@ -77,23 +82,62 @@
     /// Takes over the rack's part of an inventory; running work keeps its room.
     pub fn set_inventory(&mut self, rack: &str, inventory: &Inventory) {
         let listed = inventory.racks.get(rack).map_or(&[][..], |rack| &rack.workers);
-        self.workers.retain(|name, worker| {
-            worker.tasks > 0 || listed.iter().any(|listed| listed.name == *name)
-        });
-        for worker in self.workers.values_mut() {
-            worker.room = Size::default();
+        for number in 0..self.workers.len() as u32 {
+            self.change(number, |worker| worker.room = Size::default());
         }
         for listed in listed {
-            self.workers.entry(listed.name.clone()).or_default().room = listed.room;
+            let number = self.number(&listed.name);
+            self.change(number, |worker| worker.room = listed.room);
         }
         self.set_servers(inventory);
     }
 
+    /// The number of a worker, which is added where it is not there.
+    fn number(&mut self, name: &Name) -> u32 {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let number = self.workers.len() as u32;
+        self.workers.push(Worker { name: name.clone(), ..Worker::default() });
+        self.numbers.insert(name.clone(), number);
+        self.guarded.insert(number);
+        number
+    }
+
+    /// Changes a worker and keeps the index in step.
+    fn change<T>(&mut self, number: u32, change: impl FnOnce(&mut Worker) -> T) -> T {
+        let worker = &mut self.workers[number as usize];
+        let (was_plain, before) = (worker.is_plain(), worker.free());
+        let result = change(worker);
+        let (is_plain, after) = (worker.is_plain(), worker.free());
+        if was_plain == is_plain && before == after {
+            return result;
+        }
+        if was_plain {
+            self.open.remove(number, &before);
+        } else {
+            self.guarded.remove(&number);
+        }
+        if is_plain {
+            self.open.insert(number, &after);
+        } else {
+            self.guarded.insert(number);
+        }
+        result
+    }
+
+    /// Changes a worker by name, where it is there.
+    fn change_named(&mut self, name: &str, change: impl FnOnce(&mut Worker)) {
+        if let Some(number) = self.numbers.get(name).copied() {
+            self.change(number, change);
+        }
+    }
+
     fn set_servers(&mut self, inventory: &Inventory) {
         let mut servers = BTreeMap::new();
         for (service, listed) in &inventory.services {
             let here = listed.executors.iter();
-            for executor in here.filter(|one| self.workers.contains_key(&one.worker)) {
+            for executor in here.filter(|one| self.numbers.contains_key(&one.worker)) {
                 let old = self.servers.remove(&executor.name).unwrap_or_default();
                 servers.insert(executor.name.clone(), Server::renewed(old, service, executor));
             }
@@ -110,7 +154,7 @@
 
     /// Names of all workers.
     pub fn workers(&self) -> impl Iterator<Item = &Name> {
-        self.workers.keys()
+        self.workers.iter().map(|worker| &worker.name)
     }
 
     /// Room, use, number of tasks and a word for the standing of each worker.
@@ -118,22 +162,21 @@
         &self,
         now: Instant,
     ) -> impl Iterator<Item = (&Name, Size, Size, usize, &'static str)> {
-        self.workers.iter().map(move |(name, worker)| {
-            (name, worker.room, worker.used, worker.tasks, worker.standing(now))
+        let shown = self.workers.iter().filter(|worker| worker.is_listed() || worker.tasks > 0);
+        shown.map(move |worker| {
+            (&worker.name, worker.room, worker.used, worker.tasks, worker.standing(now))
         })
     }
 
     /// Marks a worker whose tasks are all accounted for, or one that is silent.
     pub fn set_known(&mut self, worker: &str, is_known: bool) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.is_known = is_known;
-        }
+        self.change_named(worker, |worker| worker.is_known = is_known);
     }
 
     /// Marks workers and executors that are leaving; all others are not.
     pub fn set_leaving(&mut self, is_leaving: impl Fn(&str) -> bool) {
-        for (name, worker) in &mut self.workers {
-            worker.is_leaving = is_leaving(name);
+        for number in 0..self.workers.len() as u32 {
+            self.change(number, |worker| worker.is_leaving = is_leaving(&worker.name));
         }
         for (name, server) in &mut self.servers {
             server.is_leaving = is_leaving(name) || is_leaving(&server.worker);
@@ -165,29 +208,36 @@
         if places.is_empty() { Err(self.refusal(size)) } else { Ok(places) }
     }
 
-    fn set_aside(&mut self, name: Name, size: Size, now: Instant, expires: Instant) -> Place {
-        if let Some(worker) = self.workers.get_mut(&name) {
+    fn set_aside(&mut self, number: u32, size: Size, now: Instant, expires: Instant) -> Place {
+        self.change(number, |worker| {
             worker.take(&size);
             worker.health.sent(now);
-        }
+        });
         self.next += 1;
-        let worker = name.clone();
-        self.reservations.insert(self.next, Reservation { worker: name, size, expires });
+        let worker = self.workers[number as usize].name.clone();
+        let reservation = Reservation { worker: worker.clone(), size, expires };
+        self.reservations.insert(self.next, reservation);
         Place { reservation: self.next, worker }
     }
 
-    fn best_fit(&self, size: &Size, avoid: &[Name], now: Instant) -> Option<Name> {
-        let open = self.workers.iter().filter(|(name, worker)| {
-            worker.is_open(now) && size.fits(&worker.free()) && !avoid.contains(name)
-        });
-        let tightest =
-            open.min_by(|(_, one), (_, other)| one.slack(size).total_cmp(&other.slack(size)));
-        tightest.map(|(name, _)| name.clone())
+    fn best_fit(&self, size: &Size, avoid: &[Name], now: Instant) -> Option<u32> {
+        let worker = |number: u32| &self.workers[number as usize];
+        let is_allowed = |number| !avoid.contains(&worker(number).name);
+        let found = self.open.tightest(size, is_allowed);
+        found.or_else(|| {
+            // A worker on trial is the last choice.
+            let mut guarded = self.guarded.iter().copied();
+            guarded.find(|number| {
+                let worker = worker(*number);
+                worker.is_open(now) && size.fits(&worker.free()) && is_allowed(*number)
+            })
+        })
     }
 
     fn refusal(&self, size: &Size) -> Refusal {
+        let listed = || self.workers.iter().filter(|worker| worker.is_listed());
         let mut nearest = None;
-        for worker in self.workers.values() {
+        for worker in listed() {
             if size.fits(&worker.free()) {
                 return Refusal::Withheld;
             }
@@ -198,7 +248,7 @@
         if let Some(dimension) = nearest {
             return Refusal::Full(dimension);
         }
-        let excess = self.workers.values().find_map(|worker| size.excess(&worker.room));
+        let excess = listed().find_map(|worker| size.excess(&worker.room));
         Refusal::Impossible(excess.unwrap_or("workers"))
     }
 
@@ -231,27 +281,28 @@
 
     /// Accounts for a task that was found running.
     pub fn adopt(&mut self, worker: &Name, size: &Size) {
-        self.workers.entry(worker.clone()).or_default().take(size);
+        let number = self.number(worker);
+        self.change(number, |worker| worker.take(size));
     }
 
     /// Gives a task's or reservation's room back.
     pub fn give_back(&mut self, worker: &str, size: &Size) {
-        if let Some(worker) = self.workers.get_mut(worker) {
+        self.change_named(worker, |worker| {
             worker.used = worker.used.minus(size);
             worker.tasks = worker.tasks.saturating_sub(1);
             worker.health.withdrawn();
-        }
+        });
     }
 
     /// Notes how a task on a worker ended.
     pub fn note(&mut self, worker: &str, is_ok: bool, now: Instant) {
-        if let Some(worker) = self.workers.get_mut(worker) {
+        self.change_named(worker, |worker| {
             if is_ok {
                 worker.health.succeeded();
             } else {
                 worker.health.failed(now);
             }
-        }
+        });
     }
 
     /// Takes a slot on the service's executor with the most free slots.
@@ -307,7 +358,7 @@
 
     /// The free room of the open worker with the most, by processors.
     pub fn largest_free(&self, now: Instant) -> Size {
-        let open = self.workers.values().filter(|worker| worker.is_open(now));
+        let open = self.workers.iter().filter(|worker| worker.is_open(now));
         let free = open.map(Worker::free);
         free.max_by_key(|size| (size.cpu, size.memory, size.accelerators)).unwrap_or_default()
     }
@@ -323,6 +374,15 @@
         self.room.minus(&self.used)
     }
 
+    fn is_listed(&self) -> bool {
+        self.room != Size::default()
+    }
+
+    /// Whether it may take work whatever the time, so that the index can hold it.
+    fn is_plain(&self) -> bool {
+        self.is_known && !self.is_leaving && self.health.is_plain()
+    }
+
     fn is_open(&self, now: Instant) -> bool {
         self.is_known && !self.is_leaving && self.health.allows(now, self.tasks)
     }
@@ -338,16 +398,6 @@
             "open"
         }
     }
-
-    /// What stays free after a task of a size, as the sum of shares of the room.
-    fn slack(&self, size: &Size) -> f64 {
-        let left = self.free().minus(size);
-        let share = |left: u64, room: u64| if room == 0 { 0.0 } else { left as f64 / room as f64 };
-        // An accelerator that no task uses is the scarcest thing to hold back.
-        share(left.cpu, self.room.cpu)
-            + share(left.memory, self.room.memory)
-            + 4.0 * share(left.accelerators, self.room.accelerators)
-    }
 }
 
 impl Server {
--- a/crates/policy/tests/rack.rs
+++ b/crates/policy/tests/rack.rs
@@ -5,8 +5,9 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use common::Name;
+use policy::index::scan;
 use policy::rack::Refusal;
-use policy::{Health, Rack};
+use policy::{Health, Index, Rack};
 use settings::Inventory;
 use settings::quantity::Size;
 
@@ -92,6 +93,35 @@
     }
 }
 
+/// The index and the scan choose the same unit, however units come, go and change.
+fn same_choice(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut index = Index::default();
+    let mut units: HashMap<u32, Size> = HashMap::new();
+    for _ in 0..60 {
+        let unit = u.int_in_range(0..=20)?;
+        let free = Size { cpu: 125 * u.int_in_range(0..=64)?, ..size(u)? };
+        if let Some(old) = units.remove(&unit) {
+            index.remove(unit, &old);
+        }
+        if u.ratio(4, 5)? {
+            index.insert(unit, &free);
+            units.insert(unit, free);
+        }
+        let wanted = Size { cpu: 125 * u.int_in_range(0..=64)?, ..size(u)? };
+        let barred = u.int_in_range(0..=20)?;
+        let naive = scan(units.iter().map(|(unit, free)| (*unit, free)), &wanted, |one| one != barred);
+        assert_eq!(index.tightest(&wanted, |one| one != barred), naive, "{wanted:?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn tightest_agrees_with_scan() {
+    for seed in 0..INPUTS {
+        arbtest::arbtest(same_choice).seed(seed << 32 | 4096);
+    }
+}
+
 #[test]
 fn reserve_unknown_worker_full() {
     let now = Instant::now();
