--- a/crates/daemon/src/node/apply.rs
+++ b/crates/daemon/src/node/apply.rs
@@ -4,6 +4,7 @@
 
 use common::{Kind, Name};
 use platform::table::{Committed, Query, Row, Rows};
+use rand::Rng;
 use serde_json::json;
 use stakker::{CX, ret_some_to};
 use wire::Body;
@@ -57,7 +58,8 @@
             return self.refuse(token, Kind::StoreDown, "the table does not answer");
         }
         let at_ms = self.shared.wall_ms();
-        let (head, transaction) = self.shared.versions.change(&what, author, at_ms, text);
+        let nonce = self.shared.random.next_u64();
+        let (head, transaction) = self.shared.versions.change(&what, author, at_ms, nonce, text);
         let change = Change { token, head };
         let ret = ret_some_to!([cx], change_committed(change) as (Committed));
         self.borders.table.commit(transaction, ret);
--- a/crates/daemon/src/node/versions.rs
+++ b/crates/daemon/src/node/versions.rs
@@ -35,6 +35,8 @@
         pub at_ms: i64,
         /// Which file the last change was to.
         pub what: Name,
+        /// Tells the last change from another with the same author and time.
+        pub nonce: u64,
     }
 }
 
@@ -144,10 +146,12 @@
         what: &Name,
         author: Name,
         at_ms: i64,
+        nonce: u64,
         text: String,
     ) -> (Head, Transaction) {
         let version = self.head.version + 1;
-        let mut head = Head { version, author, at_ms, what: what.clone(), ..self.head.clone() };
+        let mut head =
+            Head { version, author, at_ms, what: what.clone(), nonce, ..self.head.clone() };
         if &**what == "inventory" {
             head.inventory = version;
         } else {
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use bronzeraild::front::Request;
 use common::Name;
 use support::Cell;
 
@@ -413,6 +414,23 @@
     }
 }
 
+#[test]
+fn settings_race_same_author_one_wins() {
+    // Found by `measure faults`: the same author, at the same millisecond.
+    let mut cell = Cell::new(3, 48);
+    let rules = support::example("rules.jsonc");
+    let ask = |cell: &mut Cell, at: usize, weight: &str| {
+        let text = rules.replace("\"weight\": 4", weight);
+        let what = Name::new("rules");
+        cell.request(at, Request::Apply { what, base: 2, author: Name::new("ane"), text })
+    };
+    let one = ask(&mut cell, 0, "\"weight\": 5");
+    let other = ask(&mut cell, 1, "\"weight\": 6");
+    let mut statuses = [cell.answer(one, 10.0).status, cell.answer(other, 10.0).status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 412]);
+}
+
 #[test]
 fn settings_lost_answer_told_truly() {
     let mut cell = Cell::new(3, 42);
--- a/crates/measure/src/faults.rs
+++ b/crates/measure/src/faults.rs
@@ -229,7 +229,7 @@
     let in_stop = |told: &Told| {
         stops.iter().any(|stretch| told.asked >= stretch.from && told.asked < stretch.until)
     };
-    let cut = told.iter().filter(|one| in_stop(one) && one.answer.is_none()).count();
+    let cut = told.iter().filter(|one| in_stop(one) && one.broken > 0).count();
     json!({
         "measure": "faults",
         "requests": verdict.requests,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod caller;
+pub mod decide;
 pub mod faults;
 pub mod load;
 pub mod path;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -7,7 +7,7 @@
 use argh::FromArgs;
 use measure::bench::Result;
 use measure::setting::Setting;
-use measure::{faults, path};
+use measure::{decide, faults, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -28,6 +28,8 @@
     Path(Path),
     /// One fault after another.
     Faults(Faults),
+    /// The cost of a decision.
+    Decide(Decide),
 }
 
 /// Nine daemons under quick and patient load together.
@@ -44,6 +46,11 @@
 #[argh(subcommand, name = "faults")]
 struct Faults {}
 
+/// The cost of one placement decision, by index and by scan.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "decide")]
+struct Decide {}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args.measure) {
@@ -61,6 +68,7 @@
 fn run(measure: &Measure) -> Result<Value> {
     match measure {
         Measure::Path(args) => path::run(&Setting::find()?, args.rate),
+        Measure::Decide(_) => decide::run(),
         Measure::Faults(_) => faults::run(&Setting::find()?),
     }
 }
