Retry budgets by customer and peer, a byte budget for digests, shares of open quick requests

Cause: the settings named budgets that nothing kept to. A customer or a peer in trouble could make every retry of everybody; digests had no bound in bytes. Change: a bucket of retries for each customer and each peer (what is over it waits for the next look, or is answered 'unknown' where it may have run); digests wait for a later round where the budget has no room; a customer's open quick requests are bounded by its share; shedding is logged once a second.

--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -225,7 +225,7 @@
 
     fn park(&mut self, token: Token) {
         self.read_soon_if_stale();
-        if let Some(forward) = self.gate.park(token, self.shared.now) {
+        if let Some(forward) = self.gate.park(token, &mut self.shared.retries, self.shared.now) {
             let answer = forward.give_up();
             self.respond(token, Some(&forward), &answer);
         }
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -10,11 +10,15 @@
 
 use super::act::failure;
 use super::home::to_wire;
+use super::retries::Retries;
 use crate::front::Token;
 
 /// Pause before a request is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause where the budget of retries is used up.
+const LONG_PAUSE: Duration = Duration::from_secs(2);
+
 /// How long past the caller's time a home's answer is waited for.
 pub const GRACE: Duration = Duration::from_millis(500);
 
@@ -142,10 +146,14 @@
     }
 
     /// Sets a request aside, to be tried again; gives it back where its time is up.
-    pub fn park(&mut self, token: Token, now: Instant) -> Option<Forward> {
+    ///
+    /// Where the customer's budget of retries is used up, the pause is longer.
+    pub fn park(&mut self, token: Token, retries: &mut Retries, now: Instant) -> Option<Forward> {
         let forward = self.open.get_mut(&token)?;
         forward.tries += 1;
-        let at = now + RETRY_PAUSE * forward.tries.min(4);
+        let is_allowed = retries.allow_customer(&forward.key.customer, now);
+        let pause = if is_allowed { RETRY_PAUSE * forward.tries.min(4) } else { LONG_PAUSE };
+        let at = now + pause;
         if at >= forward.until {
             return self.open.remove(&token);
         }
--- a/crates/daemon/src/node/keeper.rs
+++ b/crates/daemon/src/node/keeper.rs
@@ -39,6 +39,9 @@
 /// Longest time between two digests of a rack that does not change.
 const RETELL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bytes of a digest that has not been told yet.
+const DIGEST_BYTES_GUESS: usize = 80;
+
 /// Tries of a start whose answers are lost, before the worker's list decides.
 const START_TRIES: u32 = 5;
 
@@ -247,6 +250,12 @@
         Some(digest)
     }
 
+    /// Bytes of the digest last told, or a guess before the first.
+    pub fn digest_bytes(&self) -> usize {
+        use wire::Message;
+        self.told.as_ref().map_or(DIGEST_BYTES_GUESS, Message::encoded_len)
+    }
+
     /// The digest last told, for a peer that has just connected.
     pub fn told(&self) -> Option<wire::Digest> {
         self.told.clone()
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -19,6 +19,7 @@
 mod peers;
 pub mod quick;
 mod racks;
+pub mod retries;
 pub mod shared;
 pub mod store;
 pub mod survey;
@@ -157,6 +158,7 @@
     usage: Instant,
     fleet: Instant,
     under_way: BTreeSet<Errand>,
+    digest_bytes: platform::limit::Bucket,
 }
 
 /// What is known of the platform's outage and of our standing in it.
@@ -184,8 +186,11 @@
         };
         let membership = Membership::new(me, config.timing.lease, now);
         let store = Store::new(config.budgets.table_writes, config.budgets.table_reads, now);
+        let retries = retries::Retries::new(config.budgets.retries);
+        let digest_rate = f64::from(config.budgets.digest_bytes);
         let shared = Shared {
             config,
+            retries,
             versions: versions::Versions::default(),
             digests: digests::Digests::default(),
             claims: claims::Claims::default(),
@@ -219,7 +224,7 @@
             applies: Vec::new(),
             leaving_vms: HashSet::new(),
             rates: HashMap::new(),
-            schedule: Schedule::new(now),
+            schedule: Schedule::new(now, digest_rate),
             outage: Outage::default(),
             stop: None,
             loop_lag: now,
@@ -393,8 +398,9 @@
 }
 
 impl Schedule {
-    fn new(now: Instant) -> Self {
+    fn new(now: Instant, digest_rate: f64) -> Self {
         Self {
+            digest_bytes: platform::limit::Bucket::new(digest_rate, now),
             renew: now,
             read: now,
             claims_read: now,
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -53,10 +53,18 @@
         let now = self.shared.now;
         let me = self.shared.me().clone();
         let mut digests = Vec::new();
+        let peers = self.shared.membership.peers().len();
         for keeper in self.keepers.values_mut() {
+            let cost = (keeper.digest_bytes() * peers) as f64;
+            // What the budget has no room for now is told on a later round.
+            if !self.schedule.digest_bytes.take(cost, 0.0, now) {
+                continue;
+            }
             if let Some(digest) = keeper.news(&self.shared) {
                 self.shared.digests.learn(&me, &digest);
                 digests.push(digest);
+            } else {
+                self.schedule.digest_bytes.force(-cost, now);
             }
         }
         let mut usages = Vec::new();
--- a/crates/daemon/src/node/quick.rs
+++ b/crates/daemon/src/node/quick.rs
@@ -12,10 +12,11 @@
 use settings::Spec;
 use wire::{Answer, Body};
 
-use super::act::{Act, Waiter, failure};
+use super::act::{Act, Refusal, Waiter, failure};
 use super::call::Purpose;
 use super::home::{span, to_wire};
 use super::shared::Shared;
+use crate::event::Event;
 
 /// How long an answer is kept for callers who ask again.
 const KEEP: Duration = Duration::from_mins(1);
@@ -23,6 +24,9 @@
 /// Answers kept at most.
 const KEEP_MAX: usize = 10_000;
 
+/// Between two log lines about shed requests.
+const SHED_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Tries after a lost answer.
 const RUNS_MAX: u32 = 3;
 
@@ -73,6 +77,9 @@
     waiting: BTreeSet<(Instant, Key)>,
     done: VecDeque<(Instant, Key)>,
     acts: Vec<Act>,
+    /// Requests without an answer, by customer.
+    open_of: HashMap<Name, usize>,
+    shed_at: Option<Instant>,
     /// Waits of requests sent since the last look, in microseconds.
     pub waits_us: Vec<u64>,
 }
@@ -103,11 +110,38 @@
             entry.waiters.push(arrival.waiter);
             return;
         }
+        if let Err(refusal) = self.check_room(shared, &key) {
+            self.note_shed(shared, &key, &refusal);
+            return self.answer(arrival.waiter, refusal.answer());
+        }
+        self.insert(shared, key, arrival);
+    }
+
+    fn check_room(&self, shared: &Shared, key: &Key) -> Result<(), Refusal> {
         if self.waiting.len() >= shared.config.bounds.waiting {
             let text = "too many quick requests wait for a slot";
-            return self.answer(arrival.waiter, failure(Kind::Overloaded, text));
+            return Err(Refusal::new(Kind::Overloaded, text));
+        }
+        let customer = &key.customer;
+        let rules = shared.versions.rules.customers.get(customer);
+        let members = shared.membership.live().len().max(1);
+        // Twice the even share, since ids do not fall evenly on the homes.
+        let share = rules.map_or(usize::MAX, |rules| (rules.open as usize * 2 / members).max(1));
+        let open = self.open_of.get(customer).copied().unwrap_or(0);
+        if open >= share {
+            let text = format!("customer {customer} has {open} quick requests open here");
+            return Err(Refusal::new(Kind::Quota, text));
+        }
+        Ok(())
+    }
+
+    /// Logs that requests are shed, at most once a second.
+    fn note_shed(&mut self, shared: &Shared, key: &Key, refusal: &Refusal) {
+        if self.shed_at.is_none_or(|at| shared.now >= at + SHED_LOG_INTERVAL) {
+            self.shed_at = Some(shared.now);
+            let text = format!("{key}: {}", refusal.text);
+            self.acts.push(Act::Log(Event::Shed, text));
         }
-        self.insert(shared, key, arrival);
     }
 
     fn insert(&mut self, shared: &mut Shared, key: Key, arrival: Arrival) {
@@ -124,6 +158,7 @@
             sent_us: 0,
         };
         self.waiting.insert((entry.until, key.clone()));
+        *self.open_of.entry(key.customer.clone()).or_default() += 1;
         self.entries.insert(key.clone(), entry);
         self.dispatch(shared, &key);
     }
@@ -180,7 +215,8 @@
             }
             Some(Some(_)) | None => {
                 entry.runs += 1;
-                if entry.runs >= RUNS_MAX {
+                let is_last = entry.runs >= RUNS_MAX;
+                if is_last || !may_retry(shared, key, rack) {
                     let text = "the executors' answers were lost";
                     self.finish(shared, key, failure(Kind::Unknown, text));
                 } else {
@@ -198,7 +234,10 @@
             entry.tried.remove(0);
         }
         self.waiting.insert((entry.until, key.clone()));
-        self.dispatch(shared, key);
+        // Where the budget is used up, the request waits for the next look.
+        if may_retry(shared, key, rack) {
+            self.dispatch(shared, key);
+        }
     }
 
     fn finish(&mut self, shared: &Shared, key: &Key, mut answer: Answer) {
@@ -208,6 +247,9 @@
         let here = span("home", shared.me(), entry.arrived_us, waited);
         answer.spans.insert(0, here);
         let waiters = std::mem::take(&mut entry.waiters);
+        if let Some(open) = self.open_of.get_mut(&key.customer) {
+            *open = open.saturating_sub(1);
+        }
         entry.stage = Stage::Done(Box::new(answer.clone()));
         self.done.push_back((shared.now + KEEP, key.clone()));
         for waiter in waiters {
@@ -258,3 +300,10 @@
         }
     }
 }
+
+/// Whether the budgets of the customer and of the rack's owner allow another try.
+fn may_retry(shared: &mut Shared, key: &Key, rack: &Name) -> bool {
+    let now = shared.now;
+    let owner = shared.rack_owner(rack).unwrap_or_default();
+    shared.retries.allow_customer(&key.customer, now) && shared.retries.allow_peer(&owner, now)
+}
--- a/crates/daemon/src/node/shared.rs
+++ b/crates/daemon/src/node/shared.rs
@@ -9,6 +9,7 @@
 use super::claims::{Claims, Scope};
 use super::digests::Digests;
 use super::membership::{MARGIN, Membership};
+use super::retries::Retries;
 use super::store::Store;
 use super::usage::Usages;
 use super::versions::Versions;
@@ -30,6 +31,8 @@
     pub usages: Usages,
     /// Access to the table.
     pub store: Store,
+    /// Budgets of retries.
+    pub retries: Retries,
     /// Jitter and sampling.
     pub random: StdRng,
     /// The loop's time.
--- a/crates/measure/src/decide.rs
+++ b/crates/measure/src/decide.rs
@@ -136,6 +136,7 @@
         times.saturating_record(took.as_nanos() as u64);
         waiting.truncate(10_000);
     }
+    eprintln!("{} running, {} waiting of {tasks} tasks", running.len(), waiting.len());
     Stretch {
         per_s: decisions as f64 / busy.as_secs_f64(),
         p99_us: times.value_at_quantile(0.99) as f64 / 1000.0,
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,9 +2,12 @@
 
 pub mod bench;
 pub mod caller;
+pub mod capacity;
 pub mod decide;
 pub mod faults;
+pub mod fit;
 pub mod load;
 pub mod path;
+pub mod plot;
 pub mod process;
 pub mod setting;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,12 +2,13 @@
 
 #![expect(clippy::empty_structs_with_brackets, reason = "argh derives from braced structs only")]
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use measure::bench::Result;
 use measure::setting::Setting;
-use measure::{decide, faults, path};
+use measure::{capacity, decide, faults, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -30,6 +31,8 @@
     Faults(Faults),
     /// The cost of a decision.
     Decide(Decide),
+    /// The cost of control.
+    Capacity(Capacity),
 }
 
 /// Nine daemons under quick and patient load together.
@@ -51,6 +54,15 @@
 #[argh(subcommand, name = "decide")]
 struct Decide {}
 
+/// What control costs, from slopes, worked out for the target size.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    /// a folder to draw the slopes into
+    #[argh(option)]
+    plots: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args.measure) {
@@ -68,6 +80,7 @@
 fn run(measure: &Measure) -> Result<Value> {
     match measure {
         Measure::Path(args) => path::run(&Setting::find()?, args.rate),
+        Measure::Capacity(args) => capacity::run(&Setting::find()?, args.plots.as_deref()),
         Measure::Decide(_) => decide::run(),
         Measure::Faults(_) => faults::run(&Setting::find()?),
     }
--- a/crates/measure/src/path.rs
+++ b/crates/measure/src/path.rs
@@ -84,7 +84,8 @@
             placed.saturating_record(us);
         }
     }
-    let cpu = before.cpu.iter().zip(&after.cpu).map(|(old, new)| new.saturating_sub(*old).as_secs_f64());
+    let cpu =
+        before.cpu.iter().zip(&after.cpu).map(|(old, new)| new.saturating_sub(*old).as_secs_f64());
     let cpu = cpu.fold(0.0, f64::max);
     let ms = |quantile: f64| placed.value_at_quantile(quantile) as f64 / 1000.0;
     let rate = |name: &str| (after.table(name) - before.table(name)) / seconds;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
     Ack, Answer, Cancel, Changed, Digest, Frame, Grant, Greeting, Heartbeat, Key, Place, Probe,
     Query, Quick, Release, Report, Reserve, Slots, Span, Start, Stop, Submit, Survey, Usage, View,
 };
+pub use prost::Message;
 
 impl Frame {
     /// A call that expects a reply with the same number.
