Late replies to an earlier start of a daemon find no call; urgent work gets room; no cut at exit

A wrong answer: call numbers began at one with each start, so a peer's late reply to a call of the earlier start was taken for the reply to the later one's call of the same number: r10 was answered with r1's result. Numbers now grow from the incarnation. schedule_reply_to_earlier_life fails before, passes after. 2. Urgent work on a full cell waited for a study to end.

--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -81,4 +81,7 @@
 pub trait Front {
     /// Answers a request; a token that is gone is no error.
     fn answer(&mut self, token: Token, answer: Answer);
+
+    /// Ends each connection with its next answer, so that none is cut at the exit.
+    fn close_connections(&mut self);
 }
--- a/crates/daemon/src/front/server.rs
+++ b/crates/daemon/src/front/server.rs
@@ -4,9 +4,9 @@
 //! Requests over the bound on open ones are refused at once.
 
 use std::collections::HashMap;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -14,7 +14,7 @@
 
 use common::Kind;
 use stakker::{Core, Fwd, Waker, fwd};
-use tiny_http::{Header, Response};
+use tiny_http::{Header, Response, StatusCode};
 
 use super::api::{self, Parts};
 use super::{Answer, Request, Token};
@@ -32,9 +32,11 @@
 pub struct Server {
     address: SocketAddr,
     answers: Sender<(Token, Answer)>,
+    is_closing: Arc<AtomicBool>,
 }
 
 struct Reader {
+    is_closing: Arc<AtomicBool>,
     server: Arc<tiny_http::Server>,
     open: Open,
     next: Arc<AtomicU64>,
@@ -70,10 +72,12 @@
         let (requests, arrived) = channel();
         let (answers, outbox) = channel();
         let open = Open::default();
+        let is_closing = Arc::new(AtomicBool::new(false));
         let next = Arc::new(AtomicU64::new(1));
         let waker = Arc::new(core.waker(move |_, _| deliver(&arrived, &fwd)));
         for index in 0..READERS {
             let reader = Reader {
+                is_closing: Arc::clone(&is_closing),
                 server: Arc::clone(&server),
                 open: Arc::clone(&open),
                 next: Arc::clone(&next),
@@ -87,9 +91,10 @@
         let outbox = Arc::new(Mutex::new(outbox));
         for index in 0..WRITERS {
             let (outbox, open) = (Arc::clone(&outbox), Arc::clone(&open));
-            spawn(&format!("http-write-{index}"), move || write(&outbox, &open));
+            let closing = Arc::clone(&is_closing);
+            spawn(&format!("http-write-{index}"), move || write(&outbox, &open, &closing));
         }
-        Ok(Self { address, answers })
+        Ok(Self { address, answers, is_closing })
     }
 
     /// Where the server listens.
@@ -103,6 +108,10 @@
         // The writers live as long as the process.
         let _ = self.answers.send((token, answer));
     }
+
+    fn close_connections(&mut self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) {
@@ -127,6 +136,10 @@
         }
     }
 
+    fn is_last(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
     fn take(&self, mut exchange: Exchange) {
         match exchange.url() {
             "/metrics" => return respond(exchange, 200, self.metrics.text(), "text/plain"),
@@ -141,7 +154,7 @@
                 }
                 self.hand_over(exchange, request);
             }
-            Err(answer) => respond_json(exchange, &answer),
+            Err(answer) => respond_json(exchange, &answer, self.is_last()),
         }
     }
 
@@ -184,7 +197,7 @@
         };
         if let Some(exchange) = is_full {
             let answer = api::error(Kind::Overloaded, "too many requests in progress");
-            return respond_json(exchange, &answer);
+            return respond_json(exchange, &answer, self.is_last());
         }
         if self.requests.send((token, request)).is_ok() {
             self.waker.wake();
@@ -202,19 +215,38 @@
     headers.find(|header| header.field.equiv(name)).map(|header| header.value.as_str())
 }
 
-fn write(outbox: &Mutex<Receiver<(Token, Answer)>>, open: &Open) {
+fn write(outbox: &Mutex<Receiver<(Token, Answer)>>, open: &Open, is_closing: &AtomicBool) {
     loop {
         let next = outbox.lock().unwrap_or_else(PoisonError::into_inner).recv();
         let Ok((token, answer)) = next else { return };
         let exchange = open.lock().unwrap_or_else(PoisonError::into_inner).remove(&token);
         if let Some(exchange) = exchange {
-            respond_json(exchange, &answer);
+            respond_json(exchange, &answer, is_closing.load(Ordering::Relaxed));
         }
     }
 }
 
-fn respond_json(exchange: Exchange, answer: &Answer) {
-    respond(exchange, answer.status, answer.body.to_string(), "application/json");
+fn respond_json(exchange: Exchange, answer: &Answer, is_last: bool) {
+    let body = answer.body.to_string();
+    if is_last {
+        respond_and_close(exchange, answer.status, &body);
+    } else {
+        respond(exchange, answer.status, body, "application/json");
+    }
+}
+
+/// Answers and tells the caller that the connection ends, which the library cannot.
+fn respond_and_close(exchange: Exchange, status: u16, body: &str) {
+    let reason = StatusCode(status).default_reason_phrase();
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} {reason}\r\ncontent-type: application/json\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n"
+    );
+    let mut writer = exchange.into_writer();
+    // The caller may be gone; its request is accounted for all the same.
+    let _ = writer.write_all(format!("{head}{body}").as_bytes());
+    let _ = writer.flush();
 }
 
 fn respond(exchange: Exchange, status: u16, body: String, media: &str) {
--- a/crates/daemon/src/node/call.rs
+++ b/crates/daemon/src/node/call.rs
@@ -77,17 +77,28 @@
     pub purpose: Purpose,
 }
 
+/// Call numbers that one microsecond between two starts keeps apart.
+const NUMBERS_PER_INCARNATION: u64 = 4096;
+
 /// All calls that wait.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Calls {
     next: u64,
     open: HashMap<u64, Call>,
 }
 
 impl Calls {
+    /// No calls yet.
+    ///
+    /// Numbers grow from the incarnation, so that a late reply to an earlier start of
+    /// this daemon finds no call of this one.
+    pub fn new(incarnation: u64) -> Self {
+        Self { next: incarnation.wrapping_mul(NUMBERS_PER_INCARNATION), open: HashMap::new() }
+    }
+
     /// Adds a call; gives its number.
     pub fn add(&mut self, call: Call) -> u64 {
-        self.next += 1;
+        self.next = self.next.wrapping_add(1);
         self.open.insert(self.next, call);
         self.next
     }
--- a/crates/daemon/src/node/digests.rs
+++ b/crates/daemon/src/node/digests.rs
@@ -76,6 +76,15 @@
         choose(&open, random).map(|(name, _)| (*name).clone())
     }
 
+    /// Any rack that was not tried, whatever its room.
+    pub fn pick_any(&self, tried: &[Name], random: &mut impl Rng) -> Option<Name> {
+        let open: Vec<&Name> = self.rooms.keys().filter(|name| !tried.contains(name)).collect();
+        if open.is_empty() {
+            return None;
+        }
+        Some(open[random.random_range(0..open.len())].clone())
+    }
+
     /// A rack with a free slot: of two sampled ones that with more.
     ///
     /// The choice takes the slot from what is known, so that the next goes elsewhere.
--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -218,7 +218,7 @@
             return self.answer(cx, Waiter::Front(token), answer);
         }
         if let Some(forward) = self.gate.get_mut(token) {
-            forward.may_be_kept |= is_sent && forward.is_durable();
+            forward.may_be_kept |= is_sent;
         }
         self.park(token);
     }
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/gate.rs
@@ -97,7 +97,7 @@
     pub fn give_up(&self) -> wire::Answer {
         let is_submit = matches!(self.ask, Ask::Submit { .. });
         if is_submit && self.may_be_kept {
-            let text = "the request may have been kept; ask again under the same id";
+            let text = "the request may have been taken; ask again under the same id";
             failure(Kind::Unknown, text)
         } else {
             failure(Kind::NoOwner, "no daemon accounts for the request at the moment")
--- a/crates/daemon/src/node/home/mod.rs
+++ b/crates/daemon/src/node/home/mod.rs
@@ -70,6 +70,18 @@
     Closed,
 }
 
+common::key! {
+    /// How an attempt ended whose task waits again.
+    pub(super) enum AttemptEnd {
+        /// No start was sent.
+        NotSent,
+        /// It ran, and failed or vanished.
+        Ran,
+        /// It ran and gave its room to more urgent work.
+        Yielded,
+    }
+}
+
 #[derive(Debug)]
 struct Pending {
     event: Event,
--- a/crates/daemon/src/node/home/outcomes.rs
+++ b/crates/daemon/src/node/home/outcomes.rs
@@ -9,7 +9,7 @@
 use wire::{Body, Fate};
 
 use super::view::texts;
-use super::{After, Home, from_wire, to_wire};
+use super::{After, AttemptEnd, Home, from_wire, to_wire};
 use crate::node::act::{Act, Waiter};
 use crate::node::call::Purpose;
 use crate::node::shared::Shared;
@@ -48,7 +48,7 @@
                 }
             }
             Fate::Unsure => {}
-            Fate::NotSent => self.try_again(&key, task, attempt, false, text, ack),
+            Fate::NotSent => self.try_again(&key, task, attempt, AttemptEnd::NotSent, text, ack),
             Fate::Done => self.end(shared, &key, &report, Outcome::Done, ack),
             Fate::Failed => self.failed(shared, &key, &report, ack),
             Fate::Stopped => self.stopped(shared, &key, &report, ack),
@@ -78,7 +78,14 @@
         ack: Option<Waiter>,
     ) {
         if self.may_repeat(key, report.task) {
-            self.try_again(key, report.task, report.attempt, true, report.text.clone(), ack);
+            self.try_again(
+                key,
+                report.task,
+                report.attempt,
+                AttemptEnd::Ran,
+                report.text.clone(),
+                ack,
+            );
         } else {
             self.end(shared, key, report, Outcome::Failed, ack);
         }
@@ -94,7 +101,8 @@
         let is_repeatable = self.latest(key).is_some_and(|one| one.terms.is_repeatable);
         let is_cancelling = self.latest(key).is_some_and(|one| one.is_cancelling);
         if is_repeatable && !is_cancelling {
-            self.try_again(key, report.task, report.attempt, true, report.text.clone(), ack);
+            let end = if report.has_yielded { AttemptEnd::Yielded } else { AttemptEnd::Ran };
+            self.try_again(key, report.task, report.attempt, end, report.text.clone(), ack);
         } else {
             self.end(shared, key, report, Outcome::Stopped, ack);
         }
@@ -108,7 +116,14 @@
         ack: Option<Waiter>,
     ) {
         if self.may_repeat(key, report.task) {
-            self.try_again(key, report.task, report.attempt, true, report.text.clone(), ack);
+            self.try_again(
+                key,
+                report.task,
+                report.attempt,
+                AttemptEnd::Ran,
+                report.text.clone(),
+                ack,
+            );
         } else {
             self.end(shared, key, report, Outcome::Unknown, ack);
         }
@@ -118,8 +133,9 @@
         let Some(request) = self.latest(key) else {
             return false;
         };
-        let runs = request.tasks.get(task as usize).map_or(0, |task| task.runs);
-        let has_attempts = runs + 1 < request.terms.attempts || request.terms.mode == Mode::Service;
+        let failures = request.tasks.get(task as usize).map_or(0, |task| task.failures);
+        let has_attempts =
+            failures + 1 < request.terms.attempts || request.terms.mode == Mode::Service;
         request.terms.is_repeatable && has_attempts && !request.is_cancelling
     }
 
--- a/crates/daemon/src/node/home/placing.rs
+++ b/crates/daemon/src/node/home/placing.rs
@@ -6,10 +6,10 @@
 use common::Name;
 use journal::book::{Request, State, Task};
 use journal::event::{Event, Key, Place};
-use settings::rules::Mode;
+use settings::rules::{Class, Mode};
 use wire::Body;
 
-use super::{After, Grant, Home, Work, to_wire};
+use super::{After, AttemptEnd, Grant, Home, Work, to_wire};
 use crate::node::act::{Act, Waiter};
 use crate::node::call::Purpose;
 use crate::node::shared::Shared;
@@ -86,7 +86,12 @@
         let rack = if work.tried.len() >= RACKS_TRIED_MAX {
             None
         } else {
-            shared.digests.pick(&size, &tried, &mut shared.random)
+            let free = shared.digests.pick(&size, &tried, &mut shared.random);
+            // A full rack may make room for urgent work.
+            let is_urgent = request.terms.class == Class::Urgent;
+            free.or_else(|| {
+                is_urgent.then(|| shared.digests.pick_any(&tried, &mut shared.random)).flatten()
+            })
         };
         let Some(rack) = rack else {
             return self.no_room(shared, key);
@@ -103,6 +108,7 @@
             partition: self.partition,
             avoid: avoid.map(ToString::to_string).collect(),
             task: wanted[0],
+            is_urgent: request.terms.class == Class::Urgent,
         };
         if !work.is_reserving {
             work.is_reserving = true;
@@ -212,7 +218,9 @@
         use rand::RngExt;
         let Some(work) = self.work.get_mut(key) else { return };
         work.refusals += 1;
-        let pause = ROOM_PAUSE.saturating_mul(1 << work.refusals.min(4)).min(ROOM_PAUSE_MAX);
+        let is_urgent = self.book.get(key).is_some_and(|one| one.terms.class == Class::Urgent);
+        let most = if is_urgent { ROOM_PAUSE } else { ROOM_PAUSE_MAX };
+        let pause = ROOM_PAUSE.saturating_mul(1 << work.refusals.min(4)).min(most);
         let jitter = shared.random.random_range(0.5..1.0);
         work.retry_at = Some(shared.now + pause.mul_f64(jitter));
         work.reason = reason;
@@ -234,6 +242,7 @@
             return;
         }
         let spec = serde_json::to_vec(&request.spec).unwrap_or_default();
+        let may_yield = may_yield(request, shared);
         for place in places {
             let grant = grants.iter().find(|grant| grant.task == place.task);
             let start = wire::Start {
@@ -248,6 +257,7 @@
                 partition: self.partition,
                 partition_epoch: self.claim.epoch,
                 trace: work.trace.clone(),
+                may_yield,
             };
             work.confirmed.remove(&place.task);
             work.stops_sent.remove(&place.task);
@@ -278,7 +288,7 @@
             return;
         }
         let reason = format!("start refused: {}", ack.text);
-        self.try_again(key, task, attempt, false, reason, None);
+        self.try_again(key, task, attempt, AttemptEnd::NotSent, reason, None);
     }
 
     pub(super) fn confirm(&mut self, shared: &Shared, key: &Key, task: u32, attempt: u32) {
@@ -300,7 +310,7 @@
         key: &Key,
         task: u32,
         attempt: u32,
-        may_have_run: bool,
+        end: AttemptEnd,
         reason: String,
         ack: Option<Waiter>,
     ) {
@@ -311,7 +321,14 @@
             work.confirmed.remove(&task);
             work.reason.clone_from(&reason);
         }
-        let event = Event::Again { key: key.clone(), task, attempt, may_have_run, reason };
+        let event = Event::Again {
+            key: key.clone(),
+            task,
+            attempt,
+            may_have_run: end != AttemptEnd::NotSent,
+            has_yielded: end == AttemptEnd::Yielded,
+            reason,
+        };
         self.append(event, After::Waiting, ack);
     }
 
@@ -370,6 +387,13 @@
     Ok(())
 }
 
+/// Whether a request's tasks give their room to urgent work.
+fn may_yield(request: &Request, shared: &Shared) -> bool {
+    let kind = shared.versions.rules.kinds.get(&request.spec.kind);
+    let can_checkpoint = kind.is_some_and(|kind| kind.can_checkpoint);
+    can_checkpoint && request.terms.is_repeatable && request.terms.class == Class::Patient
+}
+
 /// The tasks that still need a place before the request's next start.
 pub(super) fn wanted_tasks(request: &Request, grants: &[Grant]) -> Vec<u32> {
     let waiting = request.tasks.iter().enumerate();
--- a/crates/daemon/src/node/keeper.rs
+++ b/crates/daemon/src/node/keeper.rs
@@ -12,7 +12,7 @@
 use journal::event::Key;
 use platform::Error;
 use platform::workers::{Renew, Run, Start, State, Stop, Task};
-use policy::rack::Refusal;
+use policy::rack::{Demand, Refusal};
 use settings::Spec;
 use settings::quantity::Size;
 use wire::{Body, Fate, Span};
@@ -42,6 +42,12 @@
 /// Bytes of a digest that has not been told yet.
 const DIGEST_BYTES_GUESS: usize = 80;
 
+/// How long room that was made is kept for urgent work.
+const HOLD: Duration = Duration::from_secs(3);
+
+/// Between two rounds of stopping tasks for urgent work.
+const YIELD_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Tries of a start whose answers are lost, before the worker's list decides.
 const START_TRIES: u32 = 5;
 
@@ -66,6 +72,20 @@
     Ended { fate: Fate, result: String },
 }
 
+common::key! {
+    /// Whether a task gives its room to urgent work.
+    enum Yielding {
+        /// It does not.
+        Never,
+        /// It may be stopped at a checkpoint.
+        Possible,
+        /// It was stopped for that.
+        Done,
+    }
+}
+
+type Candidate = policy::yielding::Candidate<Run>;
+
 /// One attempt on one of the rack's workers.
 #[derive(Debug, Clone)]
 struct Held {
@@ -80,6 +100,7 @@
     spans: Vec<Span>,
     started_us: u64,
     cpu_ms: u64,
+    yielding: Yielding,
 }
 
 /// Where the renewals of one worker stand.
@@ -113,6 +134,7 @@
     /// Whether it grants nothing new because it is about to be handed over.
     pub is_closing: bool,
     sequence: u64,
+    yielded_at: Option<Instant>,
     told: Option<wire::Digest>,
     told_at: Instant,
     acts: Vec<Act>,
@@ -133,6 +155,7 @@
             refused: HashMap::new(),
             is_closing: false,
             sequence: 0,
+            yielded_at: None,
             told: None,
             told_at: shared.now,
             acts: Vec::new(),
@@ -192,8 +215,13 @@
             Size { cpu: reserve.cpu, memory: reserve.memory, accelerators: reserve.accelerators };
         let avoid: Vec<Name> = reserve.avoid.iter().map(|name| Name::new(name)).collect();
         let expires = shared.now + RESERVATION_LIFE;
-        let count = reserve.count.max(1) as usize;
-        match self.rack.reserve(&size, count, &avoid, shared.now, expires) {
+        let demand = Demand {
+            size,
+            count: reserve.count.max(1) as usize,
+            avoid: &avoid,
+            is_urgent: reserve.is_urgent,
+        };
+        match self.rack.reserve(&demand, shared.now, expires) {
             Ok(places) => wire::Grant {
                 rack_epoch: self.claim.epoch,
                 places: places.into_iter().map(to_place).collect(),
@@ -201,6 +229,9 @@
                 ..Default::default()
             },
             Err(refusal) => {
+                if reserve.is_urgent && matches!(refusal, Refusal::Full(_)) {
+                    self.make_room(shared, &size);
+                }
                 let mut grant = self.refuse(Kind::Overloaded, &describe(&refusal));
                 grant.digest = Some(self.digest(shared));
                 grant
@@ -208,6 +239,34 @@
         }
     }
 
+    /// Stops tasks that may yield, on the worker where that loses the least work.
+    fn make_room(&mut self, shared: &Shared, size: &Size) {
+        if self.yielded_at.is_some_and(|at| shared.now < at + YIELD_INTERVAL) {
+            return;
+        }
+        let candidates: Vec<Candidate> = self.runs.iter().filter_map(candidate).collect();
+        let victims = policy::yielding::victims(&self.rack, &candidates, size);
+        if victims.is_empty() {
+            return;
+        }
+        self.yielded_at = Some(shared.now);
+        for run in victims {
+            if let Some(held) = self.runs.get_mut(&run) {
+                held.yielding = Yielding::Done;
+                self.rack.hold(&held.worker, shared.now + HOLD);
+                let order = Stop { run, fence: self.claim.epoch, checkpoint: true };
+                self.orders.push(Order::Stop(held.worker.clone(), order));
+            }
+        }
+    }
+
+    /// Looks at a worker soon, after an order that changed its tasks.
+    pub fn look_soon(&mut self, worker: &str, now: Instant) {
+        if let Some(line) = self.lines.get_mut(worker) {
+            line.next = now;
+        }
+    }
+
     fn refuse(&self, kind: Kind, text: &str) -> wire::Grant {
         wire::Grant {
             code: kind.code(),
@@ -294,6 +353,9 @@
         let mut held = Held::new(reservation.worker.clone(), reservation.size, phase, shared.now);
         held.started_us = shared.wall_us;
         held.is_verified = true;
+        if start.may_yield {
+            held.yielding = Yielding::Possible;
+        }
         self.runs.insert(run, held);
         self.orders.push(Order::Start(reservation.worker, order));
         Ok(())
@@ -643,6 +705,7 @@
             spans: Vec::new(),
             started_us: 0,
             cpu_ms: 0,
+            yielding: Yielding::Never,
         }
     }
 
@@ -672,6 +735,18 @@
     }
 }
 
+/// An attempt that may be stopped for urgent work.
+fn candidate((run, held): (&Run, &Held)) -> Option<Candidate> {
+    let is_running = matches!(held.phase, Phase::Running { .. });
+    let may = is_running && held.yielding == Yielding::Possible;
+    may.then(|| Candidate {
+        run: run.clone(),
+        worker: held.worker.clone(),
+        size: held.size,
+        lost_ms: held.cpu_ms,
+    })
+}
+
 fn report(rack: &Name, run: &Run, held: &Held) -> wire::Report {
     let result = match &held.phase {
         Phase::Ended { result, .. } => result.as_str(),
@@ -688,6 +763,7 @@
         worker: held.worker.to_string(),
         spans: held.spans.clone(),
         cpu_ms: held.cpu_ms,
+        has_yielded: held.yielding == Yielding::Done,
     }
 }
 
--- a/crates/daemon/src/node/leave.rs
+++ b/crates/daemon/src/node/leave.rs
@@ -31,6 +31,7 @@
         }
         self.note(Event::Stopping, self.shared.me());
         self.stop = Some(Stop { since: self.shared.now, done: Some(done), is_row_going: false });
+        self.borders.front.close_connections();
         self.shared.membership.leave();
         self.renew_member(cx);
         self.read_soon();
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -208,7 +208,7 @@
             borders,
             log,
             metrics,
-            calls: Calls::default(),
+            calls: Calls::new(incarnation),
             failed_calls: Vec::new(),
             homes: HashMap::new(),
             recovering: HashSet::new(),
@@ -344,7 +344,8 @@
             (Purpose::Forward(token), _) => {
                 let until = self.gate.get(*token).map(|forward| forward.until);
                 let left = until.map(|until| until.saturating_duration_since(self.shared.now));
-                left.unwrap_or_default() + gate::GRACE
+                // The home waits for its own calls first.
+                left.unwrap_or_default() + gate::GRACE * 2
             }
             _ => CALL_TIMEOUT,
         };
--- a/crates/daemon/src/node/racks.rs
+++ b/crates/daemon/src/node/racks.rs
@@ -5,7 +5,7 @@
 use common::{Kind, Name};
 use platform::executors::{self, Call};
 use platform::workers::{Done, Run, Tasks};
-use stakker::{CX, ret_nop, ret_some_to};
+use stakker::{CX, ret_some_to};
 use wire::{Answer, Body};
 
 use super::Node;
@@ -99,8 +99,9 @@
                 workers.start(worker, start, ret);
             }
             Order::Stop(worker, stop) => {
-                // The next renewal shows whether it stopped; the home asks again if not.
-                workers.stop(worker, stop, ret_nop!());
+                let to = worker.clone();
+                let ret = ret_some_to!([cx], stop_done(rack, worker) as (Done));
+                workers.stop(to, stop, ret);
             }
             Order::Renew(worker, renew) => {
                 let forget = renew.forget.clone();
@@ -119,6 +120,14 @@
         self.perform(cx);
     }
 
+    /// The next renewal shows whether the task stopped; the home asks again if not.
+    fn stop_done(&mut self, cx: CX![], rack: Name, worker: Name, _answer: Done) {
+        self.touch(cx);
+        if let Some(keeper) = self.keepers.get_mut(&rack) {
+            keeper.look_soon(&worker, self.shared.now);
+        }
+    }
+
     fn renew_done(&mut self, cx: CX![], rack: Name, worker: Name, forget: Vec<Run>, answer: Tasks) {
         self.touch(cx);
         if let Some(keeper) = self.keepers.get_mut(&rack) {
--- a/crates/daemon/tests/schedules.rs
+++ b/crates/daemon/tests/schedules.rs
@@ -144,6 +144,13 @@
     run(2574);
 }
 
+#[test]
+fn schedule_reply_to_earlier_life() {
+    // A daemon was replaced, and a peer's late reply to a call of the earlier one reached
+    // the call with the same number of the later one.
+    run(20110);
+}
+
 #[test]
 fn schedule_fixed_seeds() {
     let count = std::env::var("BRONZERAIL_SCHEDULES").ok().and_then(|text| text.parse().ok());
--- a/crates/daemon/tests/support/borders.rs
+++ b/crates/daemon/tests/support/borders.rs
@@ -254,4 +254,6 @@
             world.answered_twice += 1;
         }
     }
+
+    fn close_connections(&mut self) {}
 }
--- a/crates/journal/src/book.rs
+++ b/crates/journal/src/book.rs
@@ -77,6 +77,9 @@
         pub attempts: u32,
         /// Attempts so far that may have run.
         pub runs: u32,
+        /// Attempts so far that failed or vanished.
+        #[serde(default)]
+        pub failures: u32,
         /// Workers on which attempts failed, the latest last.
         pub failed_on: Vec<Name>,
         /// Why the latest attempt ended.
@@ -239,6 +242,7 @@
             state: State::Waiting,
             attempts: 0,
             runs: 0,
+            failures: 0,
             failed_on: Vec::new(),
             reason: String::new(),
         }
@@ -284,8 +288,8 @@
                     task.state = State::Started(place);
                 }
             }
-            Event::Again { task, may_have_run, reason, .. } => {
-                self.tasks[task as usize].wait_again(may_have_run, reason);
+            Event::Again { task, may_have_run, has_yielded, reason, .. } => {
+                self.tasks[task as usize].wait_again(may_have_run, has_yielded, reason);
             }
             Event::Ended { task, outcome, result, .. } => {
                 let task = &mut self.tasks[task as usize];
@@ -313,9 +317,10 @@
 }
 
 impl Task {
-    fn wait_again(&mut self, may_have_run: bool, reason: String) {
-        if may_have_run {
-            self.runs += 1;
+    fn wait_again(&mut self, may_have_run: bool, has_yielded: bool, reason: String) {
+        self.runs += u32::from(may_have_run);
+        if may_have_run && !has_yielded {
+            self.failures += 1;
             if let State::Started(place) = &self.state {
                 self.failed_on.push(place.worker.clone());
             }
--- a/crates/journal/src/event.rs
+++ b/crates/journal/src/event.rs
@@ -104,6 +104,9 @@
             attempt: u32,
             /// Whether the attempt may have run.
             may_have_run: bool,
+            /// Whether it gave its room to more urgent work, which is no failure.
+            #[serde(default)]
+            has_yielded: bool,
             /// Why it ended.
             reason: String,
         },
--- a/crates/journal/tests/log.rs
+++ b/crates/journal/tests/log.rs
@@ -197,6 +197,7 @@
         task: 0,
         attempt: 1,
         may_have_run,
+        has_yielded: false,
         reason: String::new(),
     };
     assert!(book.apply(again(true)).is_err());
--- a/crates/measure/src/decide.rs
+++ b/crates/measure/src/decide.rs
@@ -7,6 +7,7 @@
 use hdrhistogram::Histogram;
 use policy::Rack;
 use policy::index::scan;
+use policy::rack::Demand;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -37,7 +38,7 @@
 impl Room for Indexed {
     fn reserve(&mut self, size: &Size, now: Instant) -> Option<Name> {
         let expires = now + Duration::from_secs(5);
-        let place = self.0.reserve(size, 1, &[], now, expires).ok()?.pop()?;
+        let place = self.0.reserve(&Demand::one(*size), now, expires).ok()?.pop()?;
         self.0.commit(place.reservation);
         Some(place.worker)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod order;
 pub mod rack;
 pub mod rendezvous;
+pub mod yielding;
 
 pub use health::Health;
 pub use index::Index;
--- a/crates/policy/src/rack.rs
+++ b/crates/policy/src/rack.rs
@@ -52,6 +52,7 @@
     tasks: usize,
     is_known: bool,
     is_leaving: bool,
+    held_until: Option<Instant>,
     health: Health,
 }
 
@@ -65,6 +66,26 @@
     health: Health,
 }
 
+/// What is asked of a rack.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// The size of each task.
+    pub size: Size,
+    /// Most places wanted.
+    pub count: usize,
+    /// Workers on which the task failed before.
+    pub avoid: &'a [Name],
+    /// Whether it may use room that is held for urgent work.
+    pub is_urgent: bool,
+}
+
+impl Demand<'_> {
+    /// One place of a size, wherever it fits.
+    pub fn one(size: Size) -> Self {
+        Self { size, count: 1, avoid: &[], is_urgent: false }
+    }
+}
+
 /// The room of one rack.
 #[derive(Debug, Clone, Default)]
 pub struct Rack {
@@ -183,7 +204,7 @@
         }
     }
 
-    /// Sets room aside for up to `count` tasks of a size, the tightest fit first.
+    /// Sets room aside for up to the wanted number of tasks, the tightest fit first.
     ///
     /// Gives fewer places where the rack has room for fewer, but at least one.
     ///
@@ -192,26 +213,25 @@
     /// [`Refusal`] where there is room for none.
     pub fn reserve(
         &mut self,
-        size: &Size,
-        count: usize,
-        avoid: &[Name],
+        demand: &Demand<'_>,
         now: Instant,
         expires: Instant,
     ) -> Result<Vec<Place>, Refusal> {
         let mut places = Vec::new();
-        while places.len() < count {
-            let Some(worker) = self.best_fit(size, avoid, now) else {
+        while places.len() < demand.count {
+            let Some(worker) = self.best_fit(demand, now) else {
                 break;
             };
-            places.push(self.set_aside(worker, *size, now, expires));
+            places.push(self.set_aside(worker, demand.size, now, expires));
         }
-        if places.is_empty() { Err(self.refusal(size)) } else { Ok(places) }
+        if places.is_empty() { Err(self.refusal(&demand.size)) } else { Ok(places) }
     }
 
     fn set_aside(&mut self, number: u32, size: Size, now: Instant, expires: Instant) -> Place {
         self.change(number, |worker| {
             worker.take(&size);
             worker.health.sent(now);
+            worker.held_until = None;
         });
         self.next += 1;
         let worker = self.workers[number as usize].name.clone();
@@ -220,20 +240,29 @@
         Place { reservation: self.next, worker }
     }
 
-    fn best_fit(&self, size: &Size, avoid: &[Name], now: Instant) -> Option<u32> {
+    fn best_fit(&self, demand: &Demand<'_>, now: Instant) -> Option<u32> {
         let worker = |number: u32| &self.workers[number as usize];
-        let is_allowed = |number| !avoid.contains(&worker(number).name);
-        let found = self.open.tightest(size, is_allowed);
+        let is_allowed = |number| !demand.avoid.contains(&worker(number).name);
+        let found = self.open.tightest(&demand.size, is_allowed);
         found.or_else(|| {
-            // A worker on trial is the last choice.
+            // Workers on trial or held for urgent work are the last choice.
             let mut guarded = self.guarded.iter().copied();
             guarded.find(|number| {
                 let worker = worker(*number);
-                worker.is_open(now) && size.fits(&worker.free()) && is_allowed(*number)
+                let is_held = worker.held_until.is_some() && !demand.is_urgent;
+                worker.is_open(now)
+                    && !is_held
+                    && demand.size.fits(&worker.free())
+                    && is_allowed(*number)
             })
         })
     }
 
+    /// Keeps a worker's free room for urgent work until a time.
+    pub fn hold(&mut self, worker: &str, until: Instant) {
+        self.change_named(worker, |worker| worker.held_until = Some(until));
+    }
+
     fn refusal(&self, size: &Size) -> Refusal {
         let listed = || self.workers.iter().filter(|worker| worker.is_listed());
         let mut nearest = None;
@@ -277,6 +306,13 @@
         for number in over {
             self.release(number);
         }
+        let is_over = |worker: &Worker| worker.held_until.is_some_and(|until| until <= now);
+        let guarded = self.guarded.iter().copied();
+        let ended: Vec<u32> =
+            guarded.filter(|number| is_over(&self.workers[*number as usize])).collect();
+        for number in ended {
+            self.change(number, |worker| worker.held_until = None);
+        }
     }
 
     /// Accounts for a task that was found running.
@@ -294,6 +330,13 @@
         });
     }
 
+    /// The free room of a worker that may take work; none where it may not.
+    pub fn free_of(&self, worker: &str) -> Option<Size> {
+        let number = *self.numbers.get(worker)?;
+        let worker = &self.workers[number as usize];
+        worker.is_plain().then(|| worker.free())
+    }
+
     /// Notes how a task on a worker ended.
     pub fn note(&mut self, worker: &str, is_ok: bool, now: Instant) {
         self.change_named(worker, |worker| {
@@ -380,7 +423,8 @@
 
     /// Whether it may take work whatever the time, so that the index can hold it.
     fn is_plain(&self) -> bool {
-        self.is_known && !self.is_leaving && self.health.is_plain()
+        let is_held = self.held_until.is_some();
+        self.is_known && !self.is_leaving && !is_held && self.health.is_plain()
     }
 
     fn is_open(&self, now: Instant) -> bool {
--- a/crates/policy/tests/rack.rs
+++ b/crates/policy/tests/rack.rs
@@ -6,7 +6,8 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use common::Name;
 use policy::index::scan;
-use policy::rack::Refusal;
+use policy::rack::{Demand, Refusal};
+use policy::yielding::{Candidate, victims};
 use policy::{Health, Index, Rack};
 use settings::Inventory;
 use settings::quantity::Size;
@@ -69,7 +70,7 @@
         let size = size(u)?;
         let has_room = free.values().any(|room| size.fits(room));
         let expires = now + Duration::from_secs(5);
-        match rack.reserve(&size, 1, &[], now, expires) {
+        match rack.reserve(&Demand::one(size), now, expires) {
             Ok(places) => {
                 let place = &places[0];
                 let room = free.get_mut(&place.worker).expect("a worker");
@@ -129,7 +130,7 @@
     let mut rack = Rack::default();
     rack.set_inventory("r", &inventory(&[(8, 8, 0)]));
     let size = Size { cpu: 1000, memory: 1024, accelerators: 0 };
-    assert_eq!(rack.reserve(&size, 1, &[], now, now), Err(Refusal::Withheld));
+    assert_eq!(rack.reserve(&Demand::one(size), now, now), Err(Refusal::Withheld));
 }
 
 #[test]
@@ -138,11 +139,43 @@
     let mut rack = open_rack(&inventory(&[(8, 8, 0)]));
     let size = |cpu, accelerators| Size { cpu, memory: 1, accelerators };
     assert_eq!(
-        rack.reserve(&size(1, 1), 1, &[], now, now),
+        rack.reserve(&Demand::one(size(1, 1)), now, now),
         Err(Refusal::Impossible("accelerators"))
     );
-    rack.reserve(&size(8000, 0), 1, &[], now, now).expect("there is room");
-    assert_eq!(rack.reserve(&size(1, 0), 1, &[], now, now), Err(Refusal::Full("processors")));
+    rack.reserve(&Demand::one(size(8000, 0)), now, now).expect("there is room");
+    assert_eq!(rack.reserve(&Demand::one(size(1, 0)), now, now), Err(Refusal::Full("processors")));
+}
+
+#[test]
+fn hold_only_urgent_until_over() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(3);
+    let mut rack = open_rack(&inventory(&[(4, 8, 0)]));
+    let size = Size { cpu: 2000, memory: 1024, accelerators: 0 };
+    rack.hold("w0", later);
+    assert_eq!(rack.reserve(&Demand::one(size), now, later), Err(Refusal::Withheld));
+    let urgent = Demand { is_urgent: true, ..Demand::one(size) };
+    rack.reserve(&urgent, now, later).expect("it was held for this");
+    rack.reserve(&Demand::one(size), now, later).expect("the rest is free again");
+    rack.hold("w0", later);
+    rack.expire(later);
+    rack.reserve(&Demand::one(size), later, later + Duration::from_secs(1)).expect("it is over");
+}
+
+#[test]
+fn victims_cheapest_worker() {
+    let now = Instant::now();
+    let mut rack = open_rack(&inventory(&[(4, 8, 0), (4, 8, 0)]));
+    let size = |cpu| Size { cpu, memory: 1024, accelerators: 0 };
+    let mut candidates = Vec::new();
+    for (run, lost_ms) in [(0, 900), (1, 100), (2, 300), (3, 300)] {
+        let place = &rack.reserve(&Demand::one(size(2000)), now, now).expect("there is room")[0];
+        let worker = place.worker.clone();
+        candidates.push(Candidate { run, worker, size: size(2000), lost_ms });
+    }
+    assert_eq!(victims(&rack, &candidates, &size(2000)), [1], "the one that loses the least");
+    assert_eq!(victims(&rack, &candidates, &size(4000)), [2, 3], "600 ms against 1,000");
+    assert!(victims(&rack, &candidates, &size(5000)).is_empty(), "no worker is that large");
 }
 
 #[test]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -222,6 +222,8 @@
     pub avoid: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(uint32, tag = "10")]
     pub task: u32,
+    #[prost(bool, tag = "11")]
+    pub is_urgent: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Grant {
@@ -274,6 +276,8 @@
     pub partition_epoch: u64,
     #[prost(string, tag = "11")]
     pub trace: ::prost::alloc::string::String,
+    #[prost(bool, tag = "12")]
+    pub may_yield: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Probe {
@@ -317,6 +321,8 @@
     pub spans: ::prost::alloc::vec::Vec<Span>,
     #[prost(uint64, tag = "10")]
     pub cpu_ms: u64,
+    #[prost(bool, tag = "11")]
+    pub has_yielded: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Stop {
