--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -33,7 +33,7 @@
         source: std::io::Error,
     },
     /// A settings file has faults.
-    #[snafu(display("{}", show(path, source)))]
+    #[snafu(display("{}", source.in_file(path)))]
     Settings {
         /// The file.
         path: String,
@@ -86,8 +86,3 @@
         }
     }
 }
-
-fn show(path: &str, faults: &Faults) -> String {
-    let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
-    lines.join("\n")
-}
--- a/crates/daemon/src/node/home/outcomes.rs
+++ b/crates/daemon/src/node/home/outcomes.rs
@@ -50,9 +50,11 @@
             Fate::Unsure => {}
             Fate::NotSent => self.try_again(&key, task, attempt, AttemptEnd::NotSent, text, ack),
             Fate::Done => self.end(shared, &key, &report, Outcome::Done, ack),
-            Fate::Failed => self.failed(shared, &key, &report, ack),
+            Fate::Failed => self.broke(shared, &key, &report, Outcome::Failed, ack),
             Fate::Stopped => self.stopped(shared, &key, &report, ack),
-            Fate::Absent | Fate::Lapsed => self.vanished(shared, &key, &report, ack),
+            Fate::Absent | Fate::Lapsed => {
+                self.broke(shared, &key, &report, Outcome::Unknown, ack);
+            }
         }
     }
 
@@ -70,24 +72,20 @@
         }
     }
 
-    pub(super) fn failed(
+    /// An attempt that failed or vanished: tried again, or the end of its task.
+    pub(super) fn broke(
         &mut self,
         shared: &Shared,
         key: &Key,
         report: &wire::Report,
+        outcome: Outcome,
         ack: Option<Waiter>,
     ) {
         if self.may_repeat(key, report.task) {
-            self.try_again(
-                key,
-                report.task,
-                report.attempt,
-                AttemptEnd::Ran,
-                report.text.clone(),
-                ack,
-            );
+            let (task, attempt) = (report.task, report.attempt);
+            self.try_again(key, task, attempt, AttemptEnd::Ran, report.text.clone(), ack);
         } else {
-            self.end(shared, key, report, Outcome::Failed, ack);
+            self.end(shared, key, report, outcome, ack);
         }
     }
 
@@ -108,27 +106,6 @@
         }
     }
 
-    pub(super) fn vanished(
-        &mut self,
-        shared: &Shared,
-        key: &Key,
-        report: &wire::Report,
-        ack: Option<Waiter>,
-    ) {
-        if self.may_repeat(key, report.task) {
-            self.try_again(
-                key,
-                report.task,
-                report.attempt,
-                AttemptEnd::Ran,
-                report.text.clone(),
-                ack,
-            );
-        } else {
-            self.end(shared, key, report, Outcome::Unknown, ack);
-        }
-    }
-
     pub(super) fn may_repeat(&self, key: &Key, task: u32) -> bool {
         let Some(request) = self.latest(key) else {
             return false;
--- /dev/null
+++ b/crates/daemon/src/node/keeper/reports.rs
@@ -0,0 +1,62 @@
+//! Outcomes, told to the homes until they are durable.
+
+use std::time::Duration;
+
+use common::Kind;
+use platform::workers::{Run, Stop};
+use wire::Body;
+
+use super::{Keeper, Order, key_of, report};
+use crate::event::Event;
+use crate::node::act::Act;
+use crate::node::call::Purpose;
+use crate::node::shared::Shared;
+
+/// Between reports of an outcome that is not acknowledged.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long an attempt with a lost answer is kept on its worker after it ended.
+const FORGET_PAUSE: Duration = Duration::from_mins(1);
+
+impl Keeper {
+    pub(super) fn report_due(&mut self, shared: &Shared) {
+        let partitions = shared.config.partitions;
+        for (run, held) in &mut self.runs {
+            if held.report_at > shared.now || (held.is_verified && !held.is_ended()) {
+                continue;
+            }
+            held.report_at = shared.now + REPORT_INTERVAL;
+            let partition = key_of(run).partition(partitions);
+            let body = Body::Report(report(&self.name, run, held));
+            let purpose = Purpose::Report { rack: self.name.clone(), run: run.clone() };
+            self.acts.push(Act::AskHome(partition, body, purpose));
+        }
+    }
+
+    /// Takes a home's answer to a report; none where it is lost.
+    pub fn acknowledged(&mut self, shared: &Shared, run: &Run, ack: Option<wire::Ack>) {
+        let Some(ack) = ack else { return };
+        let Some(held) = self.runs.get_mut(run) else { return };
+        let kind = Kind::from_code(ack.code);
+        match (held.is_ended(), kind) {
+            (true, None | Some(Kind::NotFound)) => self.forget(shared, run),
+            (false, None) => held.is_verified = true,
+            (false, Some(Kind::NotFound)) => {
+                held.report_at = shared.now + REPORT_INTERVAL;
+                let stop = Stop { run: run.clone(), fence: self.claim.epoch, checkpoint: false };
+                self.orders.push(Order::Stop(held.worker.clone(), stop));
+                self.acts.push(Act::Log(Event::OrphanStopped, run.to_string()));
+            }
+            (_, Some(_)) => {}
+        }
+    }
+
+    pub(super) fn forget(&mut self, shared: &Shared, run: &Run) {
+        let Some(held) = self.runs.remove(run) else { return };
+        // A start whose answer was lost may still arrive; the worker must know it then.
+        let pause = if held.was_lost { FORGET_PAUSE } else { Duration::ZERO };
+        if let Some(line) = self.lines.get_mut(&held.worker) {
+            line.forget.push((run.clone(), shared.now + pause));
+        }
+    }
+}
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod gate;
 pub mod home;
 mod homes;
+mod journals;
 pub mod keeper;
 mod leave;
 pub mod membership;
@@ -110,7 +111,7 @@
     homes: HashMap<u32, Home>,
     recovering: HashSet<u32>,
     closing: BTreeMap<Scope, Closing>,
-    journals: homes::Journals,
+    journals: journals::Journals,
     resend_at: HashMap<u32, Instant>,
     flush_at: HashMap<u32, Instant>,
     keepers: BTreeMap<Name, Keeper>,
@@ -213,7 +214,7 @@
             homes: HashMap::new(),
             recovering: HashSet::new(),
             closing: BTreeMap::new(),
-            journals: homes::Journals::default(),
+            journals: journals::Journals::default(),
             resend_at: HashMap::new(),
             flush_at: HashMap::new(),
             keepers: BTreeMap::new(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -54,7 +54,7 @@
         source: std::io::Error,
     },
     /// The settings file has faults.
-    #[snafu(display("{}", show(path, source)))]
+    #[snafu(display("{}", source.in_file(path)))]
     Settings {
         /// The file.
         path: String,
@@ -95,11 +95,6 @@
     }
 }
 
-fn show(path: &str, faults: &Faults) -> String {
-    let lines: Vec<String> = faults.0.iter().map(|fault| format!("{path}:{fault}")).collect();
-    lines.join("\n")
-}
-
 /// Longest wait of the loop for input.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -43,6 +43,14 @@
 
 impl std::error::Error for Faults {}
 
+impl Faults {
+    /// One line for each fault, with the file's path first.
+    pub fn in_file(&self, path: &str) -> String {
+        let lines: Vec<String> = self.0.iter().map(|fault| format!("{path}:{fault}")).collect();
+        lines.join("\n")
+    }
+}
+
 /// The faults found so far in one text.
 #[derive(Debug)]
 struct Log<'t> {
