Tests of the HTTP border and of exported spans; spans are flushed at the exit

Cause: bodies that are truncated, oversized, doubled or no JSON were refused by code that no test reached over a socket, and the OTLP exporter had never met a collector. Measured: all refused as CALLERS.md says; a span of each hop arrives under the caller's trace id.

--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -159,6 +159,40 @@
     assert!(text(&output.stderr).contains("ane"), "{}", text(&output.stderr));
 }
 
+/// Sends bytes to a daemon, ends the sending, and gives the first line of the answer.
+fn raw(url: &str, bytes: &[u8]) -> String {
+    use std::io::{Read, Write};
+    let address = url.strip_prefix("http://").expect("an address");
+    let mut stream = std::net::TcpStream::connect(address).expect("the daemon listens");
+    // The daemon may answer and close before it has read all.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer.lines().next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn submit_bad_bodies_refused() {
+    let cell = Cell::start("es-north");
+    let url = &cell.bench.daemons[0].url;
+    let post = |length: usize, body: &str| {
+        let head =
+            format!("POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+        raw(url, format!("{head}{body}").as_bytes())
+    };
+    let spec = r#"{"customer":"toolroom","id":"b1","kind":"wall-probe"}"#;
+    assert_eq!(post(spec.len(), spec), "HTTP/1.1 200 OK");
+    assert!(post(spec.len() + 2000, spec).starts_with("HTTP/1.1 400"), "truncated");
+    assert!(post(10_000_000, "{").starts_with("HTTP/1.1 413"), "stated too large");
+    let doubled = spec.replace("\"id\":\"b1\"", "\"id\":\"b1\",\"id\":\"b2\"");
+    assert!(post(doubled.len(), &doubled).starts_with("HTTP/1.1 400"), "doubled key");
+    assert!(post(3, "\u{1}{]").starts_with("HTTP/1.1 400"), "no JSON");
+    assert!(raw(url, b"GET /nowhere HTTP/1.1\r\nhost: x\r\n\r\n").contains("404"));
+    let metrics = raw(url, b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert_eq!(metrics, "HTTP/1.1 200 OK");
+}
+
 #[test]
 fn wa_tally_counts_once() {
     let cell = Cell::start("wa");
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -179,6 +179,7 @@
         mesh: Box::new(tcp),
         front: Box::new(server),
     };
+    let spans = metrics.clone();
     let setup = Setup { config, incarnation, seed: incarnation, log: log.clone(), metrics };
     call!([node], <Node>::init(setup, borders));
 
@@ -206,6 +207,7 @@
             return Ok(Exit::Failed);
         }
     }
+    spans.flush();
     let is_clean = matches!(s.shutdown_reason(), Some(StopCause::Stopped));
     Ok(if is_clean { Exit::Clean } else { Exit::Failed })
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -126,6 +126,13 @@
         self.inner.lag_ms.record(millis(time), &[]);
     }
 
+    /// Exports the spans that wait; a collector that is gone is no error.
+    pub fn flush(&self) {
+        if let Some((provider, _)) = &self.inner.tracing {
+            let _ = provider.force_flush();
+        }
+    }
+
     /// Exports a request's spans, where a collector is set.
     pub fn trace(&self, forward: &Forward, answer: &wire::Answer, me: &Name, now_us: u64) {
         let (Some((_, tracer)), Ask::Submit { trace, .. }) = (&self.inner.tracing, &forward.ask)
--- /dev/null
+++ b/crates/daemon/tests/telemetry.rs
@@ -0,0 +1,65 @@
+//! Metrics in Prometheus text, spans by OTLP to a collector.
+
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+use bronzeraild::node::gate::{Ask, Forward};
+use bronzeraild::node::home::span;
+use bronzeraild::telemetry::Metrics;
+use common::Name;
+use journal::event::Key;
+
+const TRACE: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+fn forward() -> Forward {
+    Forward {
+        token: 1,
+        key: Key { customer: Name::new("c"), id: Name::new("i") },
+        ask: Ask::Submit {
+            spec: Vec::new(),
+            is_durable: false,
+            trace: TRACE.to_owned(),
+            wants_result: true,
+        },
+        until: Instant::now(),
+        may_be_kept: false,
+        arrived_us: 1_000_000,
+        tries: 0,
+    }
+}
+
+#[test]
+fn text_has_measures() {
+    let metrics = Metrics::start("m", None).expect("metrics start");
+    metrics.answered(200, Duration::from_millis(3));
+    metrics.quick_wait(Duration::from_micros(300));
+    let text = metrics.text();
+    for name in ["bronzerail_answer_time", "bronzerail_quick_wait", "bronzerail_answers_total"] {
+        assert!(text.contains(name), "no {name} in {text}");
+    }
+}
+
+#[test]
+fn trace_reaches_collector() {
+    let collector = tiny_http::Server::http("127.0.0.1:0").expect("a port is free");
+    let url = format!("http://{}", collector.server_addr());
+    let received = std::thread::spawn(move || {
+        let mut request = collector.recv().expect("a request comes");
+        let mut body = Vec::new();
+        request.as_reader().read_to_end(&mut body).expect("it is whole");
+        let url = request.url().to_owned();
+        request.respond(tiny_http::Response::empty(200)).expect("it is answered");
+        (url, body)
+    });
+    let metrics = Metrics::start("m", Some(&url)).expect("tracing starts");
+    let answer =
+        wire::Answer { spans: vec![span("executor", "e-1", 1_000_100, 50)], ..Default::default() };
+    metrics.trace(&forward(), &answer, &Name::new("m"), 1_000_500);
+    metrics.flush();
+    let (url, body) = received.join().expect("the collector ends");
+    assert_eq!(url, "/v1/traces");
+    let has = |text: &[u8]| body.windows(text.len()).any(|window| window == text);
+    assert!(has(b"entry") && has(b"executor") && has(b"c/i"));
+    let trace_id = 0x0af7_6519_16cd_43dd_8448_eb21_1c80_319c_u128.to_be_bytes();
+    assert!(has(&trace_id), "the caller's trace id");
+}
