--- a/crates/daemon/tests/telemetry.rs
+++ b/crates/daemon/tests/telemetry.rs
@@ -1,6 +1,5 @@
 //! Metrics in Prometheus text, spans by OTLP to a collector.
 
-use std::io::Read;
 use std::time::{Duration, Instant};
 
 use bronzeraild::node::gate::{Ask, Forward};
