--- a/crates/daemon/src/node/leave.rs
+++ b/crates/daemon/src/node/leave.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use platform::table::{Committed, Transaction};
-use stakker::{CX, Ret, ret, ret_some_to};
+use stakker::{CX, Ret, after, ret, ret_some_to};
 
 use super::{Errand, Node};
 use crate::event::Event;
@@ -11,6 +11,9 @@
 /// How long the balancer is given to notice that we are not ready.
 const BALANCER_NOTICE: Duration = Duration::from_secs(3);
 
+/// Between the last answer and the exit.
+const LINGER: Duration = Duration::from_millis(300);
+
 /// A stop in progress.
 pub(super) struct Stop {
     since: Instant,
@@ -91,7 +94,17 @@
     fn row_removed(&mut self, cx: CX![], _answer: Committed) {
         self.touch(cx);
         // A row that stays behind is gone when its lease runs out.
-        self.end_stop(true);
+        after!(LINGER, [cx], leave_quietly());
+    }
+
+    /// Ends the stop once the last answers have had their time to be written.
+    fn leave_quietly(&mut self, cx: CX![]) {
+        self.touch(cx);
+        if self.gate.open() > 0 {
+            after!(LINGER, [cx], leave_quietly());
+        } else {
+            self.end_stop(true);
+        }
     }
 
     fn end_stop(&mut self, is_clean: bool) {
--- a/crates/measure/src/faults.rs
+++ b/crates/measure/src/faults.rs
@@ -112,7 +112,7 @@
 /// # Errors
 ///
 /// Where the cell does not start, or a fault's end is not reached.
-pub fn run(setting: &Setting) -> Result<Value> {
+pub fn run(setting: &Setting, only_stops: bool) -> Result<Value> {
     let bench = setting.cell(DAEMONS)?;
     let urls: Vec<String> = bench.daemons.iter().map(|daemon| daemon.url.clone()).collect();
     let loads = loads(&urls);
@@ -123,7 +123,10 @@
         takeover_max_s: 0.0,
         forced_stops: 0,
     };
-    all_faults(&mut run)?;
+    if !only_stops {
+        all_faults(&mut run)?;
+    }
+    all_stops(&mut run)?;
     let told: Vec<Told> = loads.into_iter().flat_map(Load::finish).collect();
     let counts = run.bench.platform().get("/counts")?;
     let ran = run.bench.platform().get("/ran")?;
@@ -199,7 +202,10 @@
         std::thread::sleep(Duration::from_secs(20));
         run.bench.control(&json!({ "speaking": ["es-north-w02"] }))
     })?;
-    run.during("settings race", Run::race_settings)?;
+    run.during("settings race", Run::race_settings)
+}
+
+fn all_stops(run: &mut Run) -> Result<()> {
     for index in 0..DAEMONS {
         run.during("graceful stop", |run| {
             if run.bench.stop(index) != Some(0) {
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -154,7 +154,13 @@
             told.tries += 1;
             self.at = (self.at + 1) % self.callers.len();
             let answer = self.callers[self.at].submit(&body, order.wait_ms);
-            told.broken += u32::from(answer.as_ref().is_err_and(|error| is_broken(&**error)));
+            if let Err(error) = &answer
+                && is_broken(&**error)
+            {
+                let after = asked.elapsed().as_millis();
+                eprintln!("{}: try {} broke after {after} ms: {error}", told.id, told.tries);
+                told.broken += 1;
+            }
             if let Ok(answer) = answer {
                 let is_open = answer["state"] == "queued" || answer["state"] == "running";
                 let is_refused = answer["ran"] == "not run" && answer["error"] != "cancelled";
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -47,7 +47,11 @@
 /// One fault after another on nine daemons under load.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "faults")]
-struct Faults {}
+struct Faults {
+    /// only the graceful stops
+    #[argh(switch)]
+    stops: bool,
+}
 
 /// The cost of one placement decision, by index and by scan.
 #[derive(Debug, FromArgs)]
@@ -82,6 +86,6 @@
         Measure::Path(args) => path::run(&Setting::find()?, args.rate),
         Measure::Capacity(args) => capacity::run(&Setting::find()?, args.plots.as_deref()),
         Measure::Decide(_) => decide::run(),
-        Measure::Faults(_) => faults::run(&Setting::find()?),
+        Measure::Faults(args) => faults::run(&Setting::find()?, args.stops),
     }
 }
