Order waiting work by the local time at which it is due; a rule that did nothing is gone

Change: the earlier of start-by and due orders requests within a class and share, and moves with a clock change; limit is refused as unknown until something keeps to it.

--- a/crates/daemon/src/node/home/placing.rs
+++ b/crates/daemon/src/node/home/placing.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use common::Name;
+use jiff::Timestamp;
 use journal::book::{Request, State, Task};
 use journal::event::{Event, Key, Place};
+use settings::Rules;
 use settings::rules::{Class, Mode};
 use wire::Body;
 
@@ -348,6 +350,15 @@
     }
 }
 
+/// The earlier of the time to start by and the time of day at which the work is due.
+fn deadline_ms(request: &Request, rules: &Rules) -> Option<i64> {
+    let kind = rules.kinds.get(&request.spec.kind);
+    let came = Timestamp::from_millisecond(request.terms.admitted_ms).ok();
+    let due = kind.zip(came).and_then(|(kind, came)| rules.due(kind, came));
+    let due = due.map(Timestamp::as_millisecond);
+    request.terms.start_by_ms.into_iter().chain(due).min()
+}
+
 pub(super) fn candidate(request: &Request, shared: &Shared) -> policy::order::Candidate {
     let customer = &request.spec.customer;
     let weight = shared.versions.rules.customers.get(customer).map_or(1, |rules| rules.weight);
@@ -355,7 +366,7 @@
     policy::order::Candidate {
         class: request.terms.class,
         admitted_ms: request.terms.admitted_ms,
-        start_by_ms: request.terms.start_by_ms,
+        start_by_ms: deadline_ms(request, &shared.versions.rules),
         share: held / settings::quantity::MILLIS_PER_CPU / f64::from(weight),
     }
 }
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::str::FromStr;
-use std::time::Duration;
 
 use common::Name;
 use jiff::Timestamp;
@@ -10,9 +9,9 @@
 use jiff::tz::Offset;
 
 use crate::clock::{Change, Clock};
-use crate::quantity::{SIZE_KEYS, Size, Span, read_size};
+use crate::quantity::{SIZE_KEYS, Size, read_size};
 use crate::reader::{Faults, Node, Object, read};
-use crate::window::{Day, TimeOfDay, Window};
+use crate::window::{Day, TimeOfDay, Window, next_time};
 
 common::key! {
     /// How a kind of work is carried.
@@ -128,8 +127,6 @@
         pub due: Option<Time>,
         /// Attempts in all, for repeatable work.
         pub attempts: u32,
-        /// Longest run of one attempt.
-        pub limit: Option<Duration>,
     }
 
     /// One customer, a team of the paying party.
@@ -171,6 +168,11 @@
         self.window_of(kind).is_none_or(|window| window.is_open(&self.clock, now))
     }
 
+    /// When work of a kind that came at an instant is due, by the local clock.
+    pub fn due(&self, kind: &Kind, came: Timestamp) -> Option<Timestamp> {
+        kind.due.map(|time| next_time(&self.clock, came, time))
+    }
+
     /// The window that bounds a kind's starts.
     pub fn window_of(&self, kind: &Kind) -> Option<&Window> {
         kind.window.as_ref().and_then(|name| self.windows.get(name))
@@ -273,7 +275,7 @@
     (object.name("name"), customer)
 }
 
-const KIND_KEYS: [&str; 13] = [
+const KIND_KEYS: [&str; 12] = [
     "name",
     "mode",
     "class",
@@ -283,7 +285,6 @@
     "window",
     "due",
     "attempts",
-    "limit",
     "cpu",
     "memory",
     "accelerators",
@@ -302,7 +303,6 @@
         window: object.get("window").map(Node::name),
         due: object.get("due").map(|node| node.parse::<TimeOfDay>().0),
         attempts: object.whole_or("attempts", 1..=100, 3) as u32,
-        limit: object.get("limit").map(|node| node.parse::<Span>().0),
     };
     check_kind(&object, &kind, windows);
     (object.name("name"), kind)
--- a/crates/settings/tests/time.rs
+++ b/crates/settings/tests/time.rs
@@ -95,6 +95,23 @@
     }
 }
 
+#[test]
+fn due_by_local_clock() {
+    let text = |changes: &str| {
+        format!(
+            r#"{{ "zone": "Europe/Madrid", {changes}
+            "kinds": [{{ "name": "k", "mode": "study", "cpu": 1, "memory": "1GB", "due": "07:00" }}] }}"#
+        )
+    };
+    let due = |changes: &str| {
+        let rules = Rules::parse(&text(changes)).expect("no faults");
+        rules.due(&rules.kinds["k"], at("2026-12-01T20:00:00Z"))
+    };
+    assert_eq!(due(""), Some(at("2026-12-02T06:00:00Z")));
+    let moved = r#""clock_changes": [{ "zone": "Europe/Madrid", "at": "2026-12-02T00:00:00Z", "offset": "+02:00" }],"#;
+    assert_eq!(due(moved), Some(at("2026-12-02T05:00:00Z")));
+}
+
 #[test]
 fn parse_examples() {
     for cell in ["es-north", "wa"] {
