--- /dev/null
+++ b/crates/daemon/tests/keeper.rs
@@ -0,0 +1,160 @@
+//! One keeper alone: which starts it takes, and what it says of missing attempts.
+
+mod support;
+
+use std::time::Instant;
+
+use bronzeraild::node::claims::{Claim, Claims};
+use bronzeraild::node::digests::Digests;
+use bronzeraild::node::keeper::Keeper;
+use bronzeraild::node::membership::{Member, Membership};
+use bronzeraild::node::retries::Retries;
+use bronzeraild::node::shared::Shared;
+use bronzeraild::node::store::Store;
+use bronzeraild::node::usage::Usages;
+use bronzeraild::node::versions::Versions;
+use common::Name;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use settings::Inventory;
+use wire::Fate;
+
+const RACK: &str = "bilbao-a-r1";
+
+fn shared() -> Shared {
+    let now = Instant::now();
+    let config = settings::Daemon::parse(&support::example("daemon.jsonc")).expect("no faults");
+    let inventory = Inventory::parse(&support::example("inventory.jsonc")).expect("no faults");
+    let me = Member {
+        name: config.member.clone(),
+        incarnation: 1,
+        domain: config.domain.clone(),
+        peer_address: config.peer_address,
+        http_address: config.http_address,
+        beat: 0,
+        is_leaving: false,
+    };
+    let mut versions = Versions::default();
+    versions.inventory = inventory.into();
+    Shared {
+        membership: Membership::new(me, config.timing.lease, now),
+        versions,
+        digests: Digests::default(),
+        claims: Claims::default(),
+        usages: Usages::default(),
+        store: Store::new(100, 100, now),
+        retries: Retries::new(10),
+        random: StdRng::seed_from_u64(1),
+        now,
+        wall_us: 1,
+        is_outage_agreed: false,
+        config,
+    }
+}
+
+fn keeper(shared: &Shared, epoch: u64) -> Keeper {
+    let mut keeper = Keeper::new(Name::new(RACK), Claim { epoch, version: epoch }, shared);
+    let workers: Vec<Name> = keeper.rack.workers().cloned().collect();
+    for worker in workers {
+        keeper.rack.set_known(&worker, true);
+    }
+    keeper
+}
+
+fn key() -> Option<wire::Key> {
+    Some(wire::Key { customer: "c".to_owned(), id: "i".to_owned() })
+}
+
+fn reserve(keeper: &mut Keeper, shared: &Shared, partition_epoch: u64) -> wire::Start {
+    let reserve = wire::Reserve {
+        key: key(),
+        rack: RACK.to_owned(),
+        cpu: 1000,
+        memory: 1024,
+        count: 1,
+        partition: 5,
+        partition_epoch,
+        ..Default::default()
+    };
+    let grant = keeper.reserve(shared, &reserve);
+    wire::Start {
+        key: key(),
+        rack: RACK.to_owned(),
+        rack_epoch: grant.rack_epoch,
+        reservation: grant.places[0].reservation,
+        worker: grant.places[0].worker.clone(),
+        attempt: 1,
+        partition: 5,
+        partition_epoch,
+        ..Default::default()
+    }
+}
+
+fn probe(rack_epoch: u64, partition_epoch: u64) -> wire::Probe {
+    wire::Probe {
+        key: key(),
+        rack: RACK.to_owned(),
+        worker: "es-north-w01".to_owned(),
+        attempt: 1,
+        partition: 5,
+        partition_epoch,
+        rack_epoch,
+        ..Default::default()
+    }
+}
+
+#[test]
+fn start_of_earlier_epoch_refused() {
+    let shared = shared();
+    let old = reserve(&mut keeper(&shared, 1), &shared, 1);
+    let mut keeper = keeper(&shared, 2);
+    // The same number and worker, by chance, under the new epoch.
+    let new = reserve(&mut keeper, &shared, 1);
+    assert_eq!((old.reservation, &old.worker), (new.reservation, &new.worker));
+    keeper.start(&shared, &old).expect_err("another epoch's reservation");
+    assert!(keeper.take_orders().is_empty());
+}
+
+#[test]
+fn start_by_older_home_refused() {
+    let shared = shared();
+    let mut keeper = keeper(&shared, 1);
+    let old = reserve(&mut keeper, &shared, 1);
+    let report = keeper.probe(&shared, &probe(0, 2));
+    assert_eq!(Fate::from_code(report.fate), Fate::Unsure);
+    keeper.start(&shared, &old).expect_err("a newer home has asked");
+    assert!(keeper.take_orders().is_empty());
+}
+
+#[test]
+fn start_after_not_sent_refused() {
+    let shared = shared();
+    let mut keeper = keeper(&shared, 1);
+    let late = reserve(&mut keeper, &shared, 1);
+    let report = keeper.probe(&shared, &probe(1, 1));
+    assert_eq!(Fate::from_code(report.fate), Fate::NotSent);
+    keeper.start(&shared, &late).expect_err("it was said not to be sent");
+    assert!(keeper.take_orders().is_empty());
+}
+
+#[test]
+fn start_expired_refused() {
+    let mut shared = shared();
+    let mut keeper = keeper(&shared, 1);
+    let late = reserve(&mut keeper, &shared, 1);
+    shared.now += std::time::Duration::from_secs(6);
+    keeper.tick(&shared);
+    keeper.start(&shared, &late).expect_err("the room may be another's");
+}
+
+#[test]
+fn start_twice_one_order() {
+    let shared = shared();
+    let mut keeper = keeper(&shared, 1);
+    let start = reserve(&mut keeper, &shared, 1);
+    keeper.start(&shared, &start).expect("it is fine");
+    keeper.start(&shared, &start).expect("it is the same");
+    assert_eq!(keeper.take_orders().len(), 1);
+    let report = keeper.probe(&shared, &probe(1, 1));
+    assert_eq!(Fate::from_code(report.fate), Fate::Running);
+}
