A late start after a takeover is refused by the worker: a test

Change: starts can arrive late; the keeper dies meanwhile. Without the fence the test sees two starts in two places (starts 2, doubled 1), with it one start and a fenced call.

--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -93,6 +93,23 @@
     cell.check_promises();
 }
 
+#[test]
+fn late_start_after_takeover_refused() {
+    let mut cell = Cell::new(5, 49);
+    cell.world.borrow_mut().faults.start_delay = std::time::Duration::from_secs(15);
+    let token = cell.work(0, "s1", "filling-study", "ms=40000", 0);
+    cell.answer(token, 5.0);
+    cell.run_for(1.0);
+    let (owner, _) = cell.place_of(0, "s1");
+    cell.kill(owner);
+    cell.world.borrow_mut().faults.start_delay = std::time::Duration::ZERO;
+    cell.run_for(30.0);
+    let counts = cell.counts();
+    assert_eq!((counts.starts, counts.fenced > 0), (1, true), "{counts:?}");
+    assert!(done(&mut cell, (owner + 1) % 5, "s1", 60.0));
+    cell.check_promises();
+}
+
 #[test]
 fn pause_home_before_start_arrives() {
     // The home is paused at every point around the recording of the attempt.
--- a/crates/daemon/tests/keeper.rs
+++ b/crates/daemon/tests/keeper.rs
@@ -61,13 +61,13 @@
     keeper
 }
 
-fn key() -> Option<wire::Key> {
-    Some(wire::Key { customer: "c".to_owned(), id: "i".to_owned() })
+fn key() -> wire::Key {
+    wire::Key { customer: "c".to_owned(), id: "i".to_owned() }
 }
 
 fn reserve(keeper: &mut Keeper, shared: &Shared, partition_epoch: u64) -> wire::Start {
     let reserve = wire::Reserve {
-        key: key(),
+        key: Some(key()),
         rack: RACK.to_owned(),
         cpu: 1000,
         memory: 1024,
@@ -78,7 +78,7 @@
     };
     let grant = keeper.reserve(shared, &reserve);
     wire::Start {
-        key: key(),
+        key: Some(key()),
         rack: RACK.to_owned(),
         rack_epoch: grant.rack_epoch,
         reservation: grant.places[0].reservation,
@@ -92,7 +92,7 @@
 
 fn probe(rack_epoch: u64, partition_epoch: u64) -> wire::Probe {
     wire::Probe {
-        key: key(),
+        key: Some(key()),
         rack: RACK.to_owned(),
         worker: "es-north-w01".to_owned(),
         attempt: 1,
--- a/crates/daemon/tests/support/borders.rs
+++ b/crates/daemon/tests/support/borders.rs
@@ -149,7 +149,8 @@
             let share = world.faults.lose_starts;
             world.chance(share)
         };
-        self.exchange(WORKER_TIME, is_lost, ret, move |world| {
+        let there = WORKER_TIME + self.world.borrow().faults.start_delay;
+        self.exchange(there, is_lost, ret, move |world| {
             let now = world.borrow().now;
             world.borrow_mut().workers.start(&worker, start, now).or_else(refused)
         });
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -48,6 +48,8 @@
     pub lose_commits: f64,
     pub objects_down: bool,
     pub lose_starts: f64,
+    /// How much later starts arrive at their workers.
+    pub start_delay: Duration,
     pub silent_workers: BTreeSet<Name>,
     pub lose_reports: bool,
     /// Pairs of daemons between which nothing arrives; lesser index first.
