--- /dev/null
+++ b/crates/daemon/tests/claims.rs
@@ -0,0 +1,122 @@
+//! Claims of one scope by several members, over the stand-in's table.
+
+use std::time::{Duration, Instant};
+
+use bronzeraild::node::claims::{Claims, PREFIX, Scope};
+use bronzeraild::node::membership::{Member, Membership};
+use common::Name;
+use platform::table::{Query, Row, Transaction};
+use standin::table::Table;
+
+const LEASE: Duration = Duration::from_millis(3500);
+
+fn member(name: &str, incarnation: u64) -> Member {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Member {
+        name: Name::new(name),
+        incarnation,
+        domain: Name::new("d"),
+        peer_address: address,
+        http_address: address,
+        beat: 1,
+        is_leaving: false,
+    }
+}
+
+fn membership(name: &str, now: Instant) -> Membership {
+    Membership::new(member(name, 1), LEASE, now)
+}
+
+fn rows(table: &mut Table) -> Vec<Row> {
+    table.read(&Query { keys: Vec::new(), prefixes: vec![Name::new(PREFIX)] })
+}
+
+fn member_row(name: &str, beat: u64) -> Row {
+    let row = Member { beat, ..member(name, 1) };
+    let value = serde_json::to_string(&row).expect("it has a JSON form");
+    Row { key: Name::from(format!("member/{name}")), value, version: beat }
+}
+
+#[test]
+fn claim_race_one_wins() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    let scopes = [Scope::Partition(1), Scope::Rack(Name::new("r"))];
+    let one = Claims::default().claim(&scopes, &membership("a", now)).0;
+    let other = Claims::default().claim(&scopes[..1], &membership("b", now)).0;
+    assert!(table.commit(one).committed);
+    assert!(!table.commit(other).committed, "the row moved since it was read");
+}
+
+#[test]
+fn claim_after_release_grows_epoch() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    let scopes = [Scope::Partition(1)];
+    let (mut one, ours) = (Claims::default(), membership("a", now));
+    let (transaction, epochs) = one.claim(&scopes, &ours);
+    let commit = table.commit(transaction);
+    one.claimed(scopes[0].clone(), epochs[0].1, commit.version, ours.me());
+    let release = one.release(&scopes[0]).expect("it is held");
+    assert!(table.commit(release).committed);
+    let (mut other, theirs) = (Claims::default(), membership("b", now));
+    other.observe(&rows(&mut table));
+    let (transaction, epochs) = other.claim(&scopes, &theirs);
+    assert_eq!(epochs[0].1, 2);
+    assert!(table.commit(transaction).committed);
+    assert_eq!(one.observe(&rows(&mut table)), [scopes[0].clone()], "the first sees its loss");
+}
+
+#[test]
+fn alive_until_lease_after_last_beat() {
+    let start = Instant::now();
+    let mut membership = membership("a", start);
+    let name = Name::new("b");
+    for step in 0..4 {
+        let now = start + Duration::from_secs(step);
+        membership.observe(&[member_row("b", step + 1)], now);
+    }
+    let mut now = start + Duration::from_secs(3);
+    for _ in 0..3 {
+        now += Duration::from_secs(1);
+        membership.observe(&[member_row("b", 4)], now);
+        assert!(membership.is_alive(&name, 1, now));
+    }
+    now += Duration::from_secs(1);
+    membership.observe(&[member_row("b", 4)], now);
+    assert!(!membership.is_alive(&name, 1, now), "four seconds without a beat");
+}
+
+#[test]
+fn alive_after_gap_in_looks() {
+    let start = Instant::now();
+    let mut membership = membership("a", start);
+    membership.observe(&[member_row("b", 1)], start);
+    let now = start + Duration::from_mins(1);
+    membership.observe(&[member_row("b", 1)], now);
+    assert!(membership.is_alive(&Name::new("b"), 1, now), "nobody looked for a minute");
+}
+
+#[test]
+fn own_lease_counts_from_sending() {
+    let start = Instant::now();
+    let mut membership = membership("a", start);
+    assert!(!membership.is_valid(start));
+    membership.renewed(start, 1);
+    assert!(membership.is_valid(start + Duration::from_secs(3)));
+    assert!(!membership.is_valid(start + Duration::from_millis(3300)), "a margin before its end");
+}
+
+#[test]
+fn release_refused_after_loss() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    let scopes = [Scope::Partition(1)];
+    let (mut one, ours) = (Claims::default(), membership("a", now));
+    let (transaction, epochs) = one.claim(&scopes, &ours);
+    let commit = table.commit(transaction);
+    one.claimed(scopes[0].clone(), epochs[0].1, commit.version, ours.me());
+    table.commit(Transaction::default().put(scopes[0].key(), "taken".to_owned()));
+    let release = one.release(&scopes[0]).expect("it believes to hold it");
+    assert!(!table.commit(release).committed);
+}
