--- a/crates/daemon/src/node/act.rs
+++ b/crates/daemon/src/node/action.rs
@@ -18,7 +18,7 @@
 
 /// One thing to do.
 #[derive(Debug)]
-pub enum Act {
+pub enum Action {
     /// Answer a request.
     Answer(Waiter, Box<Answer>),
     /// Answer a call with a bare code.
--- a/crates/daemon/src/node/keeper/mod.rs
+++ b/crates/daemon/src/node/allocator/mod.rs
@@ -1,9 +1,9 @@
-//! The keeper of one rack: the one place that commits its room.
+//! The allocator of one rack: the one place that commits its room.
 //!
-//! A keeper grants reservations, starts tasks under leases, renews them, and tells each
+//! An allocator grants reservations, starts tasks under leases, renews them, and tells each
 //! request's home how its attempts end, until the home has made the outcome durable.
 //! A start is taken only with a reservation of the same epoch, so one from before a
-//! takeover finds nothing; the worker's fence refuses one that an earlier keeper sends.
+//! takeover finds nothing; the worker's fence refuses one that an earlier allocator sends.
 
 mod renewals;
 mod reports;
@@ -19,12 +19,12 @@
 use settings::quantity::Size;
 use wire::{Fate, Span};
 
-use super::act::Act;
+use super::action::Action;
 use super::claims::Claim;
 use super::home::{from_wire, to_wire};
 use super::shared::Shared;
 
-/// What the keeper wants of a worker.
+/// What the allocator wants of a worker.
 #[derive(Debug)]
 pub enum Order {
     /// Start a task.
@@ -90,9 +90,9 @@
     is_silent: bool,
 }
 
-/// The keeper of one rack.
+/// The allocator of one rack.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct Allocator {
     /// The rack.
     pub name: Name,
     claim: Claim,
@@ -110,14 +110,14 @@
     yielded_at: Option<Instant>,
     told: Option<wire::Digest>,
     told_at: Instant,
-    acts: Vec<Act>,
+    actions: Vec<Action>,
     orders: Vec<Order>,
 }
 
-impl Keeper {
-    /// A keeper that knows none of its workers yet; all count as full.
+impl Allocator {
+    /// An allocator that knows none of its workers yet; all count as full.
     pub fn new(name: Name, claim: Claim, shared: &Shared) -> Self {
-        let mut keeper = Self {
+        let mut allocator = Self {
             name,
             claim,
             claimed_at: shared.now,
@@ -131,11 +131,11 @@
             yielded_at: None,
             told: None,
             told_at: shared.now,
-            acts: Vec::new(),
+            actions: Vec::new(),
             orders: Vec::new(),
         };
-        keeper.set_inventory(shared);
-        keeper
+        allocator.set_inventory(shared);
+        allocator
     }
 
     /// Takes over the inventory in force.
@@ -147,17 +147,17 @@
         }
     }
 
-    /// The claim under which the keeper acts.
+    /// The claim under which the allocator actions.
     pub fn claim(&self) -> Claim {
         self.claim
     }
 
-    /// What the keeper wants done.
-    pub fn take_acts(&mut self) -> Vec<Act> {
-        std::mem::take(&mut self.acts)
+    /// What the allocator wants done.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
-    /// What the keeper wants of its workers.
+    /// What the allocator wants of its workers.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
     }
--- a/crates/daemon/src/node/keeper/renewals.rs
+++ b/crates/daemon/src/node/allocator/renewals.rs
@@ -7,9 +7,9 @@
 use platform::workers::{Renew, Run, State, Task};
 use wire::Fate;
 
-use super::{Held, Keeper, Order, Phase};
+use super::{Allocator, Held, Order, Phase};
 use crate::event::Event;
-use crate::node::act::Act;
+use crate::node::action::Action;
 use crate::node::home::span;
 use crate::node::membership::MARGIN;
 use crate::node::shared::Shared;
@@ -17,7 +17,7 @@
 /// How long a refused attempt is remembered, against a start that comes late.
 const REFUSED_LIFE: Duration = Duration::from_mins(10);
 
-impl Keeper {
+impl Allocator {
     /// Does what time asks for.
     pub fn tick(&mut self, shared: &Shared) {
         self.rack.expire(shared.now);
@@ -68,7 +68,7 @@
                 if line.is_silent {
                     line.is_silent = false;
                     let text = worker.to_string();
-                    self.acts.push(Act::Log(Event::WorkerBack, text));
+                    self.actions.push(Action::Log(Event::WorkerBack, text));
                 }
                 self.take_list(shared, worker, sent_at, &tasks);
                 self.rack.set_known(worker, true);
@@ -88,7 +88,7 @@
             line.is_silent = true;
             self.rack.set_known(worker, false);
             let text = format!("{worker}: {error}");
-            self.acts.push(Act::Log(Event::WorkerSilent, text));
+            self.actions.push(Action::Log(Event::WorkerSilent, text));
         }
     }
 
@@ -172,7 +172,7 @@
                 self.runs.iter().filter(|(_, held)| held.worker == worker && !held.is_ended());
             let on_it: Vec<Run> = on_it.map(|(run, _)| run.clone()).collect();
             for run in on_it {
-                self.acts.push(Act::Log(Event::TaskLapsed, run.to_string()));
+                self.actions.push(Action::Log(Event::TaskLapsed, run.to_string()));
                 self.end(
                     shared,
                     &run,
--- a/crates/daemon/src/node/keeper/reports.rs
+++ b/crates/daemon/src/node/allocator/reports.rs
@@ -6,9 +6,9 @@
 use platform::workers::{Run, Stop};
 use wire::Body;
 
-use super::{Keeper, Order, key_of, report};
+use super::{Allocator, Order, key_of, report};
 use crate::event::Event;
-use crate::node::act::Act;
+use crate::node::action::Action;
 use crate::node::call::Purpose;
 use crate::node::shared::Shared;
 
@@ -18,7 +18,7 @@
 /// How long an attempt with a lost answer is kept on its worker after it ended.
 const FORGET_PAUSE: Duration = Duration::from_mins(1);
 
-impl Keeper {
+impl Allocator {
     pub(super) fn report_due(&mut self, shared: &Shared) {
         let partitions = shared.config.partitions;
         for (run, held) in &mut self.runs {
@@ -29,7 +29,7 @@
             let partition = key_of(run).partition(partitions);
             let body = Body::Report(report(&self.name, run, held));
             let purpose = Purpose::Report { rack: self.name.clone(), run: run.clone() };
-            self.acts.push(Act::AskHome(partition, body, purpose));
+            self.actions.push(Action::AskHome(partition, body, purpose));
         }
     }
 
@@ -45,7 +45,7 @@
                 held.report_at = shared.now + REPORT_INTERVAL;
                 let stop = Stop { run: run.clone(), fence: self.claim.epoch, checkpoint: false };
                 self.orders.push(Order::Stop(held.worker.clone(), stop));
-                self.acts.push(Act::Log(Event::OrphanStopped, run.to_string()));
+                self.actions.push(Action::Log(Event::OrphanStopped, run.to_string()));
             }
             (_, Some(_)) => {}
         }
--- a/crates/daemon/src/node/keeper/room.rs
+++ b/crates/daemon/src/node/allocator/room.rs
@@ -7,7 +7,7 @@
 use policy::rack::{Demand, Refusal};
 use settings::quantity::Size;
 
-use super::{Candidate, Held, Keeper, Order, Phase, Yielding};
+use super::{Allocator, Candidate, Held, Order, Phase, Yielding};
 use crate::node::digests;
 use crate::node::shared::Shared;
 
@@ -26,7 +26,7 @@
 /// Between two rounds of stopping tasks for urgent work.
 const YIELD_INTERVAL: Duration = Duration::from_millis(500);
 
-impl Keeper {
+impl Allocator {
     /// Sets room aside.
     pub fn reserve(&mut self, shared: &Shared, reserve: &wire::Reserve) -> wire::Grant {
         if self.is_closing {
--- a/crates/daemon/src/node/keeper/starts.rs
+++ b/crates/daemon/src/node/allocator/starts.rs
@@ -8,14 +8,14 @@
 use settings::Spec;
 use wire::Fate;
 
-use super::{Held, Keeper, Order, Phase, Yielding, report, run_of};
+use super::{Allocator, Held, Order, Phase, Yielding, report, run_of};
 use crate::node::home::span;
 use crate::node::shared::Shared;
 
 /// Tries of a start whose answers are lost, before the worker's list decides.
 const START_TRIES: u32 = 5;
 
-impl Keeper {
+impl Allocator {
     /// Takes a start, or says why no start was sent and none will be.
     ///
     /// # Errors
--- a/crates/daemon/src/node/apply.rs
+++ b/crates/daemon/src/node/apply.rs
@@ -233,12 +233,12 @@
         let head = &self.shared.versions.head;
         let detail = format!("version {} by {}", head.version, head.author);
         self.note(Event::SettingsInForce, detail);
-        for keeper in self.keepers.values_mut() {
-            keeper.set_inventory(&self.shared);
+        for allocator in self.allocators.values_mut() {
+            allocator.set_inventory(&self.shared);
         }
         let leaving = &self.leaving_vms;
-        for keeper in self.keepers.values_mut() {
-            keeper.rack.set_leaving(|name| leaving.contains(name));
+        for allocator in self.allocators.values_mut() {
+            allocator.rack.set_leaving(|name| leaving.contains(name));
         }
         self.schedule.claims_read = self.shared.now;
         self.schedule.read = self.shared.now;
--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -11,10 +11,10 @@
 use stakker::CX;
 use wire::Body;
 
-use super::act::{Refusal, Waiter};
+use super::action::{Refusal, Waiter};
 use super::call::Purpose;
 use super::claims::Scope;
-use super::gate::{Ask, Forward};
+use super::forward::{Ask, Forward};
 use super::home::span;
 use super::homes::UNCONFIRMED;
 use super::{MOVED, Node};
@@ -42,7 +42,7 @@
         match request {
             Request::Submit { body, wait_ms, trace, arrived_us } => {
                 self.submit(cx, token, body, wait_ms, trace);
-                self.gate.stamp(token, arrived_us);
+                self.forwards.stamp(token, arrived_us);
             }
             Request::Status { key, wait_ms } => {
                 let wants_result = wait_ms > 0;
@@ -161,13 +161,13 @@
             arrived_us: self.shared.wall_us,
             tries: 0,
         };
-        self.gate.insert(forward);
+        self.forwards.insert(forward);
         self.pass_on(cx, token);
     }
 
     /// Passes a request to its home, where that is known.
     fn pass_on(&mut self, cx: CX![], token: Token) {
-        let Some(forward) = self.gate.get(token) else { return };
+        let Some(forward) = self.forwards.get(token) else { return };
         let home = if forward.is_durable() {
             let partition = forward.key.partition(self.shared.config.partitions);
             self.shared.owner_of(&Scope::Partition(partition))
@@ -217,7 +217,7 @@
         if let Some(Body::Answer(answer)) = body {
             return self.answer(cx, Waiter::Front(token), answer);
         }
-        if let Some(forward) = self.gate.get_mut(token) {
+        if let Some(forward) = self.forwards.get_mut(token) {
             forward.may_be_kept |= is_sent;
         }
         self.park(token);
@@ -225,7 +225,8 @@
 
     fn park(&mut self, token: Token) {
         self.read_soon_if_stale();
-        if let Some(forward) = self.gate.park(token, &mut self.shared.retries, self.shared.now) {
+        if let Some(forward) = self.forwards.park(token, &mut self.shared.retries, self.shared.now)
+        {
             let answer = forward.give_up();
             self.respond(token, Some(&forward), &answer);
         }
@@ -241,7 +242,7 @@
     }
 
     pub(super) fn retry_parked(&mut self, cx: CX![]) {
-        for token in self.gate.due(self.shared.now) {
+        for token in self.forwards.due(self.shared.now) {
             self.pass_on(cx, token);
         }
     }
@@ -257,12 +258,12 @@
         // A home that lost track is not the last word: the request may have another by now.
         let kind = Kind::from_code(answer.code);
         let is_elsewhere = matches!(kind, Some(Kind::NoOwner | Kind::Unconfirmed));
-        let Some(forward) = self.gate.get_mut(token) else { return };
+        let Some(forward) = self.forwards.get_mut(token) else { return };
         if is_elsewhere {
             forward.may_be_kept |= answer.state == MOVED;
             return self.park(token);
         }
-        let forward = self.gate.remove(token);
+        let forward = self.forwards.remove(token);
         self.respond(token, forward.as_ref(), &answer);
     }
 
--- a/crates/daemon/src/node/gate.rs
+++ b/crates/daemon/src/node/forward.rs
@@ -8,7 +8,7 @@
 use journal::event::Key;
 use wire::Body;
 
-use super::act::failure;
+use super::action::failure;
 use super::home::to_wire;
 use super::retries::Retries;
 use crate::front::Token;
@@ -107,12 +107,12 @@
 
 /// All callers' requests in progress here.
 #[derive(Debug, Default)]
-pub struct Gate {
+pub struct Forwards {
     open: HashMap<Token, Forward>,
     parked: BTreeSet<(Instant, Token)>,
 }
 
-impl Gate {
+impl Forwards {
     /// Takes in a request.
     pub fn insert(&mut self, forward: Forward) {
         self.open.insert(forward.token, forward);
--- a/crates/daemon/src/node/home/arrivals.rs
+++ b/crates/daemon/src/node/home/arrivals.rs
@@ -11,7 +11,7 @@
 
 use super::outcomes::{cancelled_answer, closing};
 use super::{After, Arrival, Home, Wait, Work, to_wire};
-use crate::node::act::{Act, Refusal, Waiter, failure};
+use crate::node::action::{Action, Refusal, Waiter, failure};
 use crate::node::shared::Shared;
 
 impl Home {
@@ -153,7 +153,7 @@
                     attempt: place.attempt,
                     checkpoint: false,
                 };
-                self.acts.push(Act::TellRack(place.rack.clone(), Body::Stop(stop)));
+                self.actions.push(Action::TellRack(place.rack.clone(), Body::Stop(stop)));
             }
         }
     }
--- a/crates/daemon/src/node/home/mod.rs
+++ b/crates/daemon/src/node/home/mod.rs
@@ -22,7 +22,7 @@
 use settings::rules::Class;
 use wire::Span;
 
-use super::act::{Act, Waiter};
+use super::action::{Action, Waiter};
 use super::claims::Claim;
 use super::shared::Shared;
 use super::usage::Usage;
@@ -149,7 +149,7 @@
     pub is_closing: bool,
     usage: BTreeMap<Name, Usage>,
     traces: VecDeque<(Key, Vec<Span>)>,
-    acts: Vec<Act>,
+    actions: Vec<Action>,
 }
 
 impl Home {
@@ -172,7 +172,7 @@
             is_closing: false,
             usage: BTreeMap::new(),
             traces: VecDeque::new(),
-            acts: Vec::new(),
+            actions: Vec::new(),
         };
         let open: Vec<Key> = home
             .book
@@ -188,7 +188,7 @@
         home
     }
 
-    /// The claim under which the home acts.
+    /// The claim under which the home actions.
     pub fn claim(&self) -> Claim {
         self.claim
     }
@@ -204,8 +204,8 @@
     }
 
     /// What the home wants done.
-    pub fn take_acts(&mut self) -> Vec<Act> {
-        std::mem::take(&mut self.acts)
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     /// What each customer holds here.
@@ -254,7 +254,7 @@
             self.ahead.insert(key.clone(), request.clone());
         }
         if let Err(error) = self.ahead.apply(event.clone()) {
-            self.acts.push(Act::Log(crate::event::Event::BookRefused, error.to_string()));
+            self.actions.push(Action::Log(crate::event::Event::BookRefused, error.to_string()));
         }
     }
 
@@ -278,7 +278,7 @@
         let key = pending.event.key().clone();
         self.unindex(&key);
         if let Err(error) = self.book.apply(pending.event) {
-            self.acts.push(Act::Log(crate::event::Event::BookRefused, error.to_string()));
+            self.actions.push(Action::Log(crate::event::Event::BookRefused, error.to_string()));
         }
         self.index(&key);
         if let Some(work) = self.work.get_mut(&key) {
@@ -289,7 +289,7 @@
             }
         }
         if let Some(waiter) = pending.ack {
-            self.acts.push(Act::Ack(waiter, None, String::new()));
+            self.actions.push(Action::Ack(waiter, None, String::new()));
         }
         self.follow(shared, &key, pending.after);
     }
@@ -298,7 +298,7 @@
         match after {
             After::Nothing => {}
             After::Admitted => {
-                self.acts.push(Act::Log(crate::event::Event::Admitted, key.to_string()));
+                self.actions.push(Action::Log(crate::event::Event::Admitted, key.to_string()));
                 self.answer_admission(key);
             }
             After::Started(places) => self.send_starts(shared, key, &places),
@@ -331,9 +331,10 @@
     fn answer_closed(&mut self, key: &Key) {
         let answer = self.describe(key);
         if answer.code == Kind::Unknown.code() {
-            self.acts.push(Act::Log(crate::event::Event::UnknownOutcome, key.to_string()));
+            self.actions.push(Action::Log(crate::event::Event::UnknownOutcome, key.to_string()));
         }
-        self.acts.push(Act::Log(crate::event::Event::Closed, format!("{key} {}", answer.state)));
+        self.actions
+            .push(Action::Log(crate::event::Event::Closed, format!("{key} {}", answer.state)));
         self.stop_reserving(key);
         let waits = self.work.remove(key).map(|work| work.waits).unwrap_or_default();
         self.keep_trace(key, answer.spans.clone());
--- a/crates/daemon/src/node/home/outcomes.rs
+++ b/crates/daemon/src/node/home/outcomes.rs
@@ -10,7 +10,7 @@
 
 use super::view::texts;
 use super::{After, AttemptEnd, Home, from_wire, to_wire};
-use crate::node::act::{Act, Waiter};
+use crate::node::action::{Action, Waiter};
 use crate::node::call::Purpose;
 use crate::node::shared::Shared;
 
@@ -34,7 +34,7 @@
             }
             if let Some(waiter) = ack {
                 let text = "not the current attempt".to_owned();
-                self.acts.push(Act::Ack(waiter, Some(Kind::NotFound), text));
+                self.actions.push(Action::Ack(waiter, Some(Kind::NotFound), text));
             }
             return;
         }
@@ -44,7 +44,7 @@
             Fate::Running => {
                 self.confirm(shared, &key, task, attempt);
                 if let Some(waiter) = ack {
-                    self.acts.push(Act::Ack(waiter, None, String::new()));
+                    self.actions.push(Action::Ack(waiter, None, String::new()));
                 }
             }
             Fate::Unsure => {}
@@ -238,7 +238,7 @@
             rack_epoch: place.rack_epoch,
         };
         let purpose = Purpose::Probe { partition: self.partition };
-        self.acts.push(Act::AskRack(place.rack.clone(), Body::Probe(probe), purpose));
+        self.actions.push(Action::AskRack(place.rack.clone(), Body::Probe(probe), purpose));
     }
 }
 
--- a/crates/daemon/src/node/home/placing.rs
+++ b/crates/daemon/src/node/home/placing.rs
@@ -12,7 +12,7 @@
 use wire::Body;
 
 use super::{After, AttemptEnd, Grant, Home, Work, to_wire};
-use crate::node::act::{Act, Waiter};
+use crate::node::action::{Action, Waiter};
 use crate::node::call::Purpose;
 use crate::node::shared::Shared;
 
@@ -119,7 +119,7 @@
         work.tried.push(rack.clone());
         let purpose =
             Purpose::Reserve { partition: self.partition, key: key.clone(), rack: rack.clone() };
-        self.acts.push(Act::AskRack(rack, Body::Reserve(reserve), purpose));
+        self.actions.push(Action::AskRack(rack, Body::Reserve(reserve), purpose));
     }
 
     /// Takes a rack's answer to a reservation; none where it is lost.
@@ -213,7 +213,7 @@
             return;
         }
         let release = wire::Release { rack: rack.to_string(), reservations };
-        self.acts.push(Act::TellRack(rack.clone(), Body::Release(release)));
+        self.actions.push(Action::TellRack(rack.clone(), Body::Release(release)));
     }
 
     pub(super) fn pause(&mut self, shared: &mut Shared, key: &Key, reason: String) {
@@ -240,7 +240,7 @@
                 key: key.clone(),
                 attempt: places[0].attempt,
             };
-            self.acts.push(Act::AskRack(places[0].rack.clone(), Body::Quick(once), purpose));
+            self.actions.push(Action::AskRack(places[0].rack.clone(), Body::Quick(once), purpose));
             return;
         }
         let spec = serde_json::to_vec(&request.spec).unwrap_or_default();
@@ -270,7 +270,7 @@
                 task: place.task,
                 attempt: place.attempt,
             };
-            self.acts.push(Act::AskRack(place.rack.clone(), Body::Start(start), purpose));
+            self.actions.push(Action::AskRack(place.rack.clone(), Body::Start(start), purpose));
         }
     }
 
--- a/crates/daemon/src/node/home/view.rs
+++ b/crates/daemon/src/node/home/view.rs
@@ -5,12 +5,12 @@
 
 use super::placing::may_start;
 use super::{Home, Rank, span};
-use crate::node::act::{Act, Waiter};
+use crate::node::action::{Action, Waiter};
 use crate::node::shared::Shared;
 
 impl Home {
     pub(super) fn answer(&mut self, to: Waiter, answer: wire::Answer) {
-        self.acts.push(Act::Answer(to, Box::new(answer)));
+        self.actions.push(Action::Answer(to, Box::new(answer)));
     }
 
     /// Where a request stands, as its caller is told.
--- a/crates/daemon/src/node/homes.rs
+++ b/crates/daemon/src/node/homes.rs
@@ -12,7 +12,7 @@
 use wire::Body;
 
 use super::Node;
-use super::act::{Waiter, failure};
+use super::action::{Waiter, failure};
 use super::home::{Arrival, Home, Wait};
 use super::peers::key_in;
 use super::quick;
@@ -135,8 +135,8 @@
             super::MOVED.clone_into(&mut answer.state);
             self.answer(cx, wait.waiter, answer);
         }
-        for act in home.take_acts() {
-            self.act(cx, act);
+        for action in home.take_actions() {
+            self.carry_out(cx, action);
         }
     }
 
--- a/crates/daemon/src/node/leave.rs
+++ b/crates/daemon/src/node/leave.rs
@@ -58,7 +58,7 @@
         if is_late {
             let text = format!(
                 "{} callers, {} quick requests, {} scopes",
-                self.gate.open(),
+                self.forwards.open(),
                 self.quicks.open(),
                 self.shared.claims.all_held().count()
             );
@@ -72,8 +72,8 @@
     fn is_empty(&self) -> bool {
         let has_heirs = !self.shared.membership.staying().is_empty();
         let is_rid = self.shared.claims.all_held().next().is_none() || !has_heirs;
-        let is_serving = self.keepers.values().any(|keeper| keeper.rack.slots_used() > 0);
-        is_rid && !is_serving && self.gate.open() == 0 && self.quicks.open() == 0
+        let is_serving = self.allocators.values().any(|allocator| allocator.rack.slots_used() > 0);
+        is_rid && !is_serving && self.forwards.open() == 0 && self.quicks.open() == 0
     }
 
     /// Removes our row, so that nobody waits for its lease to run out.
@@ -100,7 +100,7 @@
     /// Ends the stop once the last answers have had their time to be written.
     fn leave_quietly(&mut self, cx: CX![]) {
         self.touch(cx);
-        if self.gate.open() > 0 {
+        if self.forwards.open() > 0 {
             after!(LINGER, [cx], leave_quietly());
         } else {
             self.end_stop(true);
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,19 +1,19 @@
 //! One daemon's state, as an actor: what comes in, what goes out, what time asks for.
 //!
-//! The parts that decide ([`home`], [`keeper`], [`quick`], [`claims`], [`membership`])
-//! do no I/O; they leave [`act::Act`]s that the node carries out after each input.
+//! The parts that decide ([`home`], [`allocator`], [`quick`], [`claims`], [`membership`])
+//! do no I/O; they leave [`action::Action`]s that the node carries out after each input.
 
-pub mod act;
+pub mod action;
+pub mod allocator;
 mod apply;
 pub mod call;
 pub mod claims;
 pub mod digests;
 mod entry;
-pub mod gate;
+pub mod forward;
 pub mod home;
 mod homes;
 mod journals;
-pub mod keeper;
 mod leave;
 pub mod membership;
 mod ownership;
@@ -38,11 +38,11 @@
 use stakker::{CX, Ret, after, call};
 use wire::{Body, Frame};
 
-use self::act::{Act, Waiter};
+use self::action::{Action, Waiter};
+use self::allocator::Allocator;
 use self::call::{Call, Calls, Purpose};
 use self::claims::Scope;
 use self::home::Home;
-use self::keeper::Keeper;
 use self::membership::{Member, Membership};
 use self::shared::Shared;
 use self::store::Store;
@@ -114,9 +114,9 @@
     journals: journals::Journals,
     resend_at: HashMap<u32, Instant>,
     flush_at: HashMap<u32, Instant>,
-    keepers: BTreeMap<Name, Keeper>,
-    quicks: quick::Quicks,
-    gate: gate::Gate,
+    allocators: BTreeMap<Name, Allocator>,
+    quicks: quick::Tracker,
+    forwards: forward::Forwards,
     peers: HashMap<Name, peers::Heard>,
     surveys: survey::Surveys,
     applies: Vec<apply::Applying>,
@@ -217,9 +217,9 @@
             journals: journals::Journals::default(),
             resend_at: HashMap::new(),
             flush_at: HashMap::new(),
-            keepers: BTreeMap::new(),
-            quicks: quick::Quicks::default(),
-            gate: gate::Gate::default(),
+            allocators: BTreeMap::new(),
+            quicks: quick::Tracker::default(),
+            forwards: forward::Forwards::default(),
             peers: HashMap::new(),
             surveys: survey::Surveys::default(),
             applies: Vec::new(),
@@ -280,8 +280,8 @@
     }
 
     fn tick_racks(&mut self) {
-        for keeper in self.keepers.values_mut() {
-            keeper.tick(&self.shared);
+        for allocator in self.allocators.values_mut() {
+            allocator.tick(&self.shared);
         }
     }
 
@@ -290,18 +290,18 @@
     /// Carries out everything that is wanted, and flushes the journals.
     fn perform(&mut self, cx: CX![]) {
         loop {
-            let mut acts = self.quicks.take_acts();
+            let mut actions = self.quicks.take_actions();
             for home in self.homes.values_mut() {
-                acts.append(&mut home.take_acts());
+                actions.append(&mut home.take_actions());
             }
-            for keeper in self.keepers.values_mut() {
-                acts.append(&mut keeper.take_acts());
+            for allocator in self.allocators.values_mut() {
+                actions.append(&mut allocator.take_actions());
             }
-            if acts.is_empty() {
+            if actions.is_empty() {
                 break;
             }
-            for act in acts {
-                self.act(cx, act);
+            for action in actions {
+                self.carry_out(cx, action);
             }
         }
         self.send_orders(cx);
@@ -312,27 +312,27 @@
         }
     }
 
-    fn act(&mut self, cx: CX![], act: Act) {
-        match act {
-            Act::Answer(to, answer) => self.answer(cx, to, *answer),
-            Act::Ack(to, kind, text) => {
+    fn carry_out(&mut self, cx: CX![], action: Action) {
+        match action {
+            Action::Answer(to, answer) => self.answer(cx, to, *answer),
+            Action::Ack(to, kind, text) => {
                 let code = kind.map_or(0, Kind::code);
                 self.reply(cx, &to, Body::Ack(wire::Ack { code, text }));
             }
-            Act::AskRack(rack, body, purpose) => {
+            Action::AskRack(rack, body, purpose) => {
                 let owner = self.shared.owner_of(&Scope::Rack(rack));
                 self.ask(cx, owner, body, purpose);
             }
-            Act::TellRack(rack, body) => {
+            Action::TellRack(rack, body) => {
                 if let Some(owner) = self.shared.owner_of(&Scope::Rack(rack)) {
                     self.tell(cx, &owner, body);
                 }
             }
-            Act::AskHome(partition, body, purpose) => {
+            Action::AskHome(partition, body, purpose) => {
                 let owner = self.shared.owner_of(&Scope::Partition(partition));
                 self.ask(cx, owner, body, purpose);
             }
-            Act::Log(event, detail) => self.note(event, detail),
+            Action::Log(event, detail) => self.note(event, detail),
         }
     }
 
@@ -340,13 +340,13 @@
     fn ask(&mut self, cx: CX![], to: Option<Name>, body: Body, purpose: Purpose) {
         let timeout = match (&purpose, &body) {
             (Purpose::Quick { .. } | Purpose::Once { .. }, Body::Quick(quick)) => {
-                Duration::from_millis(quick.remaining_ms) + gate::GRACE
+                Duration::from_millis(quick.remaining_ms) + forward::GRACE
             }
             (Purpose::Forward(token), _) => {
-                let until = self.gate.get(*token).map(|forward| forward.until);
+                let until = self.forwards.get(*token).map(|forward| forward.until);
                 let left = until.map(|until| until.saturating_duration_since(self.shared.now));
                 // The home waits for its own calls first.
-                left.unwrap_or_default() + gate::GRACE * 2
+                left.unwrap_or_default() + forward::GRACE * 2
             }
             _ => CALL_TIMEOUT,
         };
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -7,8 +7,8 @@
 use stakker::{CX, call, ret_some_to};
 use wire::Body;
 
+use super::allocator::Allocator;
 use super::claims::{self, Plan, Scope};
-use super::keeper::Keeper;
 use super::membership;
 use super::peers::{DIGEST, HEARTBEAT};
 use super::store::Priority;
@@ -54,13 +54,13 @@
         let me = self.shared.me().clone();
         let mut digests = Vec::new();
         let peers = self.shared.membership.peers().len();
-        for keeper in self.keepers.values_mut() {
-            let cost = (keeper.digest_bytes() * peers) as f64;
+        for allocator in self.allocators.values_mut() {
+            let cost = (allocator.digest_bytes() * peers) as f64;
             // What the budget has no room for now is told on a later round.
             if !self.schedule.digest_bytes.take(cost, 0.0, now) {
                 continue;
             }
-            if let Some(digest) = keeper.news(&self.shared) {
+            if let Some(digest) = allocator.news(&self.shared) {
                 self.shared.digests.learn(&me, &digest);
                 digests.push(digest);
             } else {
@@ -274,10 +274,10 @@
         match scope {
             Scope::Partition(partition) => self.recover(cx, *partition),
             Scope::Rack(rack) => {
-                let mut keeper = Keeper::new(rack.clone(), claim, &self.shared);
+                let mut allocator = Allocator::new(rack.clone(), claim, &self.shared);
                 let leaving = &self.leaving_vms;
-                keeper.rack.set_leaving(|name| leaving.contains(name));
-                self.keepers.insert(rack.clone(), keeper);
+                allocator.rack.set_leaving(|name| leaving.contains(name));
+                self.allocators.insert(rack.clone(), allocator);
                 self.note(Event::ScopeReady, scope);
             }
         }
@@ -304,8 +304,8 @@
                 }
             }
             Scope::Rack(rack) => {
-                if let Some(keeper) = self.keepers.get_mut(rack) {
-                    keeper.is_closing = true;
+                if let Some(allocator) = self.allocators.get_mut(rack) {
+                    allocator.is_closing = true;
                 }
             }
         }
@@ -341,7 +341,7 @@
                 }
                 self.homes.get(partition).is_none_or(super::Home::is_calm)
             }
-            Scope::Rack(rack) => self.keepers.get(rack).is_none_or(Keeper::is_calm),
+            Scope::Rack(rack) => self.allocators.get(rack).is_none_or(Allocator::is_calm),
         }
     }
 
@@ -381,7 +381,7 @@
                 }
             }
             Scope::Rack(rack) => {
-                self.keepers.remove(rack);
+                self.allocators.remove(rack);
             }
         }
     }
@@ -395,9 +395,9 @@
             self.note(Event::VmLeaving, name);
         }
         self.leaving_vms = leaving;
-        for keeper in self.keepers.values_mut() {
+        for allocator in self.allocators.values_mut() {
             let leaving = &self.leaving_vms;
-            keeper.rack.set_leaving(|name| leaving.contains(name));
+            allocator.rack.set_leaving(|name| leaving.contains(name));
         }
         call!([cx], after_fleet());
     }
--- a/crates/daemon/src/node/peers.rs
+++ b/crates/daemon/src/node/peers.rs
@@ -9,7 +9,7 @@
 use wire::{Body, Frame};
 
 use super::Node;
-use super::act::Waiter;
+use super::action::Waiter;
 use super::call::Purpose;
 use super::home::from_wire;
 use crate::event::Event;
@@ -130,8 +130,8 @@
             }
             Purpose::Report { rack, run } => {
                 let ack = body.and_then(ack_of);
-                if let Some(keeper) = self.keepers.get_mut(&rack) {
-                    keeper.acknowledged(&self.shared, &run, ack);
+                if let Some(allocator) = self.allocators.get_mut(&rack) {
+                    allocator.acknowledged(&self.shared, &run, ack);
                 }
             }
             Purpose::Quick { key, rack } => {
@@ -177,7 +177,7 @@
 
     /// Tells a new peer everything at once.
     fn introduce(&mut self, cx: CX![], peer: &Name) {
-        let digests = self.keepers.values().filter_map(super::Keeper::told).collect();
+        let digests = self.allocators.values().filter_map(super::Allocator::told).collect();
         let heartbeat = self.heartbeat(digests, self.shared.usages.all());
         self.tell(cx, peer, Body::Heartbeat(heartbeat));
     }
@@ -254,7 +254,7 @@
     match body {
         Some(Body::Answer(answer)) => Some(answer),
         _ if is_sent => None,
-        _ => Some(super::act::failure(Kind::NoOwner, "the rack's owner is not connected")),
+        _ => Some(super::action::failure(Kind::NoOwner, "the rack's owner is not connected")),
     }
 }
 
--- a/crates/daemon/src/node/quick.rs
+++ b/crates/daemon/src/node/quick.rs
@@ -12,7 +12,7 @@
 use settings::Spec;
 use wire::{Answer, Body};
 
-use super::act::{Act, Refusal, Waiter, failure};
+use super::action::{Action, Refusal, Waiter, failure};
 use super::call::Purpose;
 use super::home::{span, to_wire};
 use super::shared::Shared;
@@ -72,11 +72,11 @@
 
 /// The quick requests whose home we are.
 #[derive(Debug, Default)]
-pub struct Quicks {
+pub struct Tracker {
     entries: HashMap<Key, Entry>,
     waiting: BTreeSet<(Instant, Key)>,
     done: VecDeque<(Instant, Key)>,
-    acts: Vec<Act>,
+    actions: Vec<Action>,
     /// Requests without an answer, by customer.
     open_of: HashMap<Name, usize>,
     shed_at: Option<Instant>,
@@ -84,10 +84,10 @@
     pub waits_us: Vec<u64>,
 }
 
-impl Quicks {
+impl Tracker {
     /// What is wanted done.
-    pub fn take_acts(&mut self) -> Vec<Act> {
-        std::mem::take(&mut self.acts)
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     /// Requests without an answer.
@@ -140,7 +140,7 @@
         if self.shed_at.is_none_or(|at| shared.now >= at + SHED_LOG_INTERVAL) {
             self.shed_at = Some(shared.now);
             let text = format!("{key}: {}", refusal.text);
-            self.acts.push(Act::Log(Event::Shed, text));
+            self.actions.push(Action::Log(Event::Shed, text));
         }
     }
 
@@ -189,7 +189,7 @@
         entry.sent_us = shared.wall_us;
         self.waiting.remove(&(entry.until, key.clone()));
         let purpose = Purpose::Quick { key: key.clone(), rack: rack.clone() };
-        self.acts.push(Act::AskRack(rack, Body::Quick(quick), purpose));
+        self.actions.push(Action::AskRack(rack, Body::Quick(quick), purpose));
         true
     }
 
@@ -258,7 +258,7 @@
     }
 
     fn answer(&mut self, to: Waiter, answer: Answer) {
-        self.acts.push(Act::Answer(to, Box::new(answer)));
+        self.actions.push(Action::Answer(to, Box::new(answer)));
     }
 
     /// Does what time asks for.
--- a/crates/daemon/src/node/racks.rs
+++ b/crates/daemon/src/node/racks.rs
@@ -9,10 +9,10 @@
 use wire::{Answer, Body};
 
 use super::Node;
-use super::act::{Waiter, failure};
+use super::action::{Waiter, failure};
+use super::allocator::Order;
 use super::home::span;
 use super::homes::unconfirmed;
-use super::keeper::Order;
 use super::peers::key_in;
 
 /// A quick request that an executor works on.
@@ -28,9 +28,9 @@
     // Calls from homes.
 
     pub(super) fn reserve(&mut self, cx: CX![], from: &Waiter, reserve: &wire::Reserve) {
-        let grant = match self.keepers.get_mut(reserve.rack.as_str()) {
-            Some(keeper) if self.shared.may_own() && self.shared.may_decide() => {
-                keeper.reserve(&self.shared, reserve)
+        let grant = match self.allocators.get_mut(reserve.rack.as_str()) {
+            Some(allocator) if self.shared.may_own() && self.shared.may_decide() => {
+                allocator.reserve(&self.shared, reserve)
             }
             _ => wire::Grant {
                 code: Kind::NoOwner.code(),
@@ -42,16 +42,16 @@
     }
 
     pub(super) fn release(&mut self, release: &wire::Release) {
-        if let Some(keeper) = self.keepers.get_mut(release.rack.as_str()) {
-            keeper.release(&release.reservations);
+        if let Some(allocator) = self.allocators.get_mut(release.rack.as_str()) {
+            allocator.release(&release.reservations);
         }
     }
 
     pub(super) fn start(&mut self, cx: CX![], from: &Waiter, start: &wire::Start) {
         let may_own = self.shared.may_own();
-        let taken = match self.keepers.get_mut(start.rack.as_str()) {
-            Some(keeper) if may_own => keeper.start(&self.shared, start),
-            // A rack that we do not act for sends nothing; but only its keeper can
+        let taken = match self.allocators.get_mut(start.rack.as_str()) {
+            Some(allocator) if may_own => allocator.start(&self.shared, start),
+            // A rack that we do not act for sends nothing; but only its allocator can
             // promise that nothing was sent, so the home is left to probe.
             _ => return,
         };
@@ -64,16 +64,17 @@
 
     pub(super) fn probe(&mut self, cx: CX![], from: &Waiter, probe: &wire::Probe) {
         let may_own = self.shared.may_own();
-        let Some(keeper) = self.keepers.get_mut(probe.rack.as_str()).filter(|_| may_own) else {
+        let Some(allocator) = self.allocators.get_mut(probe.rack.as_str()).filter(|_| may_own)
+        else {
             return;
         };
-        let report = keeper.probe(&self.shared, probe);
+        let report = allocator.probe(&self.shared, probe);
         self.reply(cx, from, Body::Report(report));
     }
 
     pub(super) fn stop_task(&mut self, stop: &wire::Stop) {
-        if let Some(keeper) = self.keepers.get_mut(stop.rack.as_str()) {
-            keeper.stop(&self.shared, stop);
+        if let Some(allocator) = self.allocators.get_mut(stop.rack.as_str()) {
+            allocator.stop(&self.shared, stop);
         }
     }
 
@@ -81,9 +82,9 @@
 
     pub(super) fn send_orders(&mut self, cx: CX![]) {
         let mut orders = Vec::new();
-        for keeper in self.keepers.values_mut() {
-            let rack = keeper.name.clone();
-            orders.extend(keeper.take_orders().into_iter().map(|order| (rack.clone(), order)));
+        for allocator in self.allocators.values_mut() {
+            let rack = allocator.name.clone();
+            orders.extend(allocator.take_orders().into_iter().map(|order| (rack.clone(), order)));
         }
         for (rack, order) in orders {
             self.send_order(cx, rack, order);
@@ -114,8 +115,8 @@
 
     fn start_done(&mut self, cx: CX![], rack: Name, run: Run, answer: Done) {
         self.touch(cx);
-        if let Some(keeper) = self.keepers.get_mut(&rack) {
-            keeper.started(&self.shared, &run, answer);
+        if let Some(allocator) = self.allocators.get_mut(&rack) {
+            allocator.started(&self.shared, &run, answer);
         }
         self.perform(cx);
     }
@@ -123,15 +124,15 @@
     /// The next renewal shows whether the task stopped; the home asks again if not.
     fn stop_done(&mut self, cx: CX![], rack: Name, worker: Name, _answer: Done) {
         self.touch(cx);
-        if let Some(keeper) = self.keepers.get_mut(&rack) {
-            keeper.look_soon(&worker, self.shared.now);
+        if let Some(allocator) = self.allocators.get_mut(&rack) {
+            allocator.look_soon(&worker, self.shared.now);
         }
     }
 
     fn renew_done(&mut self, cx: CX![], rack: Name, worker: Name, forget: Vec<Run>, answer: Tasks) {
         self.touch(cx);
-        if let Some(keeper) = self.keepers.get_mut(&rack) {
-            keeper.renewed(&self.shared, &worker, forget, answer);
+        if let Some(allocator) = self.allocators.get_mut(&rack) {
+            allocator.renewed(&self.shared, &worker, forget, answer);
         }
         self.perform(cx);
     }
@@ -144,12 +145,12 @@
         }
         let now = self.shared.now;
         let may_own = self.shared.may_own();
-        let keeper = self.keepers.get_mut(quick.rack.as_str());
-        let Some(keeper) = keeper.filter(|keeper| may_own && !keeper.is_closing) else {
+        let allocator = self.allocators.get_mut(quick.rack.as_str());
+        let Some(allocator) = allocator.filter(|allocator| may_own && !allocator.is_closing) else {
             let text = "this daemon does not own the rack";
             return self.answer(cx, from, failure(Kind::NoOwner, text));
         };
-        let Ok(executor) = keeper.rack.take_slot(&quick.service, &[], now) else {
+        let Ok(executor) = allocator.rack.take_slot(&quick.service, &[], now) else {
             let text = "no executor of the rack has a free slot";
             return self.answer(cx, from, failure(Kind::Overloaded, text));
         };
@@ -180,8 +181,8 @@
             Err(platform::Error::Refused { .. }) => Some(false),
             Err(_) => None,
         };
-        if let Some(keeper) = self.keepers.get_mut(&serving.rack) {
-            keeper.rack.free_slot(&serving.executor, verdict, self.shared.now);
+        if let Some(allocator) = self.allocators.get_mut(&serving.rack) {
+            allocator.rack.free_slot(&serving.executor, verdict, self.shared.now);
         }
         let asked_us = result.as_ref().map_or(0, |reply| reply.asked_us).max(serving.started_us);
         let mut answer = answer_of(result);
--- a/crates/daemon/src/node/survey.rs
+++ b/crates/daemon/src/node/survey.rs
@@ -9,7 +9,7 @@
 use wire::Body;
 
 use super::Node;
-use super::act::Waiter;
+use super::action::Waiter;
 use super::call::Purpose;
 use crate::front::{self, Token};
 
@@ -106,10 +106,10 @@
             "lease": self.shared.may_own(),
             "settings": self.shared.versions.head.version,
             "partitions": self.homes.len(),
-            "racks": self.keepers.keys().collect::<Vec<_>>(),
+            "racks": self.allocators.keys().collect::<Vec<_>>(),
             "open_requests": self.homes.values().map(super::Home::open).sum::<usize>(),
             "open_quick": self.quicks.open(),
-            "callers": self.gate.open(),
+            "callers": self.forwards.open(),
             "live": self.shared.membership.live(),
             "table_commits": store.commits,
             "table_rows_written": store.rows_written,
@@ -122,10 +122,10 @@
     fn worker_rows(&self) -> Vec<Value> {
         let now = self.shared.now;
         let mut rows = Vec::new();
-        for keeper in self.keepers.values() {
-            for (name, room, used, tasks, standing) in keeper.rack.view(now) {
+        for allocator in self.allocators.values() {
+            for (name, room, used, tasks, standing) in allocator.rack.view(now) {
                 rows.push(json!({
-                    "rack": keeper.name,
+                    "rack": allocator.name,
                     "worker": name,
                     "standing": standing,
                     "tasks": tasks,
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -16,7 +16,7 @@
 use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider};
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::node::gate::{Ask, Forward};
+use crate::node::forward::{Ask, Forward};
 
 mod exporter;
 
--- a/crates/daemon/tests/keeper.rs
+++ b/crates/daemon/tests/allocator.rs
@@ -1,12 +1,12 @@
-//! One keeper alone: which starts it takes, and what it says of missing attempts.
+//! One allocator alone: which starts it takes, and what it says of missing attempts.
 
 mod support;
 
 use std::time::Instant;
 
+use bronzeraild::node::allocator::Allocator;
 use bronzeraild::node::claims::{Claim, Claims};
 use bronzeraild::node::digests::Digests;
-use bronzeraild::node::keeper::Keeper;
 use bronzeraild::node::membership::{Member, Membership};
 use bronzeraild::node::retries::Retries;
 use bronzeraild::node::shared::Shared;
@@ -52,20 +52,20 @@
     }
 }
 
-fn keeper(shared: &Shared, epoch: u64) -> Keeper {
-    let mut keeper = Keeper::new(Name::new(RACK), Claim { epoch, version: epoch }, shared);
-    let workers: Vec<Name> = keeper.rack.workers().cloned().collect();
+fn allocator(shared: &Shared, epoch: u64) -> Allocator {
+    let mut allocator = Allocator::new(Name::new(RACK), Claim { epoch, version: epoch }, shared);
+    let workers: Vec<Name> = allocator.rack.workers().cloned().collect();
     for worker in workers {
-        keeper.rack.set_known(&worker, true);
+        allocator.rack.set_known(&worker, true);
     }
-    keeper
+    allocator
 }
 
 fn key() -> wire::Key {
     wire::Key { customer: "c".to_owned(), id: "i".to_owned() }
 }
 
-fn reserve(keeper: &mut Keeper, shared: &Shared, partition_epoch: u64) -> wire::Start {
+fn reserve(allocator: &mut Allocator, shared: &Shared, partition_epoch: u64) -> wire::Start {
     let reserve = wire::Reserve {
         key: Some(key()),
         rack: RACK.to_owned(),
@@ -76,7 +76,7 @@
         partition_epoch,
         ..Default::default()
     };
-    let grant = keeper.reserve(shared, &reserve);
+    let grant = allocator.reserve(shared, &reserve);
     wire::Start {
         key: Some(key()),
         rack: RACK.to_owned(),
@@ -106,55 +106,55 @@
 #[test]
 fn start_of_earlier_epoch_refused() {
     let shared = shared();
-    let old = reserve(&mut keeper(&shared, 1), &shared, 1);
-    let mut keeper = keeper(&shared, 2);
+    let old = reserve(&mut allocator(&shared, 1), &shared, 1);
+    let mut allocator = allocator(&shared, 2);
     // The same number and worker, by chance, under the new epoch.
-    let new = reserve(&mut keeper, &shared, 1);
+    let new = reserve(&mut allocator, &shared, 1);
     assert_eq!((old.reservation, &old.worker), (new.reservation, &new.worker));
-    keeper.start(&shared, &old).expect_err("another epoch's reservation");
-    assert!(keeper.take_orders().is_empty());
+    allocator.start(&shared, &old).expect_err("another epoch's reservation");
+    assert!(allocator.take_orders().is_empty());
 }
 
 #[test]
 fn start_by_older_home_refused() {
     let shared = shared();
-    let mut keeper = keeper(&shared, 1);
-    let old = reserve(&mut keeper, &shared, 1);
-    let report = keeper.probe(&shared, &probe(0, 2));
+    let mut allocator = allocator(&shared, 1);
+    let old = reserve(&mut allocator, &shared, 1);
+    let report = allocator.probe(&shared, &probe(0, 2));
     assert_eq!(Fate::from_code(report.fate), Fate::Unsure);
-    keeper.start(&shared, &old).expect_err("a newer home has asked");
-    assert!(keeper.take_orders().is_empty());
+    allocator.start(&shared, &old).expect_err("a newer home has asked");
+    assert!(allocator.take_orders().is_empty());
 }
 
 #[test]
 fn start_after_not_sent_refused() {
     let shared = shared();
-    let mut keeper = keeper(&shared, 1);
-    let late = reserve(&mut keeper, &shared, 1);
-    let report = keeper.probe(&shared, &probe(1, 1));
+    let mut allocator = allocator(&shared, 1);
+    let late = reserve(&mut allocator, &shared, 1);
+    let report = allocator.probe(&shared, &probe(1, 1));
     assert_eq!(Fate::from_code(report.fate), Fate::NotSent);
-    keeper.start(&shared, &late).expect_err("it was said not to be sent");
-    assert!(keeper.take_orders().is_empty());
+    allocator.start(&shared, &late).expect_err("it was said not to be sent");
+    assert!(allocator.take_orders().is_empty());
 }
 
 #[test]
 fn start_expired_refused() {
     let mut shared = shared();
-    let mut keeper = keeper(&shared, 1);
-    let late = reserve(&mut keeper, &shared, 1);
+    let mut allocator = allocator(&shared, 1);
+    let late = reserve(&mut allocator, &shared, 1);
     shared.now += std::time::Duration::from_secs(6);
-    keeper.tick(&shared);
-    keeper.start(&shared, &late).expect_err("the room may be another's");
+    allocator.tick(&shared);
+    allocator.start(&shared, &late).expect_err("the room may be another's");
 }
 
 #[test]
 fn start_twice_one_order() {
     let shared = shared();
-    let mut keeper = keeper(&shared, 1);
-    let start = reserve(&mut keeper, &shared, 1);
-    keeper.start(&shared, &start).expect("it is fine");
-    keeper.start(&shared, &start).expect("it is the same");
-    assert_eq!(keeper.take_orders().len(), 1);
-    let report = keeper.probe(&shared, &probe(1, 1));
+    let mut allocator = allocator(&shared, 1);
+    let start = reserve(&mut allocator, &shared, 1);
+    allocator.start(&shared, &start).expect("it is fine");
+    allocator.start(&shared, &start).expect("it is the same");
+    assert_eq!(allocator.take_orders().len(), 1);
+    let report = allocator.probe(&shared, &probe(1, 1));
     assert_eq!(Fate::from_code(report.fate), Fate::Running);
 }
--- a/crates/daemon/tests/telemetry.rs
+++ b/crates/daemon/tests/telemetry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bronzeraild::node::gate::{Ask, Forward};
+use bronzeraild::node::forward::{Ask, Forward};
 use bronzeraild::node::home::span;
 use bronzeraild::telemetry::Metrics;
 use common::Name;
