--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -161,6 +161,24 @@
     }
 }
 
+#[test]
+fn kill_home_while_outcome_flies() {
+    let json =
+        r#"{"customer":"trim-supplier","id":"b1","kind":"billed-study","payload":"once ms=500"}"#;
+    for step in 0..40 {
+        let mut cell = Cell::new(5, 5200 + step);
+        cell.world.borrow_mut().faults.table_delay = std::time::Duration::from_millis(300);
+        let home = cell.home_of("b1");
+        let token = cell.submit((home + 1) % 5, json, 50_000);
+        cell.run_for(1.5 + 0.05 * step as f64);
+        cell.kill(home);
+        cell.heal();
+        let answer = cell.answer(token, 52.0);
+        assert_eq!(answer.body["state"], "done", "step {step}: {}", answer.body);
+        cell.check_promises();
+    }
+}
+
 #[test]
 fn kill_rack_owner_once_at_each_step() {
     let json =
@@ -356,6 +374,19 @@
     cell.check_promises();
 }
 
+#[test]
+fn worker_silent_long_study_one_place() {
+    let mut cell = Cell::new(5, 51);
+    let token = cell.work(0, "s1", "filling-study", "ms=30000", 59_000);
+    cell.run_for(1.0);
+    let (_, worker) = cell.place_of(0, "s1");
+    cell.world.borrow_mut().faults.silent_workers.insert(worker);
+    let answer = cell.answer(token, 62.0);
+    assert_eq!(answer.body["state"], "done", "{}", answer.body);
+    assert_eq!(cell.counts().lapsed, 1, "the first attempt ran until its lease was over");
+    cell.check_promises();
+}
+
 #[test]
 fn worker_silent_once_unknown() {
     let mut cell = Cell::new(5, 37);
