--- a/crates/measure/src/bench.rs
+++ b/crates/measure/src/bench.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,9 @@
 /// Longest graceful stop of a daemon.
 const STOP_WAIT: Duration = Duration::from_secs(40);
 
+/// Cells that this process has started; each has a folder of its own.
+static STARTED: AtomicU64 = AtomicU64::new(0);
+
 /// An address whose port the system chooses.
 const FREE: &str = "127.0.0.1:0";
 
@@ -54,7 +58,9 @@
     ///
     /// Where a process does not start or does not become ready in time.
     pub fn start(binaries: &Path, example: &Path, size: usize) -> Result<Self> {
-        let folder = std::env::temp_dir().join(format!("bronzerail-{}", std::process::id()));
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("bronzerail-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder)?;
         let mut standin = Command::new(binaries.join("standin"))
             .arg(example.join("inventory.jsonc"))
