--- a/crates/daemon/tests/support/borders.rs
+++ b/crates/daemon/tests/support/borders.rs
@@ -257,4 +257,6 @@
     }
 
     fn close_connections(&mut self) {}
+
+    fn stop_accepting(&mut self) {}
 }
