--- a/crates/daemon/src/mesh/tcp.rs
+++ b/crates/daemon/src/mesh/tcp.rs
@@ -91,11 +91,6 @@
         self.address
     }
 
-    /// Writes what the last run of the loop queued.
-    pub fn flush(&self) {
-        self.state.borrow_mut().flush();
-    }
-
     /// A handle that flushes after each run of the loop.
     pub fn flusher(&self) -> impl Fn() + use<> {
         let state = Rc::clone(&self.state);
--- a/crates/daemon/src/node/digests.rs
+++ b/crates/daemon/src/node/digests.rs
@@ -52,21 +52,6 @@
         };
     }
 
-    /// Forgets racks that are in no inventory, and those of a member that is gone.
-    pub fn retain(&mut self, is_kept: impl Fn(&Name, &Room) -> bool) {
-        self.rooms.retain(|rack, room| is_kept(rack, room));
-    }
-
-    /// Every rack that is known.
-    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Room)> {
-        self.rooms.iter()
-    }
-
-    /// Who told a rack's digest.
-    pub fn owner(&self, rack: &str) -> Option<&Name> {
-        self.rooms.get(rack).map(|room| &room.owner)
-    }
-
     /// A rack with room for a size, a tight one, none of those tried.
     pub fn pick(&self, size: &Size, tried: &[Name], random: &mut impl Rng) -> Option<Name> {
         let open = self.rooms.iter();
--- a/crates/daemon/src/node/store.rs
+++ b/crates/daemon/src/node/store.rs
@@ -45,7 +45,6 @@
     pub rows_written: u64,
     /// Reads sent so far.
     pub queries: u64,
-    last_ok: Option<Instant>,
 }
 
 impl Store {
@@ -60,7 +59,6 @@
             commits: 0,
             rows_written: 0,
             queries: 0,
-            last_ok: None,
         }
     }
 
@@ -115,9 +113,6 @@
     pub fn note(&mut self, is_ok: bool, now: Instant, random: &mut impl Rng) -> Option<bool> {
         let was_open = self.breaker.is_open();
         self.breaker.note(is_ok, now, random);
-        if is_ok {
-            self.last_ok = Some(now);
-        }
         let is_open = self.breaker.is_open();
         (was_open != is_open).then_some(!is_open)
     }
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -37,6 +37,15 @@
     Row { key: Name::from(format!("member/{name}")), value, version: beat }
 }
 
+/// Claims of member `a`, who holds one scope.
+fn holding(table: &mut Table, scope: &Scope, now: Instant) -> Claims {
+    let (mut claims, ours) = (Claims::default(), membership("a", now));
+    let (transaction, epochs) = claims.claim(std::slice::from_ref(scope), &ours);
+    let commit = table.commit(transaction);
+    claims.claimed(scope.clone(), epochs[0].1, commit.version, ours.me());
+    claims
+}
+
 #[test]
 fn claim_race_one_wins() {
     let now = Instant::now();
@@ -53,10 +62,7 @@
     let now = Instant::now();
     let mut table = Table::default();
     let scopes = [Scope::Partition(1)];
-    let (mut one, ours) = (Claims::default(), membership("a", now));
-    let (transaction, epochs) = one.claim(&scopes, &ours);
-    let commit = table.commit(transaction);
-    one.claimed(scopes[0].clone(), epochs[0].1, commit.version, ours.me());
+    let mut one = holding(&mut table, &scopes[0], now);
     let release = one.release(&scopes[0]).expect("it is held");
     assert!(table.commit(release).committed);
     let (mut other, theirs) = (Claims::default(), membership("b", now));
@@ -112,10 +118,7 @@
     let now = Instant::now();
     let mut table = Table::default();
     let scopes = [Scope::Partition(1)];
-    let (mut one, ours) = (Claims::default(), membership("a", now));
-    let (transaction, epochs) = one.claim(&scopes, &ours);
-    let commit = table.commit(transaction);
-    one.claimed(scopes[0].clone(), epochs[0].1, commit.version, ours.me());
+    let one = holding(&mut table, &scopes[0], now);
     table.commit(Transaction::default().put(scopes[0].key(), "taken".to_owned()));
     let release = one.release(&scopes[0]).expect("it believes to hold it");
     assert!(!table.commit(release).committed);
--- a/crates/policy/src/index.rs
+++ b/crates/policy/src/index.rs
@@ -62,11 +62,6 @@
         }
         None
     }
-
-    /// Whether no units are there.
-    pub fn is_empty(&self) -> bool {
-        self.buckets.is_empty()
-    }
 }
 
 /// The same answer as [`Index::tightest`], by looking at every unit.
