Rename the border traits' package so that the platform adapter can have its name

Cause: the adapter of the users' platform lives in platform/ at the root; crates/platform held our own border traits and would have been confused with it. Change: crates/platform is crates/border; no code changed.

--- a/crates/daemon/src/node/allocator/mod.rs
+++ b/crates/daemon/src/node/allocator/mod.rs
@@ -13,9 +13,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Instant;
 
+use border::workers::{Renew, Run, Start, Stop};
 use common::Name;
 use journal::event::Key;
-use platform::workers::{Renew, Run, Start, Stop};
 use settings::quantity::Size;
 use wire::{Fate, Span};
 
--- a/crates/daemon/src/node/allocator/renewals.rs
+++ b/crates/daemon/src/node/allocator/renewals.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use border::Error;
+use border::workers::{Renew, Run, State, Task};
 use common::Name;
-use platform::Error;
-use platform::workers::{Renew, Run, State, Task};
 use wire::Fate;
 
 use super::{Allocator, Held, Order, Phase};
--- a/crates/daemon/src/node/allocator/reports.rs
+++ b/crates/daemon/src/node/allocator/reports.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use border::workers::{Run, Stop};
 use common::Kind;
-use platform::workers::{Run, Stop};
 use wire::Body;
 
 use super::{Allocator, Order, key_of, report};
--- a/crates/daemon/src/node/allocator/room.rs
+++ b/crates/daemon/src/node/allocator/room.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use border::workers::{Run, Stop};
 use common::{Kind, Name};
-use platform::workers::{Run, Stop};
 use policy::rack::{Demand, Refusal};
 use settings::quantity::Size;
 
--- a/crates/daemon/src/node/allocator/starts.rs
+++ b/crates/daemon/src/node/allocator/starts.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use border::Error;
+use border::workers::{Run, Start, Stop};
 use common::Name;
-use platform::Error;
-use platform::workers::{Run, Start, Stop};
 use settings::Spec;
 use wire::Fate;
 
--- a/crates/daemon/src/node/apply.rs
+++ b/crates/daemon/src/node/apply.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use border::table::{Committed, Query, Row, Rows};
 use common::{Kind, Name};
-use platform::table::{Committed, Query, Row, Rows};
 use rand::Rng;
 use serde_json::json;
 use stakker::{CX, ret_some_to};
@@ -82,7 +82,7 @@
         self.note_table(answer.is_ok());
         match answer {
             Ok(commit) if commit.committed => self.accepted(cx, change.token, change.head.version),
-            Err(platform::Error::Unsent { text }) => {
+            Err(border::Error::Unsent { text }) => {
                 self.refuse(change.token, Kind::StoreDown, &text);
             }
             // Raced, or our own write took effect and its answer was lost.
--- a/crates/daemon/src/node/call.rs
+++ b/crates/daemon/src/node/call.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use border::workers::Run;
 use common::Name;
 use journal::event::Key;
-use platform::workers::Run;
 
 use crate::front::Token;
 
--- a/crates/daemon/src/node/claims.rs
+++ b/crates/daemon/src/node/claims.rs
@@ -8,8 +8,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use border::table::{Row, Transaction};
 use common::Name;
-use platform::table::{Row, Transaction};
 use policy::rendezvous;
 
 use super::membership::Membership;
--- a/crates/daemon/src/node/entry.rs
+++ b/crates/daemon/src/node/entry.rs
@@ -143,7 +143,7 @@
         let share = (f64::from(rate) * 2.0 / members).max(1.0);
         let now = self.shared.now;
         let bucket = self.rates.entry(customer.clone());
-        let bucket = bucket.or_insert_with(|| platform::limit::Bucket::new(share, now));
+        let bucket = bucket.or_insert_with(|| border::limit::Bucket::new(share, now));
         bucket.set_rate(share);
         if bucket.take(1.0, 0.0, now) {
             return Ok(());
--- a/crates/daemon/src/node/home/mod.rs
+++ b/crates/daemon/src/node/home/mod.rs
@@ -13,11 +13,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use border::table::Transaction;
 use common::{Kind, Name};
 use journal::book::{Request, State, Task};
 use journal::event::{Answer, Event, Key, Place, Terms};
 use journal::{Book, Log};
-use platform::table::Transaction;
 use settings::Spec;
 use settings::rules::Class;
 use wire::Span;
--- a/crates/daemon/src/node/journals.rs
+++ b/crates/daemon/src/node/journals.rs
@@ -3,12 +3,12 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use border::objects::{Done, Object};
+use border::table::{Commit, Committed, Query, Row, Rows, Transaction};
 use common::Name;
 use journal::log::Step;
 use journal::snapshot::{self, Head};
 use journal::{Log, segment};
-use platform::objects::{Done, Object};
-use platform::table::{Commit, Committed, Query, Row, Rows, Transaction};
 use rand::Rng;
 use stakker::{CX, ret_nop, ret_some_to};
 
--- a/crates/daemon/src/node/leave.rs
+++ b/crates/daemon/src/node/leave.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::table::{Committed, Transaction};
+use border::table::{Committed, Transaction};
 use stakker::{CX, Ret, after, ret, ret_some_to};
 
 use super::{Errand, Node};
--- a/crates/daemon/src/node/membership.rs
+++ b/crates/daemon/src/node/membership.rs
@@ -8,8 +8,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use border::table::Row;
 use common::Name;
-use platform::table::Row;
 
 use crate::mesh::Peer;
 
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -30,8 +30,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
+use border::{Executors, Fleet, Objects, Table, Workers};
 use common::{Kind, Name};
-use platform::{Executors, Fleet, Objects, Table, Workers};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::Logger;
@@ -121,7 +121,7 @@
     surveys: survey::Surveys,
     applies: Vec<apply::Applying>,
     leaving_vms: HashSet<Name>,
-    rates: HashMap<Name, platform::limit::Bucket>,
+    rates: HashMap<Name, border::limit::Bucket>,
     schedule: Schedule,
     outage: Outage,
     stop: Option<leave::Stop>,
@@ -159,7 +159,7 @@
     usage: Instant,
     fleet: Instant,
     under_way: BTreeSet<Errand>,
-    digest_bytes: platform::limit::Bucket,
+    digest_bytes: border::limit::Bucket,
 }
 
 /// What is known of the platform's outage and of our standing in it.
@@ -402,7 +402,7 @@
 impl Schedule {
     fn new(now: Instant, digest_rate: f64) -> Self {
         Self {
-            digest_bytes: platform::limit::Bucket::new(digest_rate, now),
+            digest_bytes: border::limit::Bucket::new(digest_rate, now),
             renew: now,
             read: now,
             claims_read: now,
--- a/crates/daemon/src/node/ownership.rs
+++ b/crates/daemon/src/node/ownership.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use border::table::{Committed, Query, Rows, Transaction};
 use common::Name;
-use platform::table::{Committed, Query, Rows, Transaction};
 use stakker::{CX, call, ret_some_to};
 use wire::Body;
 
@@ -43,7 +43,7 @@
         }
         if now >= self.schedule.fleet {
             self.schedule.fleet = now + FLEET_INTERVAL;
-            let ret = ret_some_to!([cx], fleet_read() as (platform::fleet::Vms));
+            let ret = ret_some_to!([cx], fleet_read() as (border::fleet::Vms));
             self.borders.fleet.list(ret);
         }
     }
@@ -193,7 +193,7 @@
         self.perform(cx);
     }
 
-    fn members_read(&mut self, rows: &[platform::table::Row]) {
+    fn members_read(&mut self, rows: &[border::table::Row]) {
         let change = self.shared.membership.observe(rows, self.shared.now);
         if change.joined.is_empty() && change.gone.is_empty() {
             return;
@@ -386,7 +386,7 @@
         }
     }
 
-    fn fleet_read(&mut self, cx: CX![], answer: platform::fleet::Vms) {
+    fn fleet_read(&mut self, cx: CX![], answer: border::fleet::Vms) {
         self.touch(cx);
         let Ok(vms) = answer else { return };
         let leaving = vms.into_iter().filter(|vm| vm.leaving).map(|vm| vm.name);
--- a/crates/daemon/src/node/racks.rs
+++ b/crates/daemon/src/node/racks.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use border::executors::{self, Call};
+use border::workers::{Done, Run, Tasks};
 use common::{Kind, Name};
-use platform::executors::{self, Call};
-use platform::workers::{Done, Run, Tasks};
 use stakker::{CX, ret_some_to};
 use wire::{Answer, Body};
 
@@ -178,7 +178,7 @@
         let verdict = match &result {
             Ok(_) => Some(true),
             Err(error) if error.may_have_happened() => Some(false),
-            Err(platform::Error::Refused { .. }) => Some(false),
+            Err(border::Error::Refused { .. }) => Some(false),
             Err(_) => None,
         };
         if let Some(allocator) = self.allocators.get_mut(&serving.rack) {
--- a/crates/daemon/src/node/retries.rs
+++ b/crates/daemon/src/node/retries.rs
@@ -6,8 +6,8 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use border::limit::Bucket;
 use common::Name;
-use platform::limit::Bucket;
 
 /// Buckets of retries.
 #[derive(Debug)]
--- a/crates/daemon/src/node/store.rs
+++ b/crates/daemon/src/node/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform::limit::{Backoff, Breaker, Bucket};
+use border::limit::{Backoff, Breaker, Bucket};
 use rand::Rng;
 
 /// How much of a bucket each use leaves for those before it.
--- a/crates/daemon/src/node/versions.rs
+++ b/crates/daemon/src/node/versions.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use border::table::{Row, Transaction};
 use common::Name;
-use platform::table::{Row, Transaction};
 use settings::{Inventory, Rules};
 
 /// The key of the head row.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use platform::http;
+use border::http;
 use settings::Faults;
 use slog::{Level, Logger};
 use snafu::{ResultExt, Snafu};
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use border::table::{Query, Row, Transaction};
 use bronzeraild::node::claims::{Claims, PREFIX, Scope};
 use bronzeraild::node::membership::{Member, Membership};
 use common::Name;
-use platform::table::{Query, Row, Transaction};
 use standin::table::Table;
 
 const LEASE: Duration = Duration::from_millis(3500);
--- a/crates/daemon/tests/recovery.rs
+++ b/crates/daemon/tests/recovery.rs
@@ -2,14 +2,14 @@
 
 mod support;
 
-use platform::table::{Query, Transaction};
+use border::table::{Query, Transaction};
 use support::Cell;
 
 fn owners(cell: &mut Cell) -> Vec<usize> {
     (0..24).map(|one| cell.owner(&format!("own/partition/{one:04}"))).collect()
 }
 
-fn rows_under(cell: &Cell, prefix: &str) -> Vec<platform::table::Row> {
+fn rows_under(cell: &Cell, prefix: &str) -> Vec<border::table::Row> {
     let query = Query { keys: Vec::new(), prefixes: vec![prefix.into()] };
     cell.world.borrow_mut().table.read(&query)
 }
--- a/crates/daemon/tests/support/borders.rs
+++ b/crates/daemon/tests/support/borders.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use border::executors::Call;
+use border::table::{Committed, Query, Rows, Transaction};
+use border::workers::{Renew, Start, Stop, Throttle};
+use border::{Error, executors, fleet, objects, workers};
 use bronzeraild::front::{Answer, Front, Token};
 use bronzeraild::mesh::{Input, Mesh, Peer};
 use bronzeraild::node::Borders;
 use common::Name;
-use platform::executors::Call;
-use platform::table::{Committed, Query, Rows, Transaction};
-use platform::workers::{Renew, Start, Stop, Throttle};
-use platform::{Error, executors, fleet, objects, workers};
 use stakker::{Ret, ret};
 use wire::Frame;
 
@@ -88,7 +88,7 @@
     }
 }
 
-impl platform::Table for Border {
+impl border::Table for Border {
     fn read(&mut self, query: Query, ret: Ret<Rows>) {
         if self.is_table_down() {
             return self.fail(ret);
@@ -113,7 +113,7 @@
     }
 }
 
-impl platform::Objects for Border {
+impl border::Objects for Border {
     fn get(&mut self, key: Name, ret: Ret<objects::Object>) {
         if self.world.borrow().faults.objects_down {
             return self.fail(ret);
@@ -139,7 +139,7 @@
     }
 }
 
-impl platform::Workers for Border {
+impl border::Workers for Border {
     fn start(&mut self, worker: Name, start: Start, ret: Ret<workers::Done>) {
         if self.is_silent(&worker) {
             return self.fail(ret);
@@ -183,7 +183,7 @@
     }
 }
 
-impl platform::Executors for Border {
+impl border::Executors for Border {
     fn call(&mut self, call: Call, ret: Ret<executors::Answer>) {
         let payload = String::from_utf8_lossy(&call.payload).into_owned();
         let work = standin::work::parse(&payload);
@@ -204,7 +204,7 @@
     }
 }
 
-impl platform::Fleet for Border {
+impl border::Fleet for Border {
     fn list(&mut self, ret: Ret<fleet::Vms>) {
         self.exchange(TABLE_TIME, false, ret, move |world| Ok(world.borrow().workers.vms()));
     }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -402,7 +402,7 @@
 
     /// The member that owns a scope, as the table's row says.
     pub fn owner(&mut self, row_key: &str) -> usize {
-        let query = platform::table::Query { keys: vec![Name::new(row_key)], prefixes: Vec::new() };
+        let query = border::table::Query { keys: vec![Name::new(row_key)], prefixes: Vec::new() };
         let rows = self.world.borrow_mut().table.read(&query);
         let owner: serde_json::Value = serde_json::from_str(&rows[0].value).expect("a row");
         let name = owner["member"].as_str().expect("an owner").to_owned();
--- a/crates/daemon/tests/versions.rs
+++ b/crates/daemon/tests/versions.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use border::table::Row;
 use bronzeraild::node::versions::{Head, Versions, key};
-use platform::table::Row;
 
 fn head(version: u64) -> Head {
     Head { version, inventory: version, rules: version, ..Head::default() }
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -7,8 +7,8 @@
 
 use std::collections::VecDeque;
 
+use border::table::{Commit, Query, Row, Transaction};
 use common::Name;
-use platform::table::{Commit, Query, Row, Transaction};
 
 use crate::Event;
 use crate::segment::{self, Segment};
--- a/crates/journal/tests/log.rs
+++ b/crates/journal/tests/log.rs
@@ -1,13 +1,13 @@
 //! The log against a table that loses answers, and a naive model of it.
 
 use arbtest::arbitrary::{Result, Unstructured};
+use border::table::{Query, Transaction};
 use common::Name;
 use journal::event::{Event, Key, Outcome, Place, Terms};
 use journal::log::Step;
 use journal::segment::{self, Segment};
 use journal::snapshot::{self, Head};
 use journal::{Book, Log};
-use platform::table::{Query, Transaction};
 use settings::Spec;
 use settings::quantity::Size;
 use settings::rules::{Class, Mode};
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use border::table::{Commit, Query, Row, Transaction};
 use common::Name;
-use platform::table::{Commit, Query, Row, Transaction};
 
 /// The table.
 #[derive(Debug, Default)]
--- a/crates/standin/src/workers.rs
+++ b/crates/standin/src/workers.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use border::workers::{Renew, Run, Start, State, Stop, Task, Throttle};
 use common::Name;
-use platform::workers::{Renew, Run, Start, State, Stop, Task, Throttle};
 use settings::Inventory;
 use settings::quantity::Size;
 
@@ -98,8 +98,8 @@
     }
 
     /// Every VM with whether it is leaving.
-    pub fn vms(&self) -> Vec<platform::fleet::Vm> {
-        let vm = |name: &Name| platform::fleet::Vm {
+    pub fn vms(&self) -> Vec<border::fleet::Vm> {
+        let vm = |name: &Name| border::fleet::Vm {
             name: name.clone(),
             leaving: self.leaving.contains(name),
         };
--- a/crates/standin/tests/table.rs
+++ b/crates/standin/tests/table.rs
@@ -1,6 +1,6 @@
 //! The stand-in's table keeps its transactions whole.
 
-use platform::table::{Query, Transaction};
+use border::table::{Query, Transaction};
 use standin::table::Table;
 
 #[test]
