Thin whole path on the users' platform: one leader, fenced by a row, chained group commits

Cause: nothing of bronzerail ran on the users' machines; no job of steps, no advice, no adapter. Ruled out: growing the rack allocators of the present daemon (reservations between daemons for each task cost a hop and a durable write each, and gangs would need a two-phase commit); a lease on leadership (every effect is fenced already, and waiting it out costs seconds).

--- /dev/null
+++ b/crates/control/src/follow.rs
@@ -0,0 +1,344 @@
+//! A daemon that does not lead: finds the leader, watches it, claims its place.
+//!
+//! A leader writes the head row at least every quarter of a second. A daemon that lost
+//! its leader reads the row twice; only where it did not move, the daemon claims. The
+//! claim is conditional on the version that was read, so it fails where the leader is
+//! alive after all, and two claims never both succeed.
+
+use std::time::Duration;
+
+use common::Name;
+use prost::Message;
+
+use crate::action::Action;
+use crate::event::note;
+use crate::frame::{Beat, Body, Hello};
+use crate::head::{HEAD, Head, TABLE};
+use crate::input::PeerEvent;
+use crate::node::Port;
+use crate::store::{Commit, Key, Page, Row, Transaction, Write};
+
+/// Silence of the leader's heartbeat after which it is doubted.
+const BEAT_SILENCE: Duration = Duration::from_millis(900);
+
+/// How long a connection to the leader may take to be welcomed.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time without the store after which the leader is doubted.
+const STORE_SILENCE: u32 = 1200;
+
+/// Pause between two reads of the head row while no leader is known.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause before the second look at a head row whose leader is silent.
+///
+/// Longer than the leader's pause between commits.
+const DOUBT_SILENT: Duration = Duration::from_millis(350);
+
+/// Pause before the second look where the leader's address refused the connection.
+const DOUBT_REFUSED: Duration = Duration::from_millis(60);
+
+/// Upper end of the random pause that spreads claims.
+const SPREAD_MS: u64 = 80;
+
+/// Pause of others before they claim a place that was given up to a successor.
+const SUCCESSOR_LEAD: Duration = Duration::from_millis(300);
+
+/// How long a read or a claim may take.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+enum Stage {
+    /// No leader is known.
+    Looking,
+    /// A connection to the leader is being made.
+    Joining { link: u64, since: Duration },
+    /// The leader answers.
+    Joined { link: u64, heard: Duration, store_age_ms: u32, is_serving: bool },
+    /// A claim is under way.
+    Claiming { call: u64, head: Head },
+}
+
+/// The head row as it was when the leader could not be reached.
+#[derive(Debug)]
+struct Doubt {
+    version: u64,
+    since: Duration,
+    pause: Duration,
+}
+
+/// What a follower makes of an input.
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// Nothing changes.
+    Stay,
+    /// The claim succeeded.
+    Lead { head: Head, version: u64, store_ms: u64 },
+}
+
+/// State of a daemon that does not lead.
+#[derive(Debug)]
+pub(crate) struct Follower {
+    stage: Stage,
+    read: Option<u64>,
+    look_at: Duration,
+    known: Option<(Head, u64)>,
+    doubt: Option<Doubt>,
+    /// Until when others than the successor leave a free place alone.
+    hold_off: Duration,
+    /// Whether the daemon is about to stop, and claims nothing.
+    pub is_leaving: bool,
+}
+
+impl Follower {
+    /// A daemon that knows no leader.
+    pub fn new(now: Duration) -> Self {
+        Self {
+            stage: Stage::Looking,
+            read: None,
+            look_at: now,
+            known: None,
+            doubt: None,
+            hold_off: Duration::ZERO,
+            is_leaving: false,
+        }
+    }
+
+    /// The link to a leader that takes requests.
+    pub fn serving_link(&self) -> Option<u64> {
+        match self.stage {
+            Stage::Joined { link, is_serving: true, .. } => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Whether a frame on a link comes from the leader.
+    pub fn is_leader_link(&self, other: u64) -> bool {
+        match self.stage {
+            Stage::Joining { link, .. } | Stage::Joined { link, .. } => link == other,
+            _ => false,
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, port: &mut Port) {
+        match self.stage {
+            Stage::Looking => self.look(port),
+            Stage::Joining { link, since } if port.now > since + JOIN_TIMEOUT => {
+                port.out.push(Action::Close { link });
+                self.lose(port, DOUBT_SILENT, "no welcome");
+            }
+            Stage::Joined { link, heard, .. } if port.now > heard + BEAT_SILENCE => {
+                port.out.push(Action::Close { link });
+                self.lose(port, DOUBT_SILENT, "no heartbeat");
+            }
+            Stage::Joined { store_age_ms, .. } if store_age_ms > STORE_SILENCE => self.look(port),
+            _ => {}
+        }
+    }
+
+    fn look(&mut self, port: &mut Port) {
+        if self.read.is_some() || port.now < self.look_at {
+            return;
+        }
+        let call = port.call();
+        self.read = Some(call);
+        port.out.push(Action::Read {
+            call,
+            table: TABLE,
+            from: Name::new(HEAD),
+            to: Name::new("head0"),
+            timeout: STORE_TIMEOUT,
+        });
+    }
+
+    fn lose(&mut self, port: &mut Port, pause: Duration, why: &'static str) {
+        let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+        note!(port, LeaderLost, "epoch" => epoch, "reason" => why);
+        self.stage = Stage::Looking;
+        self.look_at = port.now;
+        self.doubt = Some(Doubt { version: 0, since: port.now, pause });
+    }
+
+    /// Takes rows that were read; none where the store did not answer.
+    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
+        if self.read != Some(call) {
+            return;
+        }
+        self.read = None;
+        self.look_at = port.now + LOOK_PAUSE;
+        let Some(page) = page else { return };
+        self.consider(port, page.rows.into_iter().next());
+    }
+
+    /// Decides what to do about a head row.
+    fn consider(&mut self, port: &mut Port, row: Option<Row>) {
+        let Some(row) = row else {
+            self.claim(port, 0, 0);
+            return;
+        };
+        let head = match Head::decode(&*row.value) {
+            Ok(head) => head,
+            Err(error) => {
+                note!(port, RowIgnored, "key" => HEAD, "reason" => %error);
+                return;
+            }
+        };
+        let (epoch, version) = (head.epoch, row.version);
+        let is_own = *head.address == *port.config.address;
+        let is_released = head.is_released;
+        let is_new = self.known.as_ref().is_none_or(|(known, _)| known.epoch != epoch);
+        self.known = Some((head, version));
+        if is_own || (is_released && port.now >= self.hold_off) {
+            self.claim(port, epoch, version);
+        } else if is_released {
+            self.look_at = self.hold_off;
+        } else if is_new {
+            self.doubt = None;
+            self.join(port);
+        } else {
+            self.check_doubt(port, epoch, version);
+        }
+    }
+
+    /// Claims where the head row has not moved since the leader was doubted.
+    fn check_doubt(&mut self, port: &mut Port, epoch: u64, version: u64) {
+        let is_joined = matches!(self.stage, Stage::Joined { .. });
+        let pause = self.doubt.as_ref().map_or(DOUBT_SILENT, |doubt| doubt.pause);
+        match &self.doubt {
+            Some(doubt) if doubt.version == version => {
+                if port.now >= doubt.since + doubt.pause {
+                    self.claim(port, epoch, version);
+                } else {
+                    self.look_at = doubt.since + doubt.pause;
+                }
+            }
+            Some(doubt) if doubt.version != 0 => {
+                note!(port, ClaimSpared, "epoch" => epoch, "version" => version);
+                self.doubt = None;
+                if !is_joined {
+                    self.join(port);
+                }
+            }
+            _ if is_joined || self.doubt.is_some() => {
+                let spread = port.random(SPREAD_MS);
+                let pause = pause + Duration::from_millis(spread);
+                self.doubt = Some(Doubt { version, since: port.now, pause });
+                self.look_at = port.now + pause;
+            }
+            _ => self.join(port),
+        }
+    }
+
+    fn join(&mut self, port: &mut Port) {
+        let Some((head, _)) = &self.known else { return };
+        let link = port.link();
+        let address = Name::new(&head.address);
+        port.out.push(Action::Connect { link, address });
+        self.stage = Stage::Joining { link, since: port.now };
+    }
+
+    fn claim(&mut self, port: &mut Port, epoch: u64, version: u64) {
+        if self.is_leaving || matches!(self.stage, Stage::Claiming { .. }) {
+            return;
+        }
+        if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
+            port.out.push(Action::Close { link });
+        }
+        let head = Head {
+            epoch: epoch + 1,
+            member: port.config.member.to_string(),
+            address: port.config.address.to_string(),
+            incarnation: port.config.incarnation,
+            commit: 0,
+            is_released: false,
+        };
+        note!(port, Claiming, "epoch" => head.epoch, "version" => version);
+        let call = port.call();
+        let guard = Key { table: TABLE, key: Name::new(HEAD) };
+        let write = Write { key: guard.clone(), value: head.encode_to_vec() };
+        let transaction = Transaction { guard, version, writes: vec![write], removes: Vec::new() };
+        port.out.push(Action::Commit { call, transaction, timeout: STORE_TIMEOUT });
+        self.stage = Stage::Claiming { call, head };
+        self.doubt = None;
+    }
+
+    /// Takes the outcome of a claim.
+    pub fn committed(&mut self, port: &mut Port, answered: u64, commit: Commit) -> Verdict {
+        let Stage::Claiming { call, head } = &self.stage else { return Verdict::Stay };
+        if *call != answered {
+            return Verdict::Stay;
+        }
+        let head = head.clone();
+        self.stage = Stage::Looking;
+        self.look_at = port.now + LOOK_PAUSE;
+        match commit {
+            Commit::Done { version, store_ms } => Verdict::Lead { head, version, store_ms },
+            Commit::Conflict { row } => {
+                note!(port, ClaimFailed, "epoch" => head.epoch, "reason" => "head row moved");
+                self.known = None;
+                self.consider(port, row);
+                Verdict::Stay
+            }
+            Commit::Refused | Commit::Unknown => {
+                note!(port, ClaimFailed, "epoch" => head.epoch, "reason" => "no answer");
+                Verdict::Stay
+            }
+        }
+    }
+
+    /// Takes an event on the link to the leader; true where it may take requests now.
+    pub fn peer(&mut self, port: &mut Port, from: u64, event: &PeerEvent) -> bool {
+        if !self.is_leader_link(from) {
+            return false;
+        }
+        match event {
+            PeerEvent::Connected => {
+                let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+                let member = port.config.member.to_string();
+                port.send(from, Body::Hello(Hello { member, epoch }));
+            }
+            PeerEvent::Refused => self.lose(port, DOUBT_REFUSED, "connection refused"),
+            PeerEvent::Closed => self.lose(port, DOUBT_REFUSED, "connection closed"),
+            PeerEvent::Accepted => {}
+            PeerEvent::Frame(frame) => return self.frame(port, from, frame.body.as_ref()),
+        }
+        false
+    }
+
+    fn frame(&mut self, port: &mut Port, from: u64, body: Option<&Body>) -> bool {
+        let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+        match body {
+            Some(Body::Welcome(welcome)) if welcome.epoch < epoch || welcome.epoch == 0 => {
+                port.out.push(Action::Close { link: from });
+                self.lose(port, DOUBT_SILENT, "peer does not lead");
+            }
+            Some(Body::Welcome(welcome)) => {
+                note!(port, LeaderFound, "epoch" => welcome.epoch);
+                self.heard(port, from, welcome.is_serving, 0);
+                return welcome.is_serving;
+            }
+            Some(Body::Beat(beat)) => {
+                self.heard(port, from, beat.is_serving, beat.store_age_ms);
+                port.send(from, Body::Beat(Beat { epoch: beat.epoch, ..Beat::default() }));
+                return beat.is_serving;
+            }
+            Some(Body::Resign(resign)) => {
+                let is_successor = *resign.successor == *port.config.member;
+                port.out.push(Action::Close { link: from });
+                self.lose(port, DOUBT_REFUSED, "leader resigned");
+                self.hold_off =
+                    if is_successor { Duration::ZERO } else { port.now + SUCCESSOR_LEAD };
+            }
+            _ => {}
+        }
+        false
+    }
+
+    fn heard(&mut self, port: &Port, link: u64, is_serving: bool, store_age_ms: u32) {
+        if store_age_ms <= STORE_SILENCE {
+            self.doubt = None;
+        }
+        self.stage = Stage::Joined { link, heard: port.now, store_age_ms, is_serving };
+    }
+}
--- /dev/null
+++ b/crates/control/src/head.rs
@@ -0,0 +1,36 @@
+//! The head row: who leads, and how far its commits are.
+
+/// Table of the pool's rows.
+pub(crate) const TABLE: &str = "bronzerail";
+
+/// Key of the head row.
+pub(crate) const HEAD: &str = "head";
+
+/// Prefix of the keys of job rows.
+pub(crate) const JOB: &str = "job/";
+
+/// First key after all job rows.
+pub(crate) const JOB_END: &str = "job0";
+
+/// The head row's value.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Head {
+    /// Rises with each change of leader; the fencing token of its orders.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// The leader's name.
+    #[prost(string, tag = "2")]
+    pub member: String,
+    /// Where peers reach the leader.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Number of the leader's start.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Rises with each commit of the epoch.
+    #[prost(uint64, tag = "5")]
+    pub commit: u64,
+    /// Whether the leader gave its place up.
+    #[prost(bool, tag = "6")]
+    pub is_released: bool,
+}
--- /dev/null
+++ b/crates/control/src/lead/journal.rs
@@ -0,0 +1,296 @@
+//! Group commit: job rows and the head row in one transaction at a time.
+//!
+//! Each transaction is conditional on the head row's version and writes the head row, so
+//! transactions form a chain: one whose answer was lost is sent again unchanged, and either
+//! takes effect then or conflicts with a head row that shows it took effect before.
+
+use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::time::Duration;
+
+use common::Name;
+use prost::Message;
+use scheduler::{Phase, Scheduler};
+
+use crate::action::Action;
+use crate::answer::Answer;
+use crate::event::note;
+use crate::head::{HEAD, Head, JOB, TABLE};
+use crate::lead::requests::Caller;
+use crate::node::Port;
+use crate::store::{Commit, Key, Row, Transaction, Write};
+
+/// Pause after a commit in which changes gather for the next one.
+const GROUP_WINDOW: Duration = Duration::from_millis(10);
+
+/// Longest pause between commits; followers take a longer one for a sign of death.
+const IDLE_COMMIT: Duration = Duration::from_millis(200);
+
+/// Pause before a refused transaction is sent again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(40);
+
+/// Least time that a commit may take before it is sent again.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Most time that a commit may take before it is sent again.
+const MOST_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// Commits of the usual length after which one is taken for lost.
+const TIMEOUT_FACTOR: u32 = 6;
+
+/// Weight of a new observation in the mean time of a commit.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Time without a commit after which the store is taken for lost, for the log.
+const LOST_AFTER: Duration = Duration::from_millis(1000);
+
+/// What follows once a change is durable.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// Tell a caller.
+    Answer(Caller, Answer),
+    /// Tell a caller a job's state, or that there is no such job.
+    State(Caller, Name),
+    /// Send a start.
+    Start(scheduler::Start),
+    /// Acknowledge a worker's ends.
+    Seen {
+        /// The worker.
+        worker: Name,
+        /// Its life.
+        born: u64,
+        /// Position up to which ends are acknowledged.
+        number: u64,
+    },
+}
+
+/// What a commit's outcome means.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// Nothing yet.
+    None,
+    /// A batch is durable.
+    Durable { jobs: Vec<(Name, Phase)>, effects: Vec<Effect> },
+    /// The place is given up.
+    Released,
+    /// Another daemon leads.
+    Deposed { epoch: u64 },
+}
+
+#[derive(Debug)]
+struct Batch {
+    call: Option<u64>,
+    transaction: Transaction,
+    commit: u64,
+    jobs: Vec<(Name, Phase)>,
+    effects: Vec<Effect>,
+    is_release: bool,
+    sent: Duration,
+    retry_at: Duration,
+}
+
+/// Changes on their way to the store.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    head: Head,
+    version: u64,
+    queue: VecDeque<Name>,
+    queued: HashSet<Name>,
+    popped: u64,
+    effects: VecDeque<(u64, Effect)>,
+    removals: VecDeque<Name>,
+    batch: Option<Batch>,
+    finished: Duration,
+    latency: Duration,
+    is_releasing: bool,
+    is_confirming: bool,
+    is_lost: bool,
+}
+
+impl Journal {
+    /// The journal of a leader whose head row has a version.
+    pub fn new(head: Head, version: u64, now: Duration, commit_time: Duration) -> Self {
+        Self {
+            head,
+            version,
+            queue: VecDeque::new(),
+            queued: HashSet::new(),
+            popped: 0,
+            effects: VecDeque::new(),
+            removals: VecDeque::new(),
+            batch: None,
+            finished: now,
+            latency: commit_time,
+            is_releasing: false,
+            is_confirming: false,
+            is_lost: false,
+        }
+    }
+
+    /// Time since the last commit.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.finished)
+    }
+
+    /// How long a change takes until it is durable, roughly.
+    pub fn latency(&self) -> Duration {
+        self.latency + GROUP_WINDOW
+    }
+
+    /// Marks jobs for writing.
+    pub fn enqueue(&mut self, jobs: BTreeSet<Name>) {
+        for job in jobs {
+            if self.queued.insert(job.clone()) {
+                self.queue.push_back(job);
+            }
+        }
+    }
+
+    /// Has an effect carried out once all that is marked now is durable.
+    pub fn after(&mut self, effect: Effect) {
+        self.effects.push_back((self.popped + self.queue.len() as u64, effect));
+    }
+
+    /// Removes a job's row.
+    pub fn remove(&mut self, job: Name) {
+        self.removals.push_back(job);
+    }
+
+    /// Gives the place up with the last batch.
+    pub fn release(&mut self) {
+        self.is_releasing = true;
+    }
+
+    /// Commits soon even where nothing has changed.
+    pub fn confirm(&mut self) {
+        self.is_confirming = true;
+    }
+
+    /// Sends what is due.
+    pub fn progress(&mut self, port: &mut Port, scheduler: &Scheduler) {
+        let now = port.now;
+        if !self.is_lost && self.age(now) > LOST_AFTER {
+            self.is_lost = true;
+            note!(port, StoreLost, "age_ms" => self.age(now).as_millis() as u64);
+        }
+        if let Some(batch) = &mut self.batch {
+            if batch.call.is_none() && now >= batch.retry_at {
+                Self::send(port, batch, self.latency);
+            }
+            return;
+        }
+        let age = self.age(now);
+        let has_work = !self.queue.is_empty() || !self.effects.is_empty();
+        let is_due = (has_work && age >= GROUP_WINDOW)
+            || age >= IDLE_COMMIT
+            || self.is_confirming
+            || self.is_releasing;
+        if is_due {
+            let mut batch = self.gather(port, scheduler);
+            Self::send(port, &mut batch, self.latency);
+            self.batch = Some(batch);
+        }
+    }
+
+    fn send(port: &mut Port, batch: &mut Batch, latency: Duration) {
+        let call = port.call();
+        batch.call = Some(call);
+        let timeout = (latency * TIMEOUT_FACTOR).clamp(LEAST_TIMEOUT, MOST_TIMEOUT);
+        let transaction = batch.transaction.clone();
+        port.out.push(Action::Commit { call, transaction, timeout });
+    }
+
+    fn gather(&mut self, port: &Port, scheduler: &Scheduler) -> Batch {
+        let mut head = self.head.clone();
+        head.commit += 1;
+        let (mut jobs, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
+        while writes.len() + 2 < port.config.max_writes && bytes < port.config.max_bytes {
+            let Some(id) = self.queue.pop_front() else { break };
+            self.queued.remove(&id);
+            self.popped += 1;
+            let Some(job) = scheduler.jobs.get(&id) else { continue };
+            let value = job.record().encode_to_vec();
+            bytes += value.len();
+            writes.push(Write { key: job_key(&id), value });
+            jobs.push((id, job.phase));
+        }
+        let mut removes = Vec::new();
+        while writes.len() + removes.len() + 2 < port.config.max_writes {
+            let Some(id) = self.removals.pop_front() else { break };
+            removes.push(job_key(&id));
+        }
+        let ready = self.effects.iter().take_while(|(needs, _)| *needs <= self.popped).count();
+        let effects = self.effects.drain(..ready).map(|(_, effect)| effect).collect();
+        let is_release = self.is_releasing && self.queue.is_empty() && self.effects.is_empty();
+        head.is_released = is_release;
+        self.is_confirming = false;
+        let guard = Key { table: TABLE, key: Name::new(HEAD) };
+        writes.push(Write { key: guard.clone(), value: head.encode_to_vec() });
+        let transaction = Transaction { guard, version: self.version, writes, removes };
+        Batch {
+            call: None,
+            transaction,
+            commit: head.commit,
+            jobs,
+            effects,
+            is_release,
+            sent: port.now,
+            retry_at: port.now,
+        }
+    }
+
+    /// Takes the outcome of a commit.
+    pub fn committed(&mut self, port: &mut Port, call: u64, commit: Commit) -> Outcome {
+        let Some(batch) = self.batch.as_mut().filter(|batch| batch.call == Some(call)) else {
+            return Outcome::None;
+        };
+        batch.call = None;
+        match commit {
+            Commit::Done { version, .. } => self.durable(port, version),
+            Commit::Refused => {
+                batch.retry_at = port.now + REFUSED_PAUSE;
+                Outcome::None
+            }
+            Commit::Unknown => {
+                batch.retry_at = port.now;
+                Outcome::None
+            }
+            Commit::Conflict { row } => self.conflict(port, row),
+        }
+    }
+
+    /// Tells a batch that took effect unheard from a change of leader.
+    fn conflict(&mut self, port: &mut Port, row: Option<Row>) -> Outcome {
+        let found = row.as_ref().and_then(|row| Head::decode(&*row.value).ok());
+        let expected = self.batch.as_ref().map(|batch| batch.commit);
+        match (row, found) {
+            (Some(row), Some(found))
+                if found.epoch == self.head.epoch && Some(found.commit) == expected =>
+            {
+                self.durable(port, row.version)
+            }
+            (_, found) => Outcome::Deposed { epoch: found.map_or(0, |head| head.epoch) },
+        }
+    }
+
+    fn durable(&mut self, port: &mut Port, version: u64) -> Outcome {
+        let Some(batch) = self.batch.take() else { return Outcome::None };
+        self.version = version;
+        self.head.commit = batch.commit;
+        let took = port.now.saturating_sub(batch.sent);
+        let mean = self.latency.mul_f64(1.0 - LATENCY_WEIGHT) + took.mul_f64(LATENCY_WEIGHT);
+        self.latency = mean;
+        self.finished = port.now;
+        if self.is_lost {
+            self.is_lost = false;
+            note!(port, StoreBack, "took_ms" => took.as_millis() as u64);
+        }
+        if batch.is_release {
+            return Outcome::Released;
+        }
+        Outcome::Durable { jobs: batch.jobs, effects: batch.effects }
+    }
+}
+
+fn job_key(id: &str) -> Key {
+    Key { table: TABLE, key: Name::from(format!("{JOB}{id}").as_str()) }
+}
--- /dev/null
+++ b/crates/control/src/lead/mod.rs
@@ -0,0 +1,424 @@
+//! The leader: takes requests, keeps the pool's state durable, drives the workers.
+
+mod advisors;
+mod journal;
+mod links;
+mod orders;
+mod peers;
+mod recovery;
+mod requests;
+
+use std::time::Duration;
+
+use scheduler::{Phase, Scheduler};
+
+use crate::action::Action;
+use crate::answer::Answer;
+use crate::event::note;
+use crate::frame::Resign;
+use crate::head::Head;
+use crate::input::{Advised, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
+use crate::node::Port;
+use crate::store::{Commit, Page};
+use crate::{Body, Watch};
+
+use advisors::Advisors;
+use journal::{Effect, Journal, Outcome};
+use links::Links;
+use orders::Orders;
+use peers::Peers;
+use recovery::Recovery;
+
+pub(crate) use requests::Caller;
+
+/// Least pause between two placement passes.
+const PLAN_PAUSE: Duration = Duration::from_millis(5);
+
+/// Longest pause between two placement passes, as tickets and quarantines run out.
+const PLAN_IDLE: Duration = Duration::from_millis(50);
+
+/// How long one watch of the rules waits for a change.
+const RULES_WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause between two looks at the list of workers.
+const ROSTER_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause before a watch that failed is made again.
+const WATCH_RETRY: Duration = Duration::from_millis(150);
+
+/// Jobs forgotten at once at the most.
+const FORGET_AT_ONCE: usize = 50;
+
+/// Pause between two looks for jobs to forget.
+const FORGET_PAUSE: Duration = Duration::from_secs(1);
+
+common::key! {
+    /// What becomes of a leader.
+    pub(crate) enum Fate {
+        /// It goes on.
+        Stay,
+        /// Another leads, or its place is given up.
+        StepDown,
+    }
+}
+
+/// The store's clock as last heard.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    store_ms: u64,
+    heard: Duration,
+}
+
+impl Clock {
+    fn at(&self, now: Duration) -> u64 {
+        self.store_ms + now.saturating_sub(self.heard).as_millis() as u64
+    }
+}
+
+/// State of the daemon that leads.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    epoch: u64,
+    scheduler: Scheduler,
+    journal: Journal,
+    links: Links,
+    orders: Orders,
+    advisors: Advisors,
+    peers: Peers,
+    recovery: Option<Recovery>,
+    clock: Clock,
+    local_answers: Vec<(u64, Answer)>,
+    rules_at: Option<Duration>,
+    rules_cursor: Option<u64>,
+    roster_at: Option<Duration>,
+    roster_cursor: Option<u64>,
+    planned: Duration,
+    is_changed: bool,
+    forgot: Duration,
+    fate: Fate,
+    is_resigning: bool,
+}
+
+impl Leader {
+    /// A leader that has just claimed its place.
+    pub fn new(port: &mut Port, head: Head, version: u64, store_ms: u64) -> Self {
+        let now = port.now;
+        let mut leader = Self {
+            epoch: head.epoch,
+            scheduler: Scheduler::default(),
+            journal: Journal::new(head, version, now, port.config.commit_time),
+            links: Links::new(now),
+            orders: Orders::default(),
+            advisors: Advisors::default(),
+            peers: Peers::default(),
+            recovery: None,
+            clock: Clock { store_ms, heard: now },
+            local_answers: Vec::new(),
+            rules_at: Some(now),
+            rules_cursor: None,
+            roster_at: Some(now),
+            roster_cursor: None,
+            planned: Duration::ZERO,
+            is_changed: true,
+            forgot: now,
+            fate: Fate::Stay,
+            is_resigning: false,
+        };
+        leader.recovery = Some(Recovery::begin(port));
+        leader
+    }
+
+    /// Whether it takes requests.
+    pub fn is_serving(&self) -> bool {
+        self.recovery.is_none() && !self.is_resigning && self.scheduler.rules.is_some()
+    }
+
+    /// The scheduler's state.
+    pub fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
+    /// Answers for callers of this process.
+    pub fn take_local_answers(&mut self) -> Vec<(u64, Answer)> {
+        std::mem::take(&mut self.local_answers)
+    }
+
+    /// Begins to give its place up.
+    pub fn resign(&mut self) {
+        self.is_resigning = true;
+        self.journal.release();
+    }
+
+    /// Makes sure that it still leads before it goes on.
+    pub fn confirm(&mut self) {
+        self.journal.confirm();
+    }
+
+    fn store_ms(&self, now: Duration) -> u64 {
+        self.clock.at(now)
+    }
+
+    /// Takes rows that were read; none where the store did not answer.
+    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
+        let Some(recovery) = &mut self.recovery else { return };
+        let Some(jobs) = recovery.read(port, call, page) else { return };
+        for record in jobs {
+            let now_ms = self.clock.at(port.now);
+            let age = Duration::from_millis(now_ms.saturating_sub(record.arrived_ms));
+            let arrived = port.now.saturating_sub(age);
+            recovery::restore(port, &mut self.scheduler, record, arrived);
+        }
+    }
+
+    /// Takes any other input.
+    pub fn input(&mut self, port: &mut Port, input: Input) {
+        match input {
+            Input::Watch { what, result, .. } => self.watched(port, what, result),
+            Input::Order { call, reply } => self.order_reply(port, call, reply),
+            Input::Renew { call, reply } => self.renew_reply(port, call, reply),
+            _ => {}
+        }
+    }
+
+    /// Takes the outcome of a commit.
+    pub fn committed(&mut self, port: &mut Port, call: u64, commit: Commit) {
+        if let Commit::Done { store_ms, .. } = commit {
+            self.clock = Clock { store_ms, heard: port.now };
+        }
+        match self.journal.committed(port, call, commit) {
+            Outcome::None => {}
+            Outcome::Durable { jobs, effects } => {
+                for (id, phase) in jobs {
+                    if let Some(job) = self.scheduler.jobs.get_mut(&id) {
+                        if phase != Phase::Open && job.durable != Some(phase) {
+                            note!(port, JobEnded, "job" => %id, "phase" => ?phase,
+                                "age_ms" => port.now.saturating_sub(job.arrived).as_millis() as u64);
+                        }
+                        job.durable = Some(phase);
+                    }
+                }
+                for effect in effects {
+                    self.carry_out(port, effect);
+                }
+                self.is_changed = true;
+            }
+            Outcome::Released => {
+                let successor = self.peers.successor().unwrap_or_default();
+                note!(port, Resigned, "epoch" => self.epoch, "successor" => %successor);
+                let resign = Resign { epoch: self.epoch, successor: successor.to_string() };
+                self.peers.broadcast(port, &Body::Resign(resign));
+                self.fate = Fate::StepDown;
+            }
+            Outcome::Deposed { epoch } => {
+                note!(port, Deposed, "epoch" => self.epoch, "by_epoch" => epoch);
+                self.fate = Fate::StepDown;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, port: &mut Port, effect: Effect) {
+        match effect {
+            Effect::Answer(caller, answer) => self.answer(port, &caller, answer),
+            Effect::State(caller, id) => {
+                let answer = self.state(&id).unwrap_or(Answer::NoJob);
+                self.answer(port, &caller, answer);
+            }
+            Effect::Start(start) => self.send_start(port, start),
+            Effect::Seen { worker, born, number } => {
+                self.links.acknowledge(port.now, &worker, born, number);
+            }
+        }
+    }
+
+    fn watched(&mut self, port: &mut Port, what: Watch, result: WatchResult) {
+        let change = match result {
+            WatchResult::Changed(change) => change,
+            WatchResult::HistoryGone => {
+                self.set_cursor(what, None, port.now);
+                return;
+            }
+            WatchResult::Failed => {
+                self.schedule(what, port.now + WATCH_RETRY);
+                return;
+            }
+        };
+        let now = port.now;
+        let pause = if what == Watch::Roster { ROSTER_PAUSE } else { Duration::ZERO };
+        self.set_cursor(what, Some(change.cursor), now + pause);
+        if let Some(rules) = change.rules
+            && self.scheduler.rules.as_ref().is_none_or(|known| known.version < rules.version)
+        {
+            note!(port, RulesChanged, "version" => rules.version, "queues" => rules.queues.len());
+            self.scheduler.set_rules(rules);
+        }
+        if what == Watch::Roster {
+            if change.is_whole {
+                self.unlist_missing(port, &change.reports);
+            }
+            for report in change.reports {
+                self.links.report(port, &report);
+                self.scheduler.pool.report(report);
+            }
+            for id in change.gone {
+                self.unlist(port, &id);
+            }
+        }
+        self.is_changed = true;
+    }
+
+    fn unlist_missing(&mut self, port: &mut Port, reports: &[scheduler::Report]) {
+        let is_missing = |worker: &&scheduler::Worker| {
+            worker.is_listed && !reports.iter().any(|report| report.id == worker.report.id)
+        };
+        let missing = self.scheduler.pool.iter().filter(is_missing);
+        let missing: Vec<_> = missing.map(|worker| worker.report.id.clone()).collect();
+        for id in missing {
+            self.unlist(port, &id);
+        }
+    }
+
+    fn unlist(&mut self, port: &mut Port, id: &common::Name) {
+        note!(port, WorkerUnlisted, "worker" => %id);
+        if self.scheduler.unlist(id) {
+            self.links.remove(id);
+        }
+    }
+
+    fn set_cursor(&mut self, what: Watch, cursor: Option<u64>, at: Duration) {
+        match what {
+            Watch::Rules => self.rules_cursor = cursor,
+            Watch::Roster => self.roster_cursor = cursor,
+        }
+        self.schedule(what, at);
+    }
+
+    fn schedule(&mut self, what: Watch, at: Duration) {
+        match what {
+            Watch::Rules => self.rules_at = Some(at),
+            Watch::Roster => self.roster_at = Some(at),
+        }
+    }
+
+    fn watch(&mut self, port: &mut Port) {
+        if self.rules_at.is_some_and(|at| at <= port.now) {
+            self.rules_at = None;
+            let (call, cursor) = (port.call(), self.rules_cursor);
+            port.out.push(Action::Watch { call, what: Watch::Rules, cursor, wait: RULES_WAIT });
+        }
+        if self.roster_at.is_some_and(|at| at <= port.now) {
+            self.roster_at = None;
+            let (call, cursor) = (port.call(), self.roster_cursor);
+            let wait = Duration::from_millis(1);
+            port.out.push(Action::Watch { call, what: Watch::Roster, cursor, wait });
+        }
+    }
+
+    /// Takes the answer of an advice call made here.
+    pub fn advised(&mut self, port: &mut Port, call: u64, advised: Option<Advised>) {
+        let Some((job, step)) = self.advisors.done(call) else { return };
+        if advised.is_none() {
+            note!(port, AdviceFailed, "job" => %job, "step" => step);
+        }
+        let allowed = advised.map(|advised| (advised.allowed, advised.validity));
+        self.scheduler.advised(&job, step, allowed, port.now);
+        self.is_changed = true;
+    }
+
+    /// Takes an event on a link to a peer.
+    pub fn peer(&mut self, port: &mut Port, link: u64, event: PeerEvent) {
+        match event {
+            PeerEvent::Frame(frame) => {
+                if let Some(body) = frame.body {
+                    self.frame(port, link, body);
+                }
+            }
+            PeerEvent::Refused | PeerEvent::Closed => {
+                self.peers.remove(link);
+                for (job, step) in self.advisors.drop_link(link) {
+                    self.scheduler.advised(&job, step, None, port.now);
+                }
+            }
+            PeerEvent::Accepted | PeerEvent::Connected => {}
+        }
+    }
+
+    /// Does what is due.
+    pub fn progress(&mut self, port: &mut Port) -> Fate {
+        if self.fate == Fate::StepDown {
+            return self.fate;
+        }
+        self.watch(port);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.tick(port);
+            if recovery.is_done() && self.roster_cursor.is_some() {
+                self.recovery = None;
+                let jobs = self.scheduler.jobs.len();
+                note!(port, Serves, "epoch" => self.epoch, "jobs" => jobs);
+            }
+        }
+        if self.recovery.is_none() {
+            self.drive(port);
+        }
+        let store_age = self.journal.age(port.now);
+        self.peers.beat(port, self.epoch, store_age, self.is_serving());
+        self.journal.progress(port, &self.scheduler);
+        self.fate
+    }
+
+    fn drive(&mut self, port: &mut Port) {
+        self.renew_workers(port);
+        self.forget_ended(port);
+        let since = port.now.saturating_sub(self.planned);
+        let is_due = (self.is_changed && since >= PLAN_PAUSE) || since >= PLAN_IDLE;
+        if is_due && !self.is_resigning {
+            self.planned = port.now;
+            self.is_changed = false;
+            self.scheduler.plan(port.now, self.journal.latency());
+        }
+        for ask in std::mem::take(&mut self.scheduler.asks) {
+            self.advisors.ask(port, &self.peers, ask);
+        }
+        for stop in std::mem::take(&mut self.scheduler.stops) {
+            self.send_stop(port, stop);
+        }
+        self.retry_orders(port);
+        for worker in std::mem::take(&mut self.scheduler.quarantined) {
+            note!(port, WorkerAvoided, "worker" => %worker);
+        }
+        self.journal.enqueue(std::mem::take(&mut self.scheduler.dirty));
+        for start in std::mem::take(&mut self.scheduler.starts) {
+            self.journal.after(Effect::Start(start));
+        }
+    }
+
+    fn forget_ended(&mut self, port: &Port) {
+        if port.now < self.forgot + FORGET_PAUSE {
+            return;
+        }
+        self.forgot = port.now;
+        let now_ms = self.store_ms(port.now);
+        let keep_ms = port.config.keep_ended.as_millis() as u64;
+        let is_old = |job: &&scheduler::Job| {
+            job.phase != scheduler::Phase::Open
+                && job.durable == Some(job.phase)
+                && job.ended_ms + keep_ms < now_ms
+        };
+        let old = self.scheduler.jobs.values().filter(is_old).take(FORGET_AT_ONCE);
+        let old: Vec<_> = old.map(|job| job.id.clone()).collect();
+        for id in old {
+            if self.scheduler.forget(&id) {
+                self.journal.remove(id);
+            }
+        }
+    }
+
+    fn renew_reply(&mut self, port: &mut Port, call: u64, reply: RenewReply) {
+        self.listed(port, call, reply);
+        self.is_changed = true;
+    }
+
+    fn order_reply(&mut self, port: &mut Port, call: u64, reply: OrderReply) {
+        self.ordered(port, call, reply);
+        self.is_changed = true;
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,32 @@
+//! How the daemons of a pool act together.
+//!
+//! One daemon leads: it holds the pool's jobs and workers, writes what must last to the
+//! platform's store, and gives the workers their orders. The others take callers' requests,
+//! pass them on, make advice calls for the leader and stand ready to take over. The head
+//! row in the store decides who leads; each commit is conditional on its version, so a
+//! former leader's writes fail, and each order carries the epoch as a fencing token.
+//!
+//! [`Node`] decides without I/O: it takes an [`Input`] and leaves [`Action`]s.
+
+mod action;
+mod answer;
+mod config;
+mod entry;
+mod event;
+mod follow;
+mod frame;
+mod head;
+mod input;
+mod lead;
+mod node;
+mod store;
+
+pub use action::{Action, Watch};
+pub use answer::{Answer, Call, Op};
+pub use config::Config;
+pub use event::Event;
+pub use frame::{Advice, Ask, Beat, Body, Frame, Hello, Reply, Request, Resign, Ticket, Welcome};
+pub use head::Head;
+pub use input::{Advised, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
+pub use node::{Node, Role};
+pub use store::{Commit, Key, Page, Row, Transaction, Write};
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,7 @@
 //! Frames to bytes and back, with a bound on their size.
 
+use std::marker::PhantomData;
+
 use bytes::{Bytes, BytesMut};
 use prost::Message;
 use snafu::{ResultExt, Snafu};
@@ -32,24 +34,25 @@
 
 /// Turns frames into bytes and bytes into frames.
 #[derive(Debug)]
-pub struct Codec {
+pub struct Codec<M = Frame> {
     inner: LengthDelimitedCodec,
+    message: PhantomData<M>,
 }
 
-impl Default for Codec {
+impl<M> Default for Codec<M> {
     fn default() -> Self {
         let inner = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec();
-        Self { inner }
+        Self { inner, message: PhantomData }
     }
 }
 
-impl Codec {
+impl<M: Message + Default> Codec<M> {
     /// Appends a frame to a buffer.
     ///
     /// # Errors
     ///
     /// [`Error::Length`] where the frame is over [`FRAME_LIMIT`].
-    pub fn encode(&mut self, frame: &Frame, into: &mut BytesMut) -> Result<(), Error> {
+    pub fn encode(&mut self, frame: &M, into: &mut BytesMut) -> Result<(), Error> {
         let payload = Bytes::from(frame.encode_to_vec());
         self.inner.encode(payload, into).context(LengthSnafu)
     }
@@ -59,10 +62,10 @@
     /// # Errors
     ///
     /// [`Error`] where the bytes are no frame; the connection is then of no more use.
-    pub fn decode(&mut self, from: &mut BytesMut) -> Result<Option<Frame>, Error> {
+    pub fn decode(&mut self, from: &mut BytesMut) -> Result<Option<M>, Error> {
         let Some(payload) = self.inner.decode(from).context(LengthSnafu)? else {
             return Ok(None);
         };
-        Frame::decode(payload.freeze()).map(Some).context(PayloadSnafu)
+        M::decode(payload.freeze()).map(Some).context(PayloadSnafu)
     }
 }
