Acknowledge a worker's ends once only; an undecided start survives a worker's new life; random schedules

Cause: a position to acknowledge was sent with each renewal. A stop under way was taken as done in a new life although its start might still be carried out there. Change: a position is sent with one renewal, and only within 100 ms of the worker's last answer; after a failed call it is dropped and the ends are listed again. In the fake, a call on its way to a dead process is lost, and acknowledges ends when it arrives.

--- a/crates/control/src/lead/links.rs
+++ b/crates/control/src/lead/links.rs
@@ -31,6 +31,11 @@
 /// Longest wait for the acknowledgement of listed ends to become durable.
 const SEEN_PATIENCE: Duration = Duration::from_millis(500);
 
+/// Age of a worker's latest answer up to which it is taken to be in the same life.
+///
+/// Shorter than any task of a new life could take to end.
+const SAME_LIFE: Duration = Duration::from_millis(100);
+
 /// Slowest rate of a worker's clock.
 const SLOWEST_CLOCK: f64 = 0.98;
 
@@ -54,7 +59,12 @@
     clock: Option<Clock>,
     /// The latest lease end that may be in force, by the worker's clock, in ms.
     lease_end: u64,
-    seen: u64,
+    /// Position to acknowledge with the next renewal; 0 for none.
+    ///
+    /// It is sent once only: a new life under the same id counts anew, and would forget
+    /// ends that nobody has seen.
+    ack: u64,
+    /// Highest position that was listed and not acknowledged; 0 for none.
     listed: u64,
     call: Option<(u64, Duration)>,
     next_at: Duration,
@@ -121,7 +131,7 @@
     /// Ends up to a position are durable.
     pub fn acknowledge(&mut self, now: Duration, id: &str, born: u64, number: u64) {
         if let Some(link) = self.links.get_mut(id).filter(|link| link.born == born) {
-            link.seen = link.seen.max(number);
+            link.ack = link.ack.max(number);
             link.next_at = link.next_at.min(now);
         }
     }
@@ -154,7 +164,7 @@
             born,
             clock: None,
             lease_end: 0,
-            seen: 0,
+            ack: 0,
             listed: 0,
             call: None,
             next_at: now,
@@ -197,13 +207,15 @@
                 }
                 continue;
             }
-            let is_needed = !worker.is_fenced || holds || link.listed > link.seen;
+            let is_needed = !worker.is_fenced || holds || link.listed > 0;
             let is_due =
                 port.now >= link.next_at && (is_needed || port.now >= link.next_at + IDLE_PAUSE);
             if !is_due {
                 continue;
             }
-            let is_quiet = worker.is_fenced && link.failures == 0 && link.listed <= link.seen;
+            let is_same_life = link.clock.is_some_and(|clock| clock.heard + SAME_LIFE >= port.now);
+            let ack = if is_same_life { std::mem::take(&mut link.ack) } else { 0 };
+            let is_quiet = worker.is_fenced && link.failures == 0 && link.listed <= ack;
             let wait = if is_quiet && holds { LONG_WAIT } else { Duration::ZERO };
             // A silent worker's lease is left to lapse, so that its runs can be written off.
             let lease_end = link.clock.filter(|_| link.failures == 0).map(|clock| {
@@ -220,7 +232,7 @@
                 address: link.address.clone(),
                 fence: self.epoch,
                 lease_end,
-                seen: link.seen,
+                seen: ack,
                 wait,
                 timeout: wait + ANSWER_SLACK,
             });
@@ -261,6 +273,7 @@
             }
             RenewReply::Failed => {
                 link.failures += 1;
+                link.ack = 0;
                 link.next_at = port.now + RETRY_PAUSE;
                 if let Some(worker) = self.scheduler.pool.get_mut(&id)
                     && worker.is_reachable
@@ -285,8 +298,7 @@
         let is_new_life = listing.born > link.born && link.born > 0 && link.clock.is_some();
         if is_new_life {
             note!(port, WorkerNewLife, "worker" => %id, "born" => listing.born);
-            link.seen = 0;
-            link.listed = 0;
+            link.ack = 0;
             link.clock = None;
             link.lease_end = 0;
         }
@@ -312,8 +324,8 @@
         let number = self.scheduler.listing(id, listing, is_new_life, sent, now, store_ms);
         let Some(link) = self.links.links.get_mut(id) else { return };
         link.next_at = now;
-        if number > link.seen {
-            link.listed = number;
+        link.listed = number;
+        if number > 0 && number > link.ack {
             link.next_at = now + SEEN_PATIENCE;
             self.journal.enqueue(std::mem::take(&mut self.scheduler.dirty));
             self.journal.after(Effect::Seen { worker: id.clone(), born, number });
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -71,9 +71,12 @@
     pub is_draining: bool,
     /// Whether orders reach it.
     pub is_reachable: bool,
+    pub is_dead: bool,
     pub fails_all: bool,
     pub running: HashMap<TaskKey, FakeRun>,
     pub finished: Vec<End>,
+    /// When each listed end came, and whether the lease has lapsed since.
+    marks: HashMap<u64, (Duration, bool)>,
     highest: HashMap<TaskKey, u32>,
     fence: u64,
     number: u64,
@@ -89,9 +92,11 @@
             is_listed: true,
             is_draining: false,
             is_reachable: true,
+            is_dead: false,
             fails_all: false,
             running: HashMap::new(),
             finished: Vec::new(),
+            marks: HashMap::new(),
             highest: HashMap::new(),
             fence: 0,
             number: 0,
@@ -109,13 +114,15 @@
     /// It dies for good.
     pub fn die(&mut self) {
         self.running.clear();
+        self.is_dead = true;
         self.is_reachable = false;
         self.is_listed = false;
     }
 
-    fn end(&mut self, key: &TaskKey, run: u32, how: How) {
+    fn end(&mut self, key: &TaskKey, run: u32, how: How, now: Duration) {
         self.running.remove(key);
         self.number += 1;
+        self.marks.insert(self.number, (now, false));
         self.finished.push(End {
             number: self.number,
             key: Some(key.clone()),
@@ -125,15 +132,17 @@
         });
     }
 
-    /// Ends what is due; returns the tasks that succeeded.
-    fn settle(&mut self, now: Duration) -> Vec<TaskKey> {
-        let mut done = Vec::new();
+    /// Ends what is due.
+    fn settle(&mut self, now: Duration) {
         let clock = now.as_millis() as u64;
-        if !self.running.is_empty() && clock > self.lease_end {
+        if clock > self.lease_end {
+            for (_, has_lapsed) in self.marks.values_mut() {
+                *has_lapsed = true;
+            }
             let lapsed: Vec<_> =
                 self.running.iter().map(|(key, run)| (key.clone(), run.run)).collect();
             for (key, run) in lapsed {
-                self.end(&key, run, How::Lapsed);
+                self.end(&key, run, How::Lapsed, now);
             }
         }
         let is_over = |run: &FakeRun| now >= run.since + run.length;
@@ -141,12 +150,8 @@
         let over: Vec<_> = over.map(|(key, run)| (key.clone(), run.clone())).collect();
         for (key, run) in over {
             let fails = run.fails || self.fails_all;
-            self.end(&key, run.run, if fails { How::Failed } else { How::Done });
-            if !fails {
-                done.push(key);
-            }
+            self.end(&key, run.run, if fails { How::Failed } else { How::Done }, now);
         }
-        done
     }
 
     fn report(&self) -> Report {
@@ -186,9 +191,7 @@
     pub fn settle(&mut self) {
         let now = self.now;
         for worker in self.workers.values_mut() {
-            for key in worker.settle(now) {
-                self.done.insert((key.job, key.step, key.index));
-            }
+            worker.settle(now);
         }
     }
 
@@ -208,7 +211,7 @@
                 } else {
                     worker.fence = fence;
                     if worker.running.get(&stop.key).is_some_and(|run| run.run == stop.run) {
-                        worker.end(&stop.key, stop.run, How::Stopped);
+                        worker.end(&stop.key, stop.run, How::Stopped, now);
                     }
                     let highest = worker.highest.entry(stop.key.clone()).or_insert(0);
                     *highest = stop.run.max(*highest);
@@ -255,10 +258,16 @@
         }
         self.starts += 1;
         let key = &start.key;
-        if self.done.contains(&(key.job.clone(), key.step, key.index)) {
-            self.violations.push(format!("{now:?}: {key:?} started after its success"));
+        self.last_start.insert(key.clone(), now);
+        if self.done.contains(key) {
+            self.violations.push(format!(
+                "{now:?}: {key:?} run {} started on {} after its success",
+                start.run, start.worker
+            ));
         }
-        let holders = self.workers.values().filter(|worker| worker.running.contains_key(key));
+        let is_up = |worker: &&FakeWorker| !worker.is_dead;
+        let holders = self.workers.values().filter(is_up);
+        let holders = holders.filter(|worker| worker.running.contains_key(key));
         if holders.count() > 1 {
             self.violations.push(format!("{now:?}: {key:?} runs twice"));
         }
@@ -272,14 +281,15 @@
         ms(100 + (seed * 37 + u64::from(key.index) * 11) % 900)
     }
 
-    pub(super) fn renew(&mut self, node: usize, life: u64, order: Action, until: Duration) {
+    pub(super) fn renew(&mut self, node: usize, life: u64, mut order: Action, until: Duration) {
         self.settle();
         let now = self.now;
         let clock_ms = now.as_millis() as u64;
         let Action::Renew { call, ref worker, fence, lease_end, seen, timeout, .. } = order else {
             return;
         };
-        let Some(worker) = self.workers.get_mut(worker) else { return };
+        let id = worker.clone();
+        let Some(worker) = self.workers.get_mut(&id) else { return };
         if !worker.is_reachable {
             let input = Input::Renew { call, reply: RenewReply::Failed };
             self.at(now + timeout, Event::Input { node, life, input });
@@ -292,9 +302,31 @@
             if let Some(end) = lease_end {
                 worker.lease_end = worker.lease_end.max(end.min(clock_ms + 10_000));
             }
+            let noted: Vec<End> =
+                worker.finished.iter().filter(|end| end.number <= seen).cloned().collect();
             worker.finished.retain(|end| end.number > seen);
+            let marks: Vec<_> =
+                noted.iter().filter_map(|end| worker.marks.remove(&end.number)).collect();
+            for (end, (at, has_lapsed)) in noted.into_iter().zip(marks) {
+                let Some(key) = end.key.filter(|_| end.how == Some(How::Done) && !has_lapsed)
+                else {
+                    continue;
+                };
+                if self.last_start.get(&key).is_some_and(|start| *start > at) {
+                    self.violations.push(format!(
+                        "{now:?}: {key:?} started again before its success was noted"
+                    ));
+                }
+                self.done.insert(key);
+            }
+            let Some(worker) = self.workers.get_mut(&id) else { return };
             if worker.finished.is_empty() && now < until {
-                self.at(now + ms(20), Event::RenewDue { node, life, order, until });
+                let born = worker.born;
+                // Ends are acknowledged when the call arrives, not while it waits.
+                if let Action::Renew { seen, .. } = &mut order {
+                    *seen = 0;
+                }
+                self.at(now + ms(20), Event::RenewDue { node, life, order, born, until });
                 return;
             }
             let running = worker.running.iter().map(|(key, run)| Run {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -15,7 +15,7 @@
 use control::{Action, Answer, Call, Config, Input, Node, Op, PeerEvent, Role};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use scheduler::{Hint, Limits, Need, Queue, Rules, Shown, Step, Submission};
+use scheduler::{Hint, Limits, Need, Queue, Rules, Shown, Step, Submission, TaskKey};
 
 use fakes::{FakeStore, FakeWorker};
 
@@ -28,8 +28,8 @@
     Input { node: usize, life: u64, input: Input },
     Tick { node: usize, life: u64 },
     Commit { node: usize, life: u64, call: u64, transaction: control::Transaction, is_lost: bool },
-    Order { node: usize, life: u64, order: Action, is_lost: bool },
-    RenewDue { node: usize, life: u64, order: Action, until: Duration },
+    Order { node: usize, life: u64, order: Action, born: u64, is_lost: bool },
+    RenewDue { node: usize, life: u64, order: Action, born: u64, until: Duration },
 }
 
 pub struct Slot {
@@ -75,7 +75,8 @@
     tokens: u64,
     links: HashMap<(usize, u64), (usize, u64)>,
     accepted: u64,
-    done: HashSet<(Name, u32, u32)>,
+    done: HashSet<TaskKey>,
+    last_start: HashMap<TaskKey, Duration>,
 }
 
 fn ms(ms: u64) -> Duration {
@@ -108,6 +109,7 @@
             links: HashMap::new(),
             accepted: 1,
             done: HashSet::new(),
+            last_start: HashMap::new(),
         };
         for number in 0..workers {
             let id = Name::from(format!("w{number}").as_str());
@@ -248,8 +250,26 @@
                     self.at(self.now + ms(4), Event::Input { node, life, input });
                 }
             }
-            Event::Order { node, life, order, is_lost } => self.order(node, life, order, is_lost),
-            Event::RenewDue { node, life, order, until } => self.renew(node, life, order, until),
+            Event::Order { node, life, order, born, is_lost } => {
+                // An order on its way to a process that died never arrives.
+                if self.born_of(&order) == born {
+                    self.order(node, life, order, is_lost);
+                } else if let Action::Start { call, timeout, .. }
+                | Action::Stop { call, timeout, .. } = order
+                    && !is_lost
+                {
+                    let input = Input::Order { call, reply: control::OrderReply::Unknown };
+                    self.at(self.now + timeout, Event::Input { node, life, input });
+                }
+            }
+            Event::RenewDue { node, life, order, born, until } => {
+                if self.born_of(&order) == born {
+                    self.renew(node, life, order, until);
+                } else if let Action::Renew { call, .. } = order {
+                    let input = Input::Renew { call, reply: control::RenewReply::Failed };
+                    self.at(self.now + ms(1), Event::Input { node, life, input });
+                }
+            }
         }
     }
 
@@ -351,16 +371,29 @@
                     let input = Input::Order { call, reply };
                     self.at(self.now + timeout, Event::Input { node, life, input });
                 }
-                self.at(self.now + delay, Event::Order { node, life, order, is_lost: is_late });
+                let born = self.born_of(&order);
+                let event = Event::Order { node, life, order, born, is_lost: is_late };
+                self.at(self.now + delay, event);
             }
             order @ Action::Renew { .. } => {
                 let Action::Renew { wait, .. } = &order else { return };
                 let until = self.now + *wait;
-                self.at(self.now + ms(1), Event::RenewDue { node, life, order, until });
+                let born = self.born_of(&order);
+                self.at(self.now + ms(1), Event::RenewDue { node, life, order, born, until });
             }
         }
     }
 
+    fn born_of(&self, order: &Action) -> u64 {
+        let id = match order {
+            Action::Start { start, .. } => &start.worker,
+            Action::Stop { stop, .. } => &stop.worker,
+            Action::Renew { worker, .. } => worker,
+            _ => return 0,
+        };
+        self.workers.get(id).map_or(0, |worker| worker.born)
+    }
+
     fn is_store_up(&self, node: usize) -> bool {
         !self.trouble.is_store_down && !self.cut_from_store.contains(&node)
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -342,14 +342,12 @@
             listed.insert(key);
         }
         worker.has_strangers = has_strangers;
-        let is_gone = |assignment: &Assignment| match assignment.order {
+        let is_gone = |held: &Assignment| match held.order {
             Order::Recovered => true,
-            Order::Running | Order::Stopped => assignment.since < sent,
-            Order::Writing | Order::Sent | Order::Stopping => false,
-        };
-        let is_gone = |held: &Assignment| {
-            is_gone(held)
-                || (is_new_life && held.order != Order::Writing && held.order != Order::Sent)
+            Order::Running | Order::Stopped => held.since < sent,
+            // An undecided start may have been sent to the new life.
+            Order::Stopping => is_new_life && !held.is_undecided,
+            Order::Writing | Order::Sent => false,
         };
         let gone =
             worker.assigned.iter().filter(|(key, held)| !listed.contains(*key) && is_gone(held));
