Leadership under cuts: a leader without followers gives up, peers name the leader, cut-off daemons refuse

Ruled out: a mesh of heartbeats between all daemons, 72 links for what one redirect does. Change: daemons that do not lead name the leader to a peer that asks; members are told by the leader. A leader that most followers fell silent to, or never joined, releases the head row. A closed link is tried again before it is doubted. A new leader commits at once. A daemon whose leader is alive and out of reach refuses at once and closes the connection; a request of unknown outcome ends without a response rather than 504, since callers must be free to send it again. Heartbeats every 200 ms, silence after 650 ms.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -48,8 +48,10 @@
         Refused {
             /// When to come back.
             retry_after: Duration,
+            /// Whether another daemon is the better choice.
+            elsewhere: bool,
         },
-        /// The outcome is not known.
+        /// The outcome is not known; the connection is to end without a response.
         Unknown,
     }
 }
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -12,9 +12,12 @@
 use crate::frame::{Body, Reply, Request};
 use crate::node::Port;
 
-/// How long a request waits for a leader before it is refused.
+/// How long a request waits for a leader before it is refused, or given up if it was sent.
 const LEADER_PATIENCE: Duration = Duration::from_millis(1200);
 
+/// The same where the leader is known to be alive and out of reach.
+const CUT_OFF_PATIENCE: Duration = Duration::from_millis(50);
+
 /// Pause that refused callers are told.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -47,7 +50,7 @@
     pub fn arrive(&mut self, port: &mut Port, token: u64, call: Call) -> Option<u64> {
         if self.pending.len() >= MAX_PENDING {
             note!(port, JobRefused, "path" => %call.path, "reason" => "too many requests under way");
-            port.answer(token, Answer::Refused { retry_after: RETRY_AFTER });
+            port.answer(token, refused(false));
             return None;
         }
         self.next += 1;
@@ -107,11 +110,16 @@
     }
 
     /// Ends requests whose time is over.
-    pub fn expire(&mut self, port: &mut Port) {
+    ///
+    /// `leaderless` is how long no leader was reached, if none is; `is_cut_off` says that
+    /// one is alive and out of reach.
+    pub fn expire(&mut self, port: &mut Port, leaderless: Option<Duration>, is_cut_off: bool) {
         let now = port.now;
+        let patience = if is_cut_off { CUT_OFF_PATIENCE } else { LEADER_PATIENCE };
         let is_over = |pending: &Pending| {
-            now >= pending.deadline
-                || (!pending.was_sent && now >= pending.arrived + LEADER_PATIENCE)
+            let waits = leaderless
+                .is_some_and(|span| span >= patience && now >= pending.arrived + patience);
+            now >= pending.deadline || waits
         };
         let over = self.pending.iter().filter(|(_, pending)| is_over(pending));
         let over: Vec<u64> = over.map(|(id, _)| *id).collect();
@@ -120,18 +128,22 @@
             let waited = now.saturating_sub(pending.arrived).as_millis() as u64;
             let path = &pending.call.path;
             note!(port, CallUnanswered, "path" => %path, "waited_ms" => waited,
-                "sent" => pending.was_sent);
-            let answer =
-                if pending.was_sent && !matches!(pending.call.op, Op::State(_) | Op::Pending) {
-                    Answer::Unknown
-                } else {
-                    Answer::Refused { retry_after: RETRY_AFTER }
-                };
+                "sent" => pending.was_sent, "cut_off" => is_cut_off);
+            let changes = matches!(pending.call.op, Op::Submit(_) | Op::Cancel(_));
+            let answer = if pending.was_sent && changes {
+                Answer::Unknown
+            } else {
+                refused(leaderless.is_some())
+            };
             port.answer(pending.token, answer);
         }
     }
 }
 
+fn refused(elsewhere: bool) -> Answer {
+    Answer::Refused { retry_after: RETRY_AFTER, elsewhere }
+}
+
 /// Stands for the leader in the same process.
 const LOCAL: u64 = u64::MAX;
 
@@ -168,7 +180,7 @@
         Answer::Pending(count) => (4, *count),
         Answer::NoQueue => (5, 0),
         Answer::NoJob => (6, 0),
-        Answer::Refused { retry_after } => (7, retry_after.as_millis() as u64),
+        Answer::Refused { retry_after, .. } => (7, retry_after.as_millis() as u64),
         Answer::Unknown => (8, 0),
     };
     Reply { id, answer, value }
@@ -185,7 +197,7 @@
         4 => Answer::Pending(reply.value),
         5 => Answer::NoQueue,
         6 => Answer::NoJob,
-        7 => Answer::Refused { retry_after: Duration::from_millis(reply.value) },
+        7 => Answer::Refused { retry_after: Duration::from_millis(reply.value), elsewhere: false },
         _ => Answer::Unknown,
     }
 }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -40,6 +40,7 @@
     5107 Deposed "no longer leader";
     5108 Resigned "leadership given up";
     5109 ClaimSpared "leader is alive; not claimed";
+    5110 LeaderCutOff "most followers fell silent; giving the place up";
     5201 StoreLost "store does not answer";
     5202 StoreBack "store answers again";
     5203 RowIgnored "row cannot be read; ignored";
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -12,20 +12,20 @@
 
 use crate::action::Action;
 use crate::event::note;
-use crate::frame::{Beat, Body, Hello};
+use crate::frame::{Beat, Body, Hello, Welcome};
 use crate::head::{HEAD, Head, TABLE};
 use crate::input::PeerEvent;
 use crate::node::Port;
 use crate::store::{Commit, Key, Page, Row, Transaction, Write};
 
 /// Silence of the leader's heartbeat after which it is doubted.
-const BEAT_SILENCE: Duration = Duration::from_millis(900);
+const BEAT_SILENCE: Duration = Duration::from_millis(650);
 
 /// How long a connection to the leader may take to be welcomed.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time without the store after which the leader is doubted.
-const STORE_SILENCE: u32 = 1200;
+const STORE_SILENCE: u32 = 800;
 
 /// Pause between two reads of the head row while no leader is known.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
@@ -38,12 +38,21 @@
 /// Pause before the second look where the leader's address refused the connection.
 const DOUBT_REFUSED: Duration = Duration::from_millis(60);
 
+/// Times of the store's answer time that are added to the pause, as commits are as slow.
+const DOUBT_FACTOR: u32 = 4;
+
+/// Peers asked at once for the leader while the store does not answer.
+const PROBES: usize = 3;
+
 /// Upper end of the random pause that spreads claims.
 const SPREAD_MS: u64 = 80;
 
 /// Pause of others before they claim a place that was given up to a successor.
 const SUCCESSOR_LEAD: Duration = Duration::from_millis(300);
 
+/// Pause of a leader that gave its place up before it claims it again.
+const RESIGNED_PAUSE: Duration = Duration::from_millis(1500);
+
 /// How long a read or a claim may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -80,12 +89,20 @@
 #[derive(Debug)]
 pub(crate) struct Follower {
     stage: Stage,
-    read: Option<u64>,
+    read: Option<(u64, Duration)>,
     look_at: Duration,
     known: Option<(Head, u64)>,
     doubt: Option<Doubt>,
     /// Until when others than the successor leave a free place alone.
     hold_off: Duration,
+    /// Since when no leader is reached.
+    leaderless: Duration,
+    /// Whether the head row moves although its leader is out of reach.
+    is_cut_off: bool,
+    /// Where peers were, as the latest leader told.
+    members: Vec<Name>,
+    /// Links to peers that were asked for the leader.
+    probes: Vec<u64>,
     /// Whether the daemon is about to stop, and claims nothing.
     pub is_leaving: bool,
 }
@@ -100,10 +117,19 @@
             known: None,
             doubt: None,
             hold_off: Duration::ZERO,
+            leaderless: now,
+            is_cut_off: false,
+            members: Vec::new(),
+            probes: Vec::new(),
             is_leaving: false,
         }
     }
 
+    /// A daemon that has just stopped to lead, and leaves its place to others for a while.
+    pub fn after_leading(now: Duration) -> Self {
+        Self { hold_off: now + RESIGNED_PAUSE, ..Self::new(now) }
+    }
+
     /// The link to a leader that takes requests.
     pub fn serving_link(&self) -> Option<u64> {
         match self.stage {
@@ -112,6 +138,29 @@
         }
     }
 
+    /// Where peers were, as the latest leader told.
+    pub fn members(&self) -> &[Name] {
+        &self.members
+    }
+
+    /// How long no leader was reached; none while one is.
+    pub fn leaderless(&self, now: Duration) -> Option<Duration> {
+        let is_joined = matches!(self.stage, Stage::Joined { .. });
+        (!is_joined).then(|| now.saturating_sub(self.leaderless))
+    }
+
+    /// Whether a leader is alive and out of reach.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
+    /// The epoch and address of the leader that is reached.
+    pub fn leader(&self) -> (u64, String) {
+        let is_joined = matches!(self.stage, Stage::Joined { .. });
+        let known = self.known.as_ref().filter(|_| is_joined);
+        known.map_or((0, String::new()), |(head, _)| (head.epoch, head.address.clone()))
+    }
+
     /// Whether a frame on a link comes from the leader.
     pub fn is_leader_link(&self, other: u64) -> bool {
         match self.stage {
@@ -120,6 +169,11 @@
         }
     }
 
+    /// Whether a link leads to a peer that was asked for the leader.
+    pub fn is_probe(&self, link: u64) -> bool {
+        self.probes.contains(&link)
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, port: &mut Port) {
         match self.stage {
@@ -142,7 +196,7 @@
             return;
         }
         let call = port.call();
-        self.read = Some(call);
+        self.read = Some((call, port.now));
         port.out.push(Action::Read {
             call,
             table: TABLE,
@@ -155,6 +209,10 @@
     fn lose(&mut self, port: &mut Port, pause: Duration, why: &'static str) {
         let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
         note!(port, LeaderLost, "epoch" => epoch, "reason" => why);
+        if matches!(self.stage, Stage::Joined { .. }) {
+            self.leaderless = port.now;
+        }
+        let pause = self.doubt.as_ref().map_or(pause, |doubt| doubt.pause.min(pause));
         self.stage = Stage::Looking;
         self.look_at = port.now;
         self.doubt = Some(Doubt { version: 0, since: port.now, pause });
@@ -162,15 +220,83 @@
 
     /// Takes rows that were read; none where the store did not answer.
     pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
-        if self.read != Some(call) {
+        let Some((_, sent)) = self.read.take_if(|(own, _)| *own == call) else { return };
+        self.look_at = port.now + LOOK_PAUSE;
+        let Some(page) = page else {
+            self.probe(port);
             return;
+        };
+        let took = port.now.saturating_sub(sent);
+        if let Some(doubt) = &mut self.doubt
+            && doubt.version == 0
+        {
+            doubt.pause += took * DOUBT_FACTOR;
         }
-        self.read = None;
-        self.look_at = port.now + LOOK_PAUSE;
-        let Some(page) = page else { return };
         self.consider(port, page.rows.into_iter().next());
     }
 
+    /// Asks some peers for the leader.
+    fn probe(&mut self, port: &mut Port) {
+        if matches!(self.stage, Stage::Joined { .. }) || self.members.is_empty() {
+            return;
+        }
+        for link in std::mem::take(&mut self.probes) {
+            port.out.push(Action::Close { link });
+        }
+        let first = port.random(self.members.len() as u64) as usize;
+        let members = self.members.iter().cycle().skip(first);
+        let asked: Vec<Name> = members.take(PROBES.min(self.members.len())).cloned().collect();
+        for address in asked {
+            if address == port.config.address {
+                continue;
+            }
+            let link = port.link();
+            self.probes.push(link);
+            port.out.push(Action::Connect { link, address });
+        }
+    }
+
+    /// Takes an event on a link to a peer that was asked for the leader.
+    pub fn probed(&mut self, port: &mut Port, link: u64, event: &PeerEvent) {
+        match event {
+            PeerEvent::Connected => self.hello(port, link),
+            PeerEvent::Frame(frame) => {
+                if let Some(Body::Welcome(welcome)) = &frame.body {
+                    self.directed(port, link, welcome);
+                }
+            }
+            PeerEvent::Refused | PeerEvent::Closed => self.probes.retain(|probe| *probe != link),
+            PeerEvent::Accepted => {}
+        }
+    }
+
+    /// Joins the leader that a peer named, or the peer itself.
+    fn directed(&mut self, port: &mut Port, link: u64, welcome: &Welcome) {
+        if matches!(self.stage, Stage::Joined { .. }) {
+            return;
+        }
+        let known = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+        if welcome.epoch >= known.max(1) {
+            self.probes.retain(|probe| *probe != link);
+            note!(port, LeaderFound, "epoch" => welcome.epoch, "by" => "peer");
+            self.heard(port, link, welcome.is_serving, 0);
+        } else if welcome.known_epoch >= known.max(1) && !welcome.known_leader.is_empty() {
+            let address = welcome.known_leader.clone();
+            let head = Head { epoch: welcome.known_epoch, address, ..Head::default() };
+            self.known = Some((head, 0));
+            if !matches!(self.stage, Stage::Joining { .. } | Stage::Claiming { .. }) {
+                self.join(port);
+            }
+        }
+    }
+
+    fn hello(&self, port: &mut Port, link: u64) {
+        let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+        let member = port.config.member.to_string();
+        let address = port.config.address.to_string();
+        port.send(link, Body::Hello(Hello { member, epoch, address }));
+    }
+
     /// Decides what to do about a head row.
     fn consider(&mut self, port: &mut Port, row: Option<Row>) {
         let Some(row) = row else {
@@ -189,7 +315,7 @@
         let is_released = head.is_released;
         let is_new = self.known.as_ref().is_none_or(|(known, _)| known.epoch != epoch);
         self.known = Some((head, version));
-        if is_own || (is_released && port.now >= self.hold_off) {
+        if (is_own && !is_released) || (is_released && port.now >= self.hold_off) {
             self.claim(port, epoch, version);
         } else if is_released {
             self.look_at = self.hold_off;
@@ -217,6 +343,7 @@
                 note!(port, ClaimSpared, "epoch" => epoch, "version" => version);
                 self.doubt = None;
                 if !is_joined {
+                    self.is_cut_off = true;
                     self.join(port);
                 }
             }
@@ -293,13 +420,13 @@
             return false;
         }
         match event {
-            PeerEvent::Connected => {
-                let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
-                let member = port.config.member.to_string();
-                port.send(from, Body::Hello(Hello { member, epoch }));
-            }
+            PeerEvent::Connected => self.hello(port, from),
             PeerEvent::Refused => self.lose(port, DOUBT_REFUSED, "connection refused"),
-            PeerEvent::Closed => self.lose(port, DOUBT_REFUSED, "connection closed"),
+            PeerEvent::Closed => {
+                // A dead process refuses the next connection; a live one may have dropped this one.
+                self.lose(port, DOUBT_SILENT, "connection closed");
+                self.join(port);
+            }
             PeerEvent::Accepted => {}
             PeerEvent::Frame(frame) => return self.frame(port, from, frame.body.as_ref()),
         }
@@ -323,6 +450,9 @@
                 port.send(from, Body::Beat(Beat { epoch: beat.epoch, ..Beat::default() }));
                 return beat.is_serving;
             }
+            Some(Body::Members(members)) => {
+                self.members = members.addresses.iter().map(|address| Name::new(address)).collect();
+            }
             Some(Body::Resign(resign)) => {
                 let is_successor = *resign.successor == *port.config.member;
                 port.out.push(Action::Close { link: from });
@@ -339,6 +469,7 @@
         if store_age_ms <= STORE_SILENCE {
             self.doubt = None;
         }
+        self.is_cut_off = false;
         self.stage = Stage::Joined { link, heard: port.now, store_age_ms, is_serving };
     }
 }
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -11,6 +11,9 @@
     /// The epoch in which it takes the other for the leader.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
+    /// Where peers reach the follower.
+    #[prost(string, tag = "3")]
+    pub address: String,
 }
 
 /// The leader's reply to [`Hello`].
@@ -22,6 +25,20 @@
     /// Whether it takes requests already.
     #[prost(bool, tag = "2")]
     pub is_serving: bool,
+    /// The latest epoch of which a daemon that does not lead knows.
+    #[prost(uint64, tag = "3")]
+    pub known_epoch: u64,
+    /// Where that epoch's leader is; empty where it is not known or not reached.
+    #[prost(string, tag = "4")]
+    pub known_leader: String,
+}
+
+/// The daemons that the leader hears of.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Members {
+    /// Where peers reach them.
+    #[prost(string, repeated, tag = "1")]
+    pub addresses: Vec<String>,
 }
 
 /// The leader's heartbeat; followers send it back.
@@ -161,13 +178,16 @@
     /// The leader gives its place up.
     #[prost(message, tag = "8")]
     Resign(Resign),
+    /// The daemons that the leader hears of.
+    #[prost(message, tag = "9")]
+    Members(Members),
 }
 
 /// One message between daemons.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it says; none from a newer version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -103,7 +103,13 @@
 
 impl Leader {
     /// A leader that has just claimed its place.
-    pub fn new(port: &mut Port, head: Head, version: u64, store_ms: u64) -> Self {
+    pub fn new(
+        port: &mut Port,
+        head: Head,
+        version: u64,
+        store_ms: u64,
+        members: &[common::Name],
+    ) -> Self {
         let now = port.now;
         let mut leader = Self {
             epoch: head.epoch,
@@ -112,7 +118,7 @@
             links: Links::new(now),
             orders: Orders::default(),
             advisors: Advisors::default(),
-            peers: Peers::default(),
+            peers: Peers::expecting(members, &port.config.address, now),
             recovery: None,
             clock: Clock { store_ms, heard: now },
             local_answers: Vec::new(),
@@ -128,6 +134,8 @@
             doubted: None,
         };
         leader.recovery = Some(Recovery::begin(port));
+        // The head row moves at once, so that others see that its owner is alive.
+        leader.journal.confirm();
         leader
     }
 
@@ -367,12 +375,27 @@
         if self.recovery.is_none() {
             self.drive(port);
         }
+        self.watch_peers(port);
         let store_age = self.journal.age(port.now);
         self.peers.beat(port, self.epoch, store_age, self.is_serving());
         self.journal.progress(port, &self.scheduler);
         self.fate
     }
 
+    /// Drops silent followers, and gives its place up where most of them fell silent.
+    fn watch_peers(&mut self, port: &mut Port) {
+        for link in self.peers.drop_silent(port.now) {
+            port.out.push(Action::Close { link });
+            for (job, step) in self.advisors.drop_link(link) {
+                self.scheduler.advised(&job, step, None, port.now);
+            }
+        }
+        if self.peers.is_cut_off(port.now) && !self.is_resigning {
+            note!(port, LeaderCutOff, "epoch" => self.epoch);
+            self.resign();
+        }
+    }
+
     fn drive(&mut self, port: &mut Port) {
         self.renew_workers(port);
         self.forget_ended(port);
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -6,20 +6,30 @@
 use common::Name;
 
 use crate::entry::{decode, encode_answer};
-use crate::frame::{Advice, Beat, Body, Hello, Reply, Welcome};
+use crate::frame::{Advice, Beat, Body, Hello, Members, Reply, Welcome};
 use crate::input::Advised;
 use crate::lead::{Leader, requests::Caller};
 use crate::node::Port;
 
 /// Pause between heartbeats.
-const BEAT_PAUSE: Duration = Duration::from_millis(250);
+const BEAT_PAUSE: Duration = Duration::from_millis(200);
 
-/// Silence after which a follower gets no advice calls.
-const PEER_SILENCE: Duration = Duration::from_millis(900);
+/// Silence after which a follower gets no advice calls and counts as lost.
+const PEER_SILENCE: Duration = Duration::from_millis(650);
+
+/// How long a lost follower counts among those that the leader should hear of.
+const LOST_MEMORY: Duration = Duration::from_secs(5);
+
+/// Followers lost at once from which on the leader may itself be the one that is cut off.
+const LEAST_LOST: usize = 2;
+
+/// Time in which former followers may join a new leader.
+const JOIN_TIME: Duration = Duration::from_millis(1200);
 
 #[derive(Debug)]
 struct Peer {
     member: Name,
+    address: Name,
     heard: Duration,
 }
 
@@ -27,11 +37,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: BTreeMap<u64, Peer>,
+    /// Addresses of daemons that should be followers and are silent, and since when.
+    lost: BTreeMap<Name, Duration>,
+    /// Until when those have time to join.
+    joining_until: Duration,
     beat_at: Duration,
     was_serving: bool,
 }
 
 impl Peers {
+    /// The followers of a new leader that knew some daemons before.
+    pub fn expecting(members: &[Name], own: &Name, now: Duration) -> Self {
+        let others = members.iter().filter(|address| *address != own);
+        let lost = others.map(|address| (address.clone(), now)).collect();
+        Self { lost, joining_until: now + JOIN_TIME, ..Self::default() }
+    }
+
     /// Links of the followers that answer.
     pub fn links(&self, now: Duration) -> impl Iterator<Item = u64> {
         let answers = move |peer: &&Peer| peer.heard + PEER_SILENCE >= now;
@@ -44,11 +65,29 @@
         Some(latest.member.clone())
     }
 
-    /// Forgets a link.
+    /// Forgets a link that was closed or reset.
     pub fn remove(&mut self, link: u64) {
         self.peers.remove(&link);
     }
 
+    /// Drops followers that are silent; returns their links.
+    pub fn drop_silent(&mut self, now: Duration) -> Vec<u64> {
+        let is_silent = |peer: &Peer| peer.heard + PEER_SILENCE < now;
+        let silent: Vec<_> = self.peers.extract_if(.., |_, peer| is_silent(peer)).collect();
+        for (_, peer) in &silent {
+            self.lost.insert(peer.address.clone(), now);
+        }
+        self.lost.retain(|_, since| *since + LOST_MEMORY > now);
+        silent.into_iter().map(|(link, _)| link).collect()
+    }
+
+    /// Whether most of the followers fell silent, so that the leader is cut off from them.
+    pub fn is_cut_off(&self, now: Duration) -> bool {
+        now >= self.joining_until
+            && self.lost.len() >= LEAST_LOST
+            && self.lost.len() > self.peers.len()
+    }
+
     /// Sends a frame to all followers.
     pub fn broadcast(&self, port: &mut Port, body: &Body) {
         for link in self.peers.keys() {
@@ -94,10 +133,16 @@
         if hello.epoch > self.epoch {
             self.journal.confirm();
         }
-        let member = Name::new(&hello.member);
-        self.peers.peers.insert(link, Peer { member, heard: port.now });
+        let (member, address) = (Name::new(&hello.member), Name::new(&hello.address));
+        self.peers.lost.remove(&address);
+        self.peers.peers.retain(|_, peer| peer.member != member);
+        self.peers.peers.insert(link, Peer { member, address, heard: port.now });
         let (epoch, is_serving) = (self.epoch, self.is_serving());
-        port.send(link, Body::Welcome(Welcome { epoch, is_serving }));
+        let welcome = Welcome { epoch, is_serving, ..Welcome::default() };
+        port.send(link, Body::Welcome(welcome));
+        let mut addresses = vec![port.config.address.to_string()];
+        addresses.extend(self.peers.peers.values().map(|peer| peer.address.to_string()));
+        self.peers.broadcast(port, &Body::Members(Members { addresses }));
     }
 
     fn advice(&mut self, port: &mut Port, advice: &Advice) {
--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -31,7 +31,11 @@
     /// Takes a request.
     pub fn request(&mut self, port: &mut Port, caller: Caller, call: Call) {
         let Some(rules) = &self.scheduler.rules else {
-            self.answer(port, &caller, Answer::Refused { retry_after: RETRY_AFTER });
+            self.answer(
+                port,
+                &caller,
+                Answer::Refused { retry_after: RETRY_AFTER, elsewhere: false },
+            );
             return;
         };
         let queue = rules.route(&call.host, &call.path).map(|queue| queue.name.clone());
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,7 +25,9 @@
 pub use answer::{Answer, Call, Op};
 pub use config::Config;
 pub use event::Event;
-pub use frame::{Advice, Ask, Beat, Body, Frame, Hello, Reply, Request, Resign, Ticket, Welcome};
+pub use frame::{
+    Advice, Ask, Beat, Body, Frame, Hello, Members, Reply, Request, Resign, Ticket, Welcome,
+};
 pub use head::Head;
 pub use input::{Advised, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
 pub use node::{Node, Role};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -88,6 +88,7 @@
     entry: Entry,
     part: Part,
     stopping: Option<Duration>,
+    has_exited: bool,
     is_ready: Option<bool>,
     /// Advice calls made for the leader: own number, link and number there.
     asked: Vec<(u64, u64, u64)>,
@@ -104,6 +105,7 @@
             entry: Entry::default(),
             part: Part::Follower(Follower::new(now)),
             stopping: None,
+            has_exited: false,
             is_ready: None,
             asked: Vec::new(),
         }
@@ -188,12 +190,20 @@
                     self.entry.send_all(&mut self.port, link);
                 }
             }
-            Part::Follower(_) => {
+            Part::Follower(follower) if follower.is_probe(link) => {
+                follower.probed(&mut self.port, link, &event);
+                if follower.serving_link() == Some(link) {
+                    self.entry.send_all(&mut self.port, link);
+                }
+            }
+            Part::Follower(follower) => {
                 if let PeerEvent::Frame(frame) = &event
-                    && !matches!(frame.body, Some(Body::Reply(_) | Body::Advice(_)))
+                    && matches!(frame.body, Some(Body::Hello(_)))
                 {
-                    let refusal = Welcome { epoch: 0, is_serving: false };
-                    self.port.send(link, Body::Welcome(refusal));
+                    let (known_epoch, known_leader) = follower.leader();
+                    let redirect =
+                        Welcome { epoch: 0, is_serving: false, known_epoch, known_leader };
+                    self.port.send(link, Body::Welcome(redirect));
                 }
             }
             Part::Leader(leader) => leader.peer(&mut self.port, link, event),
@@ -253,7 +263,11 @@
         note!(self.port, Leads, "epoch" => head.epoch, "version" => version);
         self.entry.unsend();
         self.asked.clear();
-        let leader = Leader::new(&mut self.port, head, version, store_ms);
+        let members = match &self.part {
+            Part::Follower(follower) => follower.members(),
+            Part::Leader(_) => &[],
+        };
+        let leader = Leader::new(&mut self.port, head, version, store_ms, members);
         self.part = Part::Leader(Box::new(leader));
     }
 
@@ -300,11 +314,15 @@
         };
         if fate == Fate::StepDown {
             self.entry.unsend();
-            let mut follower = Follower::new(self.port.now);
+            let mut follower = Follower::after_leading(self.port.now);
             follower.is_leaving = self.stopping.is_some();
             self.part = Part::Follower(follower);
         }
-        self.entry.expire(&mut self.port);
+        let (leaderless, is_cut_off) = match &self.part {
+            Part::Follower(follower) => (follower.leaderless(self.port.now), follower.is_cut_off()),
+            Part::Leader(_) => (None, false),
+        };
+        self.entry.expire(&mut self.port, leaderless, is_cut_off);
         self.tell_ready();
         self.exit_when_done();
     }
@@ -323,7 +341,8 @@
         let elapsed = self.port.now.saturating_sub(since);
         let is_idle = self.entry.len() == 0 && matches!(self.part, Part::Follower(_));
         let is_over = elapsed + EXIT_MARGIN >= self.port.config.grace;
-        if (is_idle && elapsed >= LINGER) || is_over {
+        if !self.has_exited && ((is_idle && elapsed >= LINGER) || is_over) {
+            self.has_exited = true;
             note!(self.port, StopDone, "requests" => self.entry.len());
             self.port.out.push(Action::Exit);
         }
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -8,6 +8,7 @@
     Action, Change, Commit, Input, OrderReply, Page, RenewReply, Row, Transaction, Watch,
     WatchResult,
 };
+use prost::Message;
 use scheduler::{End, How, Listing, Need, Refusal, Report, Run, TaskKey};
 
 use super::{Event, World, ms};
@@ -42,6 +43,12 @@
         Commit::Done { version: self.version, store_ms: now.as_millis() as u64 }
     }
 
+    /// The epoch in the head row.
+    pub fn epoch(&self) -> u64 {
+        let (value, _) = self.rows.get("head").expect("a leader has claimed");
+        control::Head::decode(&**value).expect("the row is a head").epoch
+    }
+
     pub fn read(&self, from: &str, to: &str, now: Duration) -> Page {
         let range = Name::new(from)..Name::new(to);
         let rows = self.rows.range(range).map(|(key, (value, version))| Row {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Asks a node to stop gracefully.
+    pub fn stop(&mut self, number: usize) {
+        let life = self.slots[number].life;
+        self.at(self.now, Event::Input { node: number, life, input: Input::Stop });
+    }
+
     pub fn freeze(&mut self, number: usize) {
         self.slots[number].is_frozen = true;
     }
--- /dev/null
+++ b/crates/control/tests/takeover.rs
@@ -0,0 +1,101 @@
+//! Who leads when daemons are cut off from each other or from the store.
+
+mod support;
+
+use std::time::Duration;
+
+use control::{Answer, Op, Role};
+use support::{World, job, step};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn ready(seed: u64, nodes: usize) -> World {
+    let mut world = World::new(seed, nodes, 4);
+    assert!(world.run_until(ms(5000), |world| world.leader().is_some()));
+    world.run(ms(500));
+    world
+}
+
+/// Waits until a node other than one leads, and returns it.
+fn other_leader(world: &mut World, than: usize, within: Duration) -> Option<usize> {
+    let leads = |world: &World| {
+        world.slots.iter().enumerate().position(|(number, slot)| {
+            number != than && slot.node.as_ref().is_some_and(|node| node.role() == Role::Leading)
+        })
+    };
+    world.run_until(within, |world| leads(world).is_some());
+    leads(world)
+}
+
+#[test]
+fn leader_without_peers_gives_up() {
+    let mut world = ready(1, 5);
+    let leader = world.leader().expect("one leads");
+    world.cut_from_peers.insert(leader);
+    assert!(other_leader(&mut world, leader, ms(2500)).is_some());
+}
+
+#[test]
+fn leader_without_store_is_replaced() {
+    let mut world = ready(2, 5);
+    let leader = world.leader().expect("one leads");
+    world.cut_from_store.insert(leader);
+    assert!(other_leader(&mut world, leader, ms(2500)).is_some());
+}
+
+#[test]
+fn follower_without_store_learns_leader_from_peers() {
+    let mut world = ready(3, 5);
+    let leader = world.leader().expect("one leads");
+    let follower = (0..5).find(|node| *node != leader).expect("there are others");
+    world.cut_from_store.insert(follower);
+    world.kill(leader);
+    assert!(other_leader(&mut world, leader, ms(2500)).is_some());
+    let joined = world.run_until(ms(4000), |world| {
+        world.slots[follower].node.as_ref().is_some_and(|node| node.role() == Role::Following)
+    });
+    assert!(joined);
+    let token = world.call(follower, Op::Submit(job("j1", vec![step(1, 300)])));
+    world.run(ms(1000));
+    assert_eq!(world.answers.get(&token), Some(&Answer::Accepted));
+}
+
+#[test]
+fn daemon_without_peers_refuses_at_once() {
+    let mut world = ready(4, 5);
+    let leader = world.leader().expect("one leads");
+    let follower = (0..5).find(|node| *node != leader).expect("there are others");
+    world.cut_from_peers.insert(follower);
+    world.run(ms(3000));
+    assert_eq!(world.ready.get(&follower), Some(&false));
+    let token = world.call(follower, Op::Submit(job("j1", vec![step(1, 300)])));
+    world.run(ms(200));
+    let answer = world.answers.get(&token);
+    assert!(matches!(answer, Some(Answer::Refused { elsewhere: true, .. })), "{answer:?}");
+    assert_eq!(world.leader(), Some(leader));
+}
+
+#[test]
+fn leader_stopped_successor_serves_within_a_second() {
+    let mut world = ready(5, 5);
+    let leader = world.leader().expect("one leads");
+    world.stop(leader);
+    assert!(other_leader(&mut world, leader, ms(1000)).is_some());
+    assert!(world.run_until(ms(6000), |world| world.exited.contains(&leader)));
+}
+
+#[test]
+fn new_leader_is_not_doubted() {
+    let mut world = ready(6, 9);
+    for node in 0..9 {
+        world.kill(node);
+    }
+    for node in 0..9 {
+        world.start(node);
+    }
+    let before = world.store.epoch();
+    world.run(ms(3000));
+    assert_eq!(world.store.epoch(), before + 1);
+}
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -1,6 +1,5 @@
 //! HTTP/1.1 server whose connections end politely when the daemon stops.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::Snafu;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -52,10 +52,15 @@
     pub body: Bytes,
 }
 
+/// A request that ends without a response; its connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("no response can be given"))]
+pub struct Dropped;
+
 /// Answers requests.
 pub trait Handler {
     /// Answers one request.
-    fn handle(&self, call: Call) -> impl Future<Output = Response<Full<Bytes>>>;
+    fn handle(&self, call: Call) -> impl Future<Output = Result<Response<Full<Bytes>>, Dropped>>;
 }
 
 /// Serves connections until the stage is closed and the last one has ended.
@@ -102,7 +107,7 @@
     let service = service_fn(move |request| {
         let (handler, watched) = (Rc::clone(&handler), watched.clone());
         let limits = *bounds.borrow();
-        async move { Ok::<_, Infallible>(answer(&*handler, request, limits, &watched).await) }
+        async move { answer(&*handler, request, limits, &watched).await }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(limits.idle_timeout);
@@ -124,11 +129,11 @@
     request: Request<Incoming>,
     limits: Bounds,
     stage: &watch::Receiver<Stage>,
-) -> Response<Full<Bytes>> {
+) -> Result<Response<Full<Bytes>>, Dropped> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, limits.body_bytes).collect();
     let mut response = match tokio::time::timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => handler.handle(Call { head, body: body.to_bytes() }).await,
+        Ok(Ok(body)) => handler.handle(Call { head, body: body.to_bytes() }).await?,
         Ok(Err(error)) if error.is::<LengthLimitError>() => status(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(_)) => status(StatusCode::BAD_REQUEST),
         Err(_) => status(StatusCode::REQUEST_TIMEOUT),
@@ -136,7 +141,7 @@
     if *stage.borrow() != Stage::Open {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    Ok(response)
 }
 
 /// A response without a body.
