A new leader makes itself known to the daemons that have not joined it

Ruled out: asking peers from the side that is cut off; it hears its old leader and has no reason to ask. Change: the new leader connects to each member that has not joined and announces its epoch; a leader of an older epoch steps down. A leader that says itself that it lacks the store is doubted for as long as a commit may take, not for the silence of a heartbeat.

--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -25,7 +25,7 @@
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time without the store after which the leader is doubted.
-const STORE_SILENCE: u32 = 800;
+const STORE_SILENCE: u32 = 600;
 
 /// Pause between two reads of the head row while no leader is known.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
@@ -97,6 +97,8 @@
     hold_off: Duration,
     /// Since when no leader is reached.
     leaderless: Duration,
+    /// How long the latest read took.
+    store_time: Duration,
     /// Whether the head row moves although its leader is out of reach.
     is_cut_off: bool,
     /// Where peers were, as the latest leader told.
@@ -118,6 +120,7 @@
             doubt: None,
             hold_off: Duration::ZERO,
             leaderless: now,
+            store_time: Duration::ZERO,
             is_cut_off: false,
             members: Vec::new(),
             probes: Vec::new(),
@@ -227,6 +230,7 @@
             return;
         };
         let took = port.now.saturating_sub(sent);
+        self.store_time = took;
         if let Some(doubt) = &mut self.doubt
             && doubt.version == 0
         {
@@ -290,6 +294,22 @@
         }
     }
 
+    /// Joins a leader that made itself known, if it came later than the known one.
+    pub fn announced(&mut self, port: &mut Port, epoch: u64, address: &str) {
+        let is_joined = matches!(self.stage, Stage::Joined { .. });
+        let known = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
+        if epoch < known || (epoch == known && is_joined) {
+            return;
+        }
+        if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
+            port.out.push(Action::Close { link });
+        }
+        let head = Head { epoch, address: address.to_owned(), ..Head::default() };
+        self.known = Some((head, 0));
+        self.doubt = None;
+        self.join(port);
+    }
+
     fn hello(&self, port: &mut Port, link: u64) {
         let epoch = self.known.as_ref().map_or(0, |(head, _)| head.epoch);
         let member = port.config.member.to_string();
@@ -330,7 +350,10 @@
     /// Claims where the head row has not moved since the leader was doubted.
     fn check_doubt(&mut self, port: &mut Port, epoch: u64, version: u64) {
         let is_joined = matches!(self.stage, Stage::Joined { .. });
-        let pause = self.doubt.as_ref().map_or(DOUBT_SILENT, |doubt| doubt.pause);
+        // A leader that is heard and has no store says so itself.
+        let least =
+            if is_joined { DOUBT_REFUSED + self.store_time * DOUBT_FACTOR } else { DOUBT_SILENT };
+        let pause = self.doubt.as_ref().map_or(least, |doubt| doubt.pause);
         match &self.doubt {
             Some(doubt) if doubt.version == version => {
                 if port.now >= doubt.since + doubt.pause {
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -41,6 +41,17 @@
     pub addresses: Vec<String>,
 }
 
+/// A new leader tells a daemon that may not know of it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Announce {
+    /// The epoch in which it leads.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Where peers reach it.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
 /// The leader's heartbeat; followers send it back.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Beat {
@@ -181,13 +192,16 @@
     /// The daemons that the leader hears of.
     #[prost(message, tag = "9")]
     Members(Members),
+    /// A new leader makes itself known.
+    #[prost(message, tag = "10")]
+    Announce(Announce),
 }
 
 /// One message between daemons.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
     /// What it says; none from a newer version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
 }
 
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -354,10 +354,16 @@
                     self.scheduler.advised(&job, step, None, port.now);
                 }
             }
-            PeerEvent::Accepted | PeerEvent::Connected => {}
+            PeerEvent::Connected => self.peers.connected(port, link, self.epoch),
+            PeerEvent::Accepted => {}
         }
     }
 
+    /// Learns of another leader; true where that one came later.
+    pub fn is_older_than(&self, epoch: u64) -> bool {
+        self.epoch < epoch
+    }
+
     /// Does what is due.
     pub fn progress(&mut self, port: &mut Port) -> Fate {
         if self.fate == Fate::StepDown {
@@ -390,6 +396,7 @@
                 self.scheduler.advised(&job, step, None, port.now);
             }
         }
+        self.peers.announce(port);
         if self.peers.is_cut_off(port.now) && !self.is_resigning {
             note!(port, LeaderCutOff, "epoch" => self.epoch);
             self.resign();
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -5,8 +5,9 @@
 
 use common::Name;
 
+use crate::action::Action;
 use crate::entry::{decode, encode_answer};
-use crate::frame::{Advice, Beat, Body, Hello, Members, Reply, Welcome};
+use crate::frame::{Advice, Announce, Beat, Body, Hello, Members, Reply, Welcome};
 use crate::input::Advised;
 use crate::lead::{Leader, requests::Caller};
 use crate::node::Port;
@@ -20,6 +21,9 @@
 /// How long a lost follower counts among those that the leader should hear of.
 const LOST_MEMORY: Duration = Duration::from_secs(5);
 
+/// Pause between two announcements to daemons that have not joined.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Followers lost at once from which on the leader may itself be the one that is cut off.
 const LEAST_LOST: usize = 2;
 
@@ -41,6 +45,9 @@
     lost: BTreeMap<Name, Duration>,
     /// Until when those have time to join.
     joining_until: Duration,
+    /// Links opened to make the leader known.
+    announcing: Vec<u64>,
+    announce_at: Duration,
     beat_at: Duration,
     was_serving: bool,
 }
@@ -81,6 +88,30 @@
         silent.into_iter().map(|(link, _)| link).collect()
     }
 
+    /// Opens links to daemons that should be followers and are not, to make the leader known.
+    pub fn announce(&mut self, port: &mut Port) {
+        if port.now < self.announce_at || self.lost.is_empty() {
+            return;
+        }
+        self.announce_at = port.now + ANNOUNCE_PAUSE;
+        for link in std::mem::take(&mut self.announcing) {
+            port.out.push(Action::Close { link });
+        }
+        for address in self.lost.keys().cloned().collect::<Vec<_>>() {
+            let link = port.link();
+            self.announcing.push(link);
+            port.out.push(Action::Connect { link, address });
+        }
+    }
+
+    /// Makes the leader known on a link that was opened for it.
+    pub fn connected(&self, port: &mut Port, link: u64, epoch: u64) {
+        if self.announcing.contains(&link) {
+            let address = port.config.address.to_string();
+            port.send(link, Body::Announce(Announce { epoch, address }));
+        }
+    }
+
     /// Whether most of the followers fell silent, so that the leader is cut off from them.
     pub fn is_cut_off(&self, now: Duration) -> bool {
         now >= self.joining_until
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,7 +11,7 @@
 use crate::entry::{self, Entry};
 use crate::event::note;
 use crate::follow::{Follower, Verdict};
-use crate::frame::{Advice, Ask, Body, Frame, Ticket, Welcome};
+use crate::frame::{Advice, Announce, Ask, Body, Frame, Ticket, Welcome};
 use crate::input::{Advised, Input, PeerEvent};
 use crate::lead::{Caller, Fate, Leader};
 
@@ -218,11 +218,35 @@
                 self.entry.answer(&mut self.port, reply.id, answer);
             }
             Body::Ask(ask) => self.ask(link, ask),
+            Body::Announce(announce) => self.announced(announce),
             _ => return false,
         }
         true
     }
 
+    /// Learns of a leader that may have come later than the known one.
+    fn announced(&mut self, announce: &Announce) {
+        match &mut self.part {
+            Part::Follower(follower) => {
+                follower.announced(&mut self.port, announce.epoch, &announce.address);
+            }
+            Part::Leader(leader) if leader.is_older_than(announce.epoch) => {
+                note!(self.port, Deposed, "by_epoch" => announce.epoch);
+                let mut follower = self.step_down();
+                follower.announced(&mut self.port, announce.epoch, &announce.address);
+                self.part = Part::Follower(follower);
+            }
+            Part::Leader(_) => {}
+        }
+    }
+
+    fn step_down(&mut self) -> Follower {
+        self.entry.unsend();
+        let mut follower = Follower::after_leading(self.port.now);
+        follower.is_leaving = self.stopping.is_some();
+        follower
+    }
+
     /// Makes an advice call for the leader.
     fn ask(&mut self, link: u64, ask: &Ask) {
         let call = self.port.call();
@@ -313,10 +337,7 @@
             }
         };
         if fate == Fate::StepDown {
-            self.entry.unsend();
-            let mut follower = Follower::after_leading(self.port.now);
-            follower.is_leaving = self.stopping.is_some();
-            self.part = Part::Follower(follower);
+            self.part = Part::Follower(self.step_down());
         }
         let (leaderless, is_cut_off) = match &self.part {
             Part::Follower(follower) => (follower.leaderless(self.port.now), follower.is_cut_off()),
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -45,6 +45,20 @@
     assert!(other_leader(&mut world, leader, ms(2500)).is_some());
 }
 
+#[test]
+fn daemons_without_store_join_new_leader() {
+    let mut world = ready(7, 9);
+    let leader = world.leader().expect("one leads");
+    let cut: Vec<usize> = (0..9).filter(|node| *node != leader).take(2).chain([leader]).collect();
+    world.cut_from_store.extend(&cut);
+    assert!(other_leader(&mut world, leader, ms(2500)).is_some());
+    world.run(ms(1000));
+    for node in cut {
+        let role = world.slots[node].node.as_ref().map(control::Node::role);
+        assert_eq!(role, Some(Role::Following), "n{node}");
+    }
+}
+
 #[test]
 fn follower_without_store_learns_leader_from_peers() {
     let mut world = ready(3, 5);
