A commit is sent again at growing pauses, and any of its sendings may be answered

Ruled out: a longer fixed time-out, which would cost seconds for each answer that is lost. Change: sendings stay open for 4 s; the next one follows after six usual commits (150 ms at least), then four times that. The test world's store takes one transaction after the other, and may be slow.

--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -28,14 +28,17 @@
 /// Pause before a refused transaction is sent again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 
-/// Least time that a commit may take before it is sent again.
-const LEAST_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that is waited for the answer to one sending of a commit.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
 
-/// Most time that a commit may take before it is sent again.
-const MOST_TIMEOUT: Duration = Duration::from_millis(3000);
+/// Least time after which an unanswered commit is sent once more.
+const LEAST_RESEND: Duration = Duration::from_millis(150);
 
-/// Commits of the usual length after which one is taken for lost.
-const TIMEOUT_FACTOR: u32 = 6;
+/// Commits of the usual length after which an answer may be lost.
+const RESEND_FACTOR: u32 = 6;
+
+/// Growth of the pause from one sending to the next; each costs the store a transaction.
+const RESEND_GROWTH: u32 = 4;
 
 /// Weight of a new observation in the mean time of a commit.
 const LATENCY_WEIGHT: f64 = 0.2;
@@ -85,14 +88,17 @@
 
 #[derive(Debug)]
 struct Batch {
-    call: Option<u64>,
+    /// Sendings that are not answered.
+    calls: Vec<u64>,
     transaction: Transaction,
     commit: u64,
     jobs: Vec<(Name, Phase)>,
     effects: Vec<Effect>,
     is_release: bool,
     sent: Duration,
-    retry_at: Duration,
+    /// When it is sent once more, and the pause after that.
+    resend_at: Duration,
+    pause: Duration,
 }
 
 /// Changes on their way to the store.
@@ -180,8 +186,8 @@
             note!(port, StoreLost, "age_ms" => self.age(now).as_millis() as u64);
         }
         if let Some(batch) = &mut self.batch {
-            if batch.call.is_none() && now >= batch.retry_at {
-                Self::send(port, batch, self.latency);
+            if now >= batch.resend_at {
+                batch.send(port);
             }
             return;
         }
@@ -193,19 +199,11 @@
             || self.is_releasing;
         if is_due {
             let mut batch = self.gather(port, scheduler);
-            Self::send(port, &mut batch, self.latency);
+            batch.send(port);
             self.batch = Some(batch);
         }
     }
 
-    fn send(port: &mut Port, batch: &mut Batch, latency: Duration) {
-        let call = port.call();
-        batch.call = Some(call);
-        let timeout = (latency * TIMEOUT_FACTOR).clamp(LEAST_TIMEOUT, MOST_TIMEOUT);
-        let transaction = batch.transaction.clone();
-        port.out.push(Action::Commit { call, transaction, timeout });
-    }
-
     fn gather(&mut self, port: &Port, scheduler: &Scheduler) -> Batch {
         let mut head = self.head.clone();
         head.commit += 1;
@@ -234,34 +232,34 @@
         writes.push(Write { key: guard.clone(), value: head.encode_to_vec() });
         let transaction = Transaction { guard, version: self.version, writes, removes };
         Batch {
-            call: None,
+            calls: Vec::new(),
             transaction,
             commit: head.commit,
             jobs,
             effects,
             is_release,
             sent: port.now,
-            retry_at: port.now,
+            resend_at: port.now,
+            pause: (self.latency * RESEND_FACTOR).max(LEAST_RESEND),
         }
     }
 
     /// Takes the outcome of a commit.
     pub fn committed(&mut self, port: &mut Port, call: u64, commit: Commit) -> Outcome {
-        let Some(batch) = self.batch.as_mut().filter(|batch| batch.call == Some(call)) else {
+        let Some(batch) = self.batch.as_mut() else { return Outcome::None };
+        let Some(position) = batch.calls.iter().position(|own| *own == call) else {
             return Outcome::None;
         };
-        batch.call = None;
+        batch.calls.swap_remove(position);
         match commit {
             Commit::Done { version, .. } => self.durable(port, version),
-            Commit::Refused => {
-                batch.retry_at = port.now + REFUSED_PAUSE;
-                Outcome::None
-            }
-            Commit::Unknown => {
-                batch.retry_at = port.now;
+            Commit::Conflict { row } => self.conflict(port, row),
+            Commit::Refused | Commit::Unknown => {
+                if batch.calls.is_empty() {
+                    batch.resend_at = batch.resend_at.min(port.now + REFUSED_PAUSE);
+                }
                 Outcome::None
             }
-            Commit::Conflict { row } => self.conflict(port, row),
         }
     }
 
@@ -298,6 +296,18 @@
     }
 }
 
+impl Batch {
+    /// Sends the transaction, unchanged, and sets the time of the next sending.
+    fn send(&mut self, port: &mut Port) {
+        let call = port.call();
+        self.calls.push(call);
+        self.resend_at = port.now + self.pause;
+        self.pause *= RESEND_GROWTH;
+        let transaction = self.transaction.clone();
+        port.out.push(Action::Commit { call, transaction, timeout: ANSWER_TIMEOUT });
+    }
+}
+
 fn job_key(id: &str) -> Key {
     Key { table: TABLE, key: Name::from(format!("{JOB}{id}").as_str()) }
 }
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -19,6 +19,10 @@
 const NODES: usize = 4;
 const WORKERS: usize = 5;
 
+/// Kinds of faults; the first ten are those that the seeds in [`FAILED_ONCE`] were found with.
+const FAULT_KINDS: u64 = 11;
+const FIRST_FAULT_KINDS: u64 = 10;
+
 /// Length of the time in which faults come.
 const TROUBLE_MS: u64 = 20_000;
 
@@ -41,6 +45,8 @@
     thaws: Vec<(Duration, usize, Duration)>,
     starts: Vec<(Duration, usize)>,
     heals: Vec<Duration>,
+    /// Kinds of faults that are drawn from.
+    kinds: u64,
 }
 
 impl Schedule {
@@ -56,6 +62,7 @@
             thaws: Vec::new(),
             starts: Vec::new(),
             heals: Vec::new(),
+            kinds: FAULT_KINDS,
         }
     }
 
@@ -97,7 +104,7 @@
         let node = self.any_node();
         let span = ms(200 + self.world.random(4000));
         let until = self.world.now + span;
-        match self.world.random(10) {
+        match self.world.random(self.kinds) {
             0 => self.kill(node, until),
             1 => {
                 let leader = self.world.leader().unwrap_or(node);
@@ -133,12 +140,16 @@
                 let worker = self.world.workers.get_mut(&worker).expect("it is known");
                 worker.restart();
             }
-            _ => {
+            9 => {
                 let worker = self.any_worker();
                 let worker = self.world.workers.get_mut(&worker).expect("it is known");
                 worker.is_reachable = false;
                 self.heals.push(until);
             }
+            _ => {
+                self.world.trouble.store_slowness = 60;
+                self.heals.push(until);
+            }
         }
     }
 
@@ -231,7 +242,9 @@
 #[test]
 fn schedules_failed_once() {
     for (seed, cause) in FAILED_ONCE {
-        let faults = Schedule::new(seed).play();
+        let mut schedule = Schedule::new(seed);
+        schedule.kinds = FIRST_FAULT_KINDS;
+        let faults = schedule.play();
         assert!(faults.is_empty(), "seed {seed} ({cause}): {faults:#?}");
     }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -45,6 +45,8 @@
     pub lost_commits: f64,
     /// Share of the orders that get no answer and are carried out late.
     pub late_orders: f64,
+    /// How many times as long the store takes; 0 for the usual time.
+    pub store_slowness: u32,
     /// Whether the store is away for all.
     pub is_store_down: bool,
 }
@@ -68,6 +70,7 @@
     /// Share of workers that advice allows.
     pub fit_share: f64,
     pub starts: u64,
+    store_free: Duration,
     rng: SmallRng,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     bodies: HashMap<u64, Event>,
@@ -101,6 +104,7 @@
             advice_calls: 0,
             fit_share: 1.0,
             starts: 0,
+            store_free: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
             bodies: HashMap::new(),
@@ -326,7 +330,8 @@
             Action::Close { link } => self.drop_link((node, link)),
             Action::Read { call, table: _, from, to, timeout } => {
                 let page = self.is_store_up(node).then(|| self.store.read(&from, &to, self.now));
-                let wait = if page.is_some() { ms(5) } else { timeout };
+                let slow = ms(4) * self.trouble.store_slowness.max(1);
+                let wait = if page.is_some() { slow } else { timeout };
                 let input = Input::Read { call, page };
                 self.at(self.now + wait, Event::Input { node, life, input });
             }
@@ -340,7 +345,10 @@
                     // A lost one is carried out, possibly late.
                     let late = if is_lost { ms(self.random(3000)) } else { Duration::ZERO };
                     let event = Event::Commit { node, life, call, transaction, is_lost };
-                    self.at(self.now + ms(4) + late, event);
+                    // The pool's part takes one transaction after the other.
+                    let start = self.store_free.max(self.now);
+                    self.store_free = start + ms(8) * self.trouble.store_slowness.max(1);
+                    self.at(self.store_free + late, event);
                 }
             }
             Action::Watch { call, what, cursor, wait } => {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -113,3 +113,25 @@
     world.run(ms(3000));
     assert_eq!(world.store.epoch(), before + 1);
 }
+
+#[test]
+fn slow_store_leader_stays_and_accepts() {
+    let mut world = ready(8, 9);
+    let leader = world.leader();
+    let epoch = world.store.epoch();
+    world.trouble.store_slowness = 60;
+    world.run(ms(1000));
+    let tokens: Vec<u64> = (0..3)
+        .map(|number| {
+            let token =
+                world.call(number, Op::Submit(job(&format!("j{number}"), vec![step(1, 300)])));
+            world.run(ms(1000));
+            token
+        })
+        .collect();
+    world.run(ms(3000));
+    for token in tokens {
+        assert_eq!(world.answers.get(&token), Some(&Answer::Accepted));
+    }
+    assert_eq!((world.leader(), world.store.epoch()), (leader, epoch));
+}
