--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -27,6 +27,10 @@
         pub max_writes: usize,
         /// Most bytes in a transaction, before encoding.
         pub max_bytes: usize,
+        /// Most bytes in a row, before encoding.
+        pub max_row: usize,
+        /// Journal rows from which on the jobs of the oldest are written again.
+        pub most_rows: usize,
         /// Time of a transaction by the store's own account.
         pub commit_time: Duration,
     }
--- a/crates/control/src/head.rs
+++ b/crates/control/src/head.rs
@@ -6,11 +6,11 @@
 /// Key of the head row.
 pub(crate) const HEAD: &str = "head";
 
-/// Prefix of the keys of job rows.
-pub(crate) const JOB: &str = "job/";
+/// Prefix of the keys of journal rows.
+pub(crate) const JOURNAL: &str = "log/";
 
-/// First key after all job rows.
-pub(crate) const JOB_END: &str = "job0";
+/// First key after all journal rows.
+pub(crate) const JOURNAL_END: &str = "log0";
 
 /// The head row's value.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -1,20 +1,25 @@
-//! Group commit: job rows and the head row in one transaction at a time.
+//! Group commit: a log of changed jobs and the head row, one transaction at a time.
+//!
+//! A journal row holds the jobs that changed together, each in full, so that a slow store
+//! takes many jobs with few rows. The latest row that names a job counts. Rows are removed
+//! from the oldest on, once each of their jobs was written again or forgotten; a job whose
+//! latest row is removed can then not come back in an older state.
 //!
 //! Each transaction is conditional on the head row's version and writes the head row, so
 //! transactions form a chain: one whose answer was lost is sent again unchanged, and either
 //! takes effect then or conflicts with a head row that shows it took effect before.
 
-use std::collections::{BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use common::Name;
 use prost::Message;
-use scheduler::{Phase, Scheduler};
+use scheduler::{Phase, Scheduler, Segment};
 
 use crate::action::Action;
 use crate::answer::Answer;
 use crate::event::note;
-use crate::head::{HEAD, Head, JOB, TABLE};
+use crate::head::{HEAD, Head, JOURNAL, TABLE};
 use crate::lead::requests::Caller;
 use crate::node::Port;
 use crate::store::{Commit, Key, Row, Transaction, Write};
@@ -40,6 +45,12 @@
 /// Growth of the pause from one sending to the next; each costs the store a transaction.
 const RESEND_GROWTH: u32 = 4;
 
+/// Jobs written again with each commit at the most.
+const COMPACTED_AT_ONCE: usize = 64;
+
+/// Bytes that a record takes beside its own.
+const RECORD_OVERHEAD: usize = 8;
+
 /// Weight of a new observation in the mean time of a commit.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -86,13 +97,21 @@
     Deposed { epoch: u64 },
 }
 
+/// A job that is written with a batch.
+#[derive(Debug)]
+struct Packed {
+    id: Name,
+    phase: Phase,
+    row: Name,
+}
+
 #[derive(Debug)]
 struct Batch {
     /// Sendings that are not answered.
     calls: Vec<u64>,
     transaction: Transaction,
     commit: u64,
-    jobs: Vec<(Name, Phase)>,
+    jobs: Vec<Packed>,
     effects: Vec<Effect>,
     is_release: bool,
     sent: Duration,
@@ -110,7 +129,10 @@
     queued: HashSet<Name>,
     popped: u64,
     effects: VecDeque<(u64, Effect)>,
-    removals: VecDeque<Name>,
+    /// The jobs whose latest record is in a row, by the row's key.
+    rows: BTreeMap<Name, HashSet<Name>>,
+    /// The row of each job's latest record.
+    places: HashMap<Name, Name>,
     batch: Option<Batch>,
     finished: Duration,
     latency: Duration,
@@ -129,7 +151,8 @@
             queued: HashSet::new(),
             popped: 0,
             effects: VecDeque::new(),
-            removals: VecDeque::new(),
+            rows: BTreeMap::new(),
+            places: HashMap::new(),
             batch: None,
             finished: now,
             latency: commit_time,
@@ -163,9 +186,50 @@
         self.effects.push_back((self.popped + self.queue.len() as u64, effect));
     }
 
-    /// Removes a job's row.
-    pub fn remove(&mut self, job: Name) {
-        self.removals.push_back(job);
+    /// Notes that a job's latest record is in a row.
+    pub fn place(&mut self, job: Name, row: Name) {
+        if let Some(former) = self.places.insert(job.clone(), row.clone())
+            && let Some(jobs) = self.rows.get_mut(&former)
+        {
+            jobs.remove(&job);
+        }
+        self.rows.entry(row).or_default().insert(job);
+    }
+
+    /// Notes that a row holds no job's latest record.
+    pub fn note_row(&mut self, row: Name) {
+        self.rows.entry(row).or_default();
+    }
+
+    /// Forgets a job; its records go with their rows.
+    pub fn forget(&mut self, job: &Name) {
+        if let Some(row) = self.places.remove(job)
+            && let Some(jobs) = self.rows.get_mut(&row)
+        {
+            jobs.remove(job);
+        }
+    }
+
+    /// Has some jobs of the oldest rows written again, if there are too many rows.
+    fn compact(&mut self, most_rows: usize) {
+        if self.rows.len() < most_rows {
+            return;
+        }
+        let oldest = self.rows.values().flatten();
+        let moved: BTreeSet<Name> = oldest.take(COMPACTED_AT_ONCE).cloned().collect();
+        self.enqueue(moved);
+    }
+
+    /// Takes the oldest rows that hold nothing of use.
+    fn take_spent(&mut self, most: usize) -> Vec<Key> {
+        let mut spent = Vec::new();
+        while spent.len() < most {
+            let Some(oldest) = self.rows.first_entry().filter(|row| row.get().is_empty()) else {
+                break;
+            };
+            spent.push(Key { table: TABLE, key: oldest.remove_entry().0 });
+        }
+        spent
     }
 
     /// Gives the place up with the last batch.
@@ -207,22 +271,9 @@
     fn gather(&mut self, port: &Port, scheduler: &Scheduler) -> Batch {
         let mut head = self.head.clone();
         head.commit += 1;
-        let (mut jobs, mut writes, mut bytes) = (Vec::new(), Vec::new(), 0);
-        while writes.len() + 2 < port.config.max_writes && bytes < port.config.max_bytes {
-            let Some(id) = self.queue.pop_front() else { break };
-            self.queued.remove(&id);
-            self.popped += 1;
-            let Some(job) = scheduler.jobs.get(&id) else { continue };
-            let value = job.record().encode_to_vec();
-            bytes += value.len();
-            writes.push(Write { key: job_key(&id), value });
-            jobs.push((id, job.phase));
-        }
-        let mut removes = Vec::new();
-        while writes.len() + removes.len() + 2 < port.config.max_writes {
-            let Some(id) = self.removals.pop_front() else { break };
-            removes.push(job_key(&id));
-        }
+        self.compact(port.config.most_rows);
+        let (jobs, mut writes) = self.pack(port, scheduler, head.commit);
+        let removes = self.take_spent(port.config.max_writes.saturating_sub(writes.len() + 2));
         let ready = self.effects.iter().take_while(|(needs, _)| *needs <= self.popped).count();
         let effects = self.effects.drain(..ready).map(|(_, effect)| effect).collect();
         let is_release = self.is_releasing && self.queue.is_empty() && self.effects.is_empty();
@@ -244,6 +295,50 @@
         }
     }
 
+    /// Packs jobs that are to be written into rows.
+    fn pack(
+        &mut self,
+        port: &Port,
+        scheduler: &Scheduler,
+        commit: u64,
+    ) -> (Vec<Packed>, Vec<Write>) {
+        let (mut jobs, mut writes) = (Vec::new(), Vec::new());
+        let (mut segment, mut filled, mut total) = (Segment::default(), 0, 0);
+        while total < port.config.max_bytes {
+            let Some(id) = self.queue.pop_front() else { break };
+            self.queued.remove(&id);
+            self.popped += 1;
+            let Some(job) = scheduler.jobs.get(&id) else { continue };
+            let record = job.record();
+            let size = record.encoded_len() + RECORD_OVERHEAD;
+            if filled + size > port.config.max_row && filled > 0 {
+                let full = std::mem::take(&mut segment);
+                writes.push(self.row(commit, writes.len(), &full));
+                filled = 0;
+            }
+            filled += size;
+            total += size;
+            let row = self.row_key(commit, writes.len());
+            jobs.push(Packed { id, phase: job.phase, row });
+            segment.jobs.push(record);
+        }
+        if !segment.jobs.is_empty() {
+            writes.push(self.row(commit, writes.len(), &segment));
+        }
+        (jobs, writes)
+    }
+
+    fn row(&self, commit: u64, number: usize, segment: &Segment) -> Write {
+        let key = Key { table: TABLE, key: self.row_key(commit, number) };
+        Write { key, value: segment.encode_to_vec() }
+    }
+
+    /// Keys sort by the order in which the rows were written.
+    fn row_key(&self, commit: u64, number: usize) -> Name {
+        let epoch = self.head.epoch;
+        Name::from(format!("{JOURNAL}{epoch:010}/{commit:010}/{number:03}").as_str())
+    }
+
     /// Takes the outcome of a commit.
     pub fn committed(&mut self, port: &mut Port, call: u64, commit: Commit) -> Outcome {
         let Some(batch) = self.batch.as_mut() else { return Outcome::None };
@@ -292,7 +387,12 @@
         if batch.is_release {
             return Outcome::Released;
         }
-        Outcome::Durable { jobs: batch.jobs, effects: batch.effects, sent: batch.sent }
+        let mut jobs = Vec::with_capacity(batch.jobs.len());
+        for packed in batch.jobs {
+            self.place(packed.id.clone(), packed.row);
+            jobs.push((packed.id, packed.phase));
+        }
+        Outcome::Durable { jobs, effects: batch.effects, sent: batch.sent }
     }
 }
 
@@ -307,7 +407,3 @@
         port.out.push(Action::Commit { call, transaction, timeout: ANSWER_TIMEOUT });
     }
 }
-
-fn job_key(id: &str) -> Key {
-    Key { table: TABLE, key: Name::from(format!("{JOB}{id}").as_str()) }
-}
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -173,11 +173,15 @@
     /// Takes rows that were read; none where the store did not answer.
     pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
         let Some(recovery) = &mut self.recovery else { return };
-        let Some(jobs) = recovery.read(port, call, page) else { return };
-        for record in jobs {
+        let Some(recovered) = recovery.read(port, call, page) else { return };
+        for row in recovered.rows {
+            self.journal.note_row(row);
+        }
+        for (id, (row, record)) in recovered.jobs {
             let now_ms = self.clock.at(port.now);
             let age = Duration::from_millis(now_ms.saturating_sub(record.arrived_ms));
             let arrived = port.now.saturating_sub(age);
+            self.journal.place(common::Name::from(id.as_str()), row);
             recovery::restore(port, &mut self.scheduler, record, arrived);
         }
     }
@@ -449,7 +453,7 @@
         let old: Vec<_> = old.map(|job| job.id.clone()).collect();
         for id in old {
             if self.scheduler.forget(&id) {
-                self.journal.remove(id);
+                self.journal.forget(&id);
             }
         }
     }
--- a/crates/control/src/lead/recovery.rs
+++ b/crates/control/src/lead/recovery.rs
@@ -1,14 +1,15 @@
-//! Reading a pool's state back from the store.
+//! Reading a pool's state back from the store's journal rows.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use common::Name;
 use prost::Message;
-use scheduler::{Job, JobRecord, Scheduler};
+use scheduler::{Job, JobRecord, Scheduler, Segment};
 
 use crate::action::Action;
 use crate::event::note;
-use crate::head::{JOB, JOB_END, TABLE};
+use crate::head::{JOURNAL, JOURNAL_END, TABLE};
 use crate::node::Port;
 use crate::store::Page;
 
@@ -25,13 +26,29 @@
     from: Name,
     retry_at: Duration,
     is_done: bool,
+    state: Recovered,
+}
+
+/// What the rows say.
+#[derive(Debug, Default)]
+pub(crate) struct Recovered {
+    /// Each job's latest record and the key of its row.
+    pub jobs: BTreeMap<String, (Name, JobRecord)>,
+    /// The keys of all rows.
+    pub rows: Vec<Name>,
 }
 
 impl Recovery {
-    /// Begins to read the job rows.
+    /// Begins to read the rows.
     pub fn begin(port: &mut Port) -> Self {
-        let from = Name::new(JOB);
-        let mut recovery = Self { call: None, from, retry_at: port.now, is_done: false };
+        let from = Name::new(JOURNAL);
+        let mut recovery = Self {
+            call: None,
+            from,
+            retry_at: port.now,
+            is_done: false,
+            state: Recovered::default(),
+        };
         recovery.tick(port);
         recovery
     }
@@ -52,18 +69,13 @@
             call,
             table: TABLE,
             from: self.from.clone(),
-            to: Name::new(JOB_END),
+            to: Name::new(JOURNAL_END),
             timeout: READ_TIMEOUT,
         });
     }
 
-    /// Takes a page; returns its jobs.
-    pub fn read(
-        &mut self,
-        port: &mut Port,
-        call: u64,
-        page: Option<Page>,
-    ) -> Option<Vec<JobRecord>> {
+    /// Takes a page; returns what all rows say once the last one was read.
+    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) -> Option<Recovered> {
         if self.call != Some(call) {
             return None;
         }
@@ -76,16 +88,24 @@
         if let Some(last) = page.rows.last() {
             self.from = Name::from(format!("{}\0", last.key).as_str());
         }
-        let mut records = Vec::with_capacity(page.rows.len());
         for row in page.rows {
-            match JobRecord::decode(&*row.value) {
-                Ok(record) => records.push(record),
+            match Segment::decode(&*row.value) {
+                Ok(segment) => self.take(row.key, segment),
                 Err(error) => {
                     note!(port, RowIgnored, "key" => %row.key, "reason" => %error);
                 }
             }
         }
-        Some(records)
+        self.is_done.then(|| std::mem::take(&mut self.state))
+    }
+
+    /// Later rows come later, so their records replace earlier ones.
+    fn take(&mut self, row: Name, segment: Segment) {
+        for record in segment.jobs {
+            let id = record.submission.id.clone();
+            self.state.jobs.insert(id, (row.clone(), record));
+        }
+        self.state.rows.push(row);
     }
 }
 
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -26,6 +26,9 @@
 /// Length of the time in which faults come.
 const TROUBLE_MS: u64 = 20_000;
 
+/// Rows that may remain at the end: the journal's bound of 20, the head, and one commit's.
+const MOST_ROWS: usize = 25;
+
 /// Time after the faults in which everything must end.
 const CALM: Duration = Duration::from_secs(40);
 
@@ -202,6 +205,10 @@
 
     fn check(&mut self) -> Vec<String> {
         let mut faults = std::mem::take(&mut self.world.violations);
+        let rows = self.world.store.rows.len();
+        if rows > MOST_ROWS {
+            faults.push(format!("the store holds {rows} rows"));
+        }
         let mut tokens: Vec<_> = self.tokens.clone().into_iter().collect();
         tokens.sort();
         let confirmed: Vec<Name> = self
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -141,6 +141,8 @@
             grace: ms(6000),
             max_writes: 100,
             max_bytes: 600_000,
+            max_row: 48_000,
+            most_rows: 20,
             commit_time: ms(8),
         };
         let log = test_log(&config.member);
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -164,3 +164,11 @@
     #[prost(uint64, tag = "6")]
     pub ended_ms: u64,
 }
+
+/// Jobs that were written together.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Segment {
+    /// The jobs, each as it was then.
+    #[prost(message, repeated, tag = "1")]
+    pub jobs: Vec<JobRecord>,
+}
