--- a/crates/control/src/action.rs
+++ b/crates/control/src/action.rs
@@ -5,7 +5,7 @@
 use common::Name;
 
 use crate::answer::Answer;
-use crate::frame::Frame;
+use crate::frame::{Bounds, Frame};
 use crate::store::Transaction;
 
 common::key! {
@@ -146,6 +146,8 @@
             /// How long to wait.
             timeout: Duration,
         },
+        /// Bound callers' requests.
+        Bound(Bounds),
         /// Begin to answer the readiness check with yes or no.
         Ready(bool),
         /// End the process.
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -35,3 +35,14 @@
         pub commit_time: Duration,
     }
 }
+
+impl Config {
+    /// Takes new settings, but for what identifies the running daemon.
+    pub(crate) fn renew(&mut self, settings: Self) {
+        let former = std::mem::replace(self, settings);
+        self.member = former.member;
+        self.address = former.address;
+        self.incarnation = former.incarnation;
+        self.seed = former.seed;
+    }
+}
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::answer::{Answer, Call, Op};
 use crate::event::note;
 use crate::frame::{Body, Reply, Request};
+use crate::meter::{Count, Hop};
 use crate::node::Port;
 
 /// How long a request waits for a leader before it is refused, or given up if it was sent.
@@ -105,6 +106,7 @@
     /// Tells a caller the leader's answer.
     pub fn answer(&mut self, port: &mut Port, id: u64, answer: Answer) {
         if let Some(pending) = self.pending.remove(&id) {
+            port.meter.time(Hop::Answer, port.now.saturating_sub(pending.arrived));
             port.answer(pending.token, answer);
         }
     }
@@ -204,6 +206,21 @@
 
 impl Port {
     fn answer(&mut self, token: u64, answer: Answer) {
+        self.meter.count(Count::Answers, word(&answer), 1);
         self.out.push(Action::Answer { token, answer });
     }
 }
+
+/// The word for an answer in metrics.
+fn word(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Accepted => "accepted",
+        Answer::State(_) => "state",
+        Answer::Cancelled => "cancelled",
+        Answer::Pending(_) => "pending",
+        Answer::NoQueue => "no_queue",
+        Answer::NoJob => "no_job",
+        Answer::Refused { .. } => "refused",
+        Answer::Unknown => "unknown",
+    }
+}
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -31,6 +31,9 @@
     5002 StopBegan "graceful stop began";
     5003 StopDone "graceful stop done";
     5004 Woken "process was suspended";
+    5005 Reloaded "settings file read again";
+    5006 ReloadRefused "settings file has faults; the former settings stay";
+    5007 LinesLeftOut "log lines about jobs were left out";
     5101 LeaderFound "leader found";
     5102 LeaderLost "leader lost";
     5103 Claiming "leadership claimed";
@@ -74,4 +77,13 @@
     };
 }
 
-pub(crate) use note;
+/// Logs an event of a job, if the job is one of those that are logged.
+macro_rules! note_job {
+    ($port:expr, $job:expr, $event:ident $(, $($fields:tt)*)?) => {
+        if $port.sampler.takes($job, $port.now) {
+            $crate::event::note!($port, $event, "job" => %$job $(, $($fields)*)?);
+        }
+    };
+}
+
+pub(crate) use {note, note_job};
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -475,6 +475,9 @@
             }
             Some(Body::Members(members)) => {
                 self.members = members.addresses.iter().map(|address| Name::new(address)).collect();
+                if let Some(bounds) = members.bounds {
+                    port.out.push(Action::Bound(bounds));
+                }
             }
             Some(Body::Resign(resign)) => {
                 let is_successor = *resign.successor == *port.config.member;
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons: prost messages written by hand, so no generator runs.
 
-use scheduler::Submission;
+use scheduler::{Limits, Submission};
 
 /// First message of a follower.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -33,12 +33,43 @@
     pub known_leader: String,
 }
 
-/// The daemons that the leader hears of.
+/// Bounds on callers' requests, from the operator's rules.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Bounds {
+    /// Largest header, in bytes.
+    #[prost(uint32, tag = "1")]
+    pub header_bytes: u32,
+    /// Largest body, in bytes.
+    #[prost(uint32, tag = "2")]
+    pub body_bytes: u32,
+    /// How long a header may take to arrive, in ms.
+    #[prost(uint32, tag = "3")]
+    pub header_ms: u32,
+    /// How long a connection may be idle, in ms.
+    #[prost(uint32, tag = "4")]
+    pub idle_ms: u32,
+}
+
+/// What all daemons should know, as the leader knows it.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Members {
-    /// Where peers reach them.
+    /// Where peers reach the daemons that the leader hears of.
     #[prost(string, repeated, tag = "1")]
     pub addresses: Vec<String>,
+    /// Bounds on callers' requests, once the rules are known.
+    #[prost(message, optional, tag = "2")]
+    pub bounds: Option<Bounds>,
+}
+
+impl From<&Limits> for Bounds {
+    fn from(limits: &Limits) -> Self {
+        Self {
+            header_bytes: limits.header_bytes as u32,
+            body_bytes: limits.body_bytes as u32,
+            header_ms: limits.header_timeout.as_millis() as u32,
+            idle_ms: limits.idle_timeout.as_millis() as u32,
+        }
+    }
 }
 
 /// A new leader tells a daemon that may not know of it.
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -7,6 +7,7 @@
 
 use crate::action::Watch;
 use crate::answer::Call;
+use crate::config::Config;
 use crate::frame::Frame;
 use crate::store::{Commit, Page};
 
@@ -165,6 +166,8 @@
             /// The answer.
             advised: Option<Advised>,
         },
+        /// The settings changed; what identifies the daemon stays as it was.
+        Configure(Config),
         /// The process is to stop gracefully.
         Stop,
         /// The process was suspended for a while.
--- a/crates/control/src/lead/advisors.rs
+++ b/crates/control/src/lead/advisors.rs
@@ -13,6 +13,7 @@
 use crate::action::Action;
 use crate::frame::{self, Body};
 use crate::lead::peers::Peers;
+use crate::meter::Hop;
 use crate::node::Port;
 
 /// Expected time from which a call counts as slow.
@@ -37,6 +38,7 @@
     job: Name,
     step: u32,
     cost: Duration,
+    sent: Duration,
     deadline: Duration,
 }
 
@@ -68,7 +70,7 @@
                 call,
                 job: ask.job.clone(),
                 step: ask.step,
-                workers: ask.workers,
+                workers: ask.workers.clone(),
                 timeout,
             }),
             Some(link) => {
@@ -80,7 +82,8 @@
             }
         }
         let deadline = port.now + timeout + RELAY_SLACK;
-        let state = Call { link: place, job: ask.job, step: ask.step, cost: ask.cost, deadline };
+        let Ask { job, step, cost, .. } = ask;
+        let state = Call { link: place, job, step, cost, sent: port.now, deadline };
         self.calls.insert(call, state);
     }
 
@@ -91,8 +94,9 @@
     }
 
     /// Notes that a call ended; returns its job and step.
-    pub fn done(&mut self, call: u64) -> Option<(Name, u32)> {
+    pub fn done(&mut self, port: &Port, call: u64) -> Option<(Name, u32)> {
         let call = self.calls.remove(&call)?;
+        port.meter.time(Hop::Advice, port.now.saturating_sub(call.sent));
         Some((call.job, call.step))
     }
 
@@ -100,6 +104,7 @@
     pub fn drop_link(&mut self, link: u64) -> Vec<(Name, u32)> {
         let lost = self.calls.iter().filter(|(_, call)| call.link == Some(link));
         let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
-        lost.into_iter().filter_map(|id| self.done(id)).collect()
+        let calls = lost.into_iter().filter_map(|id| self.calls.remove(&id));
+        calls.map(|call| (call.job, call.step)).collect()
     }
 }
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -21,6 +21,7 @@
 use crate::event::note;
 use crate::head::{HEAD, Head, JOURNAL, TABLE};
 use crate::lead::requests::Caller;
+use crate::meter::{Count, Hop};
 use crate::node::Port;
 use crate::store::{Commit, Key, Row, Transaction, Write};
 
@@ -350,6 +351,8 @@
             Commit::Done { version, .. } => self.durable(port, version),
             Commit::Conflict { row } => self.conflict(port, row),
             Commit::Refused | Commit::Unknown => {
+                let word = if commit == Commit::Refused { "refused" } else { "unanswered" };
+                port.meter.count(Count::Commits, word, 1);
                 if batch.calls.is_empty() {
                     batch.resend_at = batch.resend_at.min(port.now + REFUSED_PAUSE);
                 }
@@ -377,6 +380,7 @@
         self.version = version;
         self.head.commit = batch.commit;
         let took = port.now.saturating_sub(batch.sent);
+        port.meter.time(Hop::Commit, took);
         let mean = self.latency.mul_f64(1.0 - LATENCY_WEIGHT) + took.mul_f64(LATENCY_WEIGHT);
         self.latency = mean;
         self.finished = port.now;
--- a/crates/control/src/lead/links.rs
+++ b/crates/control/src/lead/links.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::Report;
+use scheduler::{How, Report};
 
 use crate::action::Action;
-use crate::event::note;
+use crate::event::{note, note_job};
 use crate::input::RenewReply;
 use crate::lead::{Leader, journal::Effect};
+use crate::meter::{Count, Hop};
 use crate::node::Port;
 
 /// Length of a lease, below the platform's bound.
@@ -245,6 +246,7 @@
 
     /// Gives up all runs of a worker.
     pub(super) fn write_off(&mut self, port: &mut Port, id: &Name) {
+        port.meter.count(Count::Workers, "written_off", 1);
         let store_ms = self.store_ms(port.now);
         self.scheduler.write_off(id, port.now, store_ms);
         if self.scheduler.pool.get(id).is_none() {
@@ -279,6 +281,7 @@
                     && worker.is_reachable
                 {
                     worker.is_reachable = false;
+                    port.meter.count(Count::Workers, "lost", 1);
                     note!(port, WorkerLost, "worker" => %id, "holds" => worker.assigned.len());
                 }
             }
@@ -315,13 +318,8 @@
         }
         let born = link.born;
         let store_ms = self.store_ms(now);
-        for end in &listing.finished {
-            if let Some(key) = &end.key {
-                note!(port, TaskEnded, "job" => %key.job, "step" => key.step, "index" => key.index,
-                    "run" => end.run, "worker" => %id, "how" => ?end.how, "number" => end.number);
-            }
-        }
         let number = self.scheduler.listing(id, listing, is_new_life, sent, now, store_ms);
+        self.note_ends(port, id);
         let Some(link) = self.links.links.get_mut(id) else { return };
         link.next_at = now;
         link.listed = number;
@@ -331,4 +329,29 @@
             self.journal.after(Effect::Seen { worker: id.clone(), born, number });
         }
     }
+
+    fn note_ends(&mut self, port: &mut Port, worker: &Name) {
+        for ended in std::mem::take(&mut self.scheduler.ended) {
+            let how = word(ended.how);
+            port.meter.count(Count::Ends, how, 1);
+            if ended.how == How::Done {
+                port.meter.time(Hop::Run, ended.ran);
+            }
+            let key = &ended.key;
+            note_job!(port, &key.job, TaskEnded, "step" => key.step, "index" => key.index,
+                "run" => ended.run, "worker" => %worker, "how" => how,
+                "ran_ms" => ended.ran.as_millis() as u64, "epoch" => self.epoch);
+        }
+    }
+}
+
+fn word(how: How) -> &'static str {
+    match how {
+        How::Done => "done",
+        How::Failed => "failed",
+        How::Stopped => "stopped",
+        How::Lapsed => "lapsed",
+        How::Broken => "broken",
+        How::Alone => "alone",
+    }
 }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -14,10 +14,11 @@
 
 use crate::action::Action;
 use crate::answer::Answer;
-use crate::event::note;
-use crate::frame::Resign;
+use crate::event::{note, note_job};
+use crate::frame::{Bounds, Resign};
 use crate::head::Head;
 use crate::input::{Advised, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
+use crate::meter::{Count, Hop, Level};
 use crate::node::Port;
 use crate::store::{Commit, Page};
 use crate::{Body, Watch};
@@ -206,13 +207,7 @@
             Outcome::Durable { jobs, effects, sent } => {
                 self.doubted = self.doubted.filter(|since| sent < *since);
                 for (id, phase) in jobs {
-                    if let Some(job) = self.scheduler.jobs.get_mut(&id) {
-                        if phase != Phase::Open && job.durable != Some(phase) {
-                            note!(port, JobEnded, "job" => %id, "phase" => ?phase,
-                                "age_ms" => port.now.saturating_sub(job.arrived).as_millis() as u64);
-                        }
-                        job.durable = Some(phase);
-                    }
+                    self.job_durable(port, &id, phase);
                 }
                 for effect in effects {
                     self.carry_out(port, effect);
@@ -228,11 +223,53 @@
             }
             Outcome::Deposed { epoch } => {
                 note!(port, Deposed, "epoch" => self.epoch, "by_epoch" => epoch);
+                port.meter.count(Count::Leadership, "deposed", 1);
                 self.fate = Fate::StepDown;
             }
         }
     }
 
+    /// Notes that the store has a job in a phase.
+    fn job_durable(&mut self, port: &mut Port, id: &str, phase: Phase) {
+        let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
+        let age = port.now.saturating_sub(job.arrived);
+        if job.durable.is_none() {
+            port.meter.time(Hop::Accept, age);
+        }
+        if phase != Phase::Open && job.durable != Some(phase) {
+            let word = match phase {
+                Phase::Open => "open",
+                Phase::Completed => "completed",
+                Phase::Failed => "failed",
+                Phase::Cancelled => "cancelled",
+            };
+            port.meter.time(Hop::Job, age);
+            port.meter.count(Count::Jobs, word, 1);
+            let late = port.now.saturating_sub(job.due).as_millis() as u64;
+            note_job!(port, id, JobEnded, "phase" => word, "queue" => %job.queue,
+                "age_ms" => age.as_millis() as u64, "late_ms" => late, "epoch" => self.epoch);
+        }
+        job.durable = Some(phase);
+    }
+
+    /// Notes the levels of what the leader holds.
+    pub fn measure(&self, port: &Port) {
+        let meter = &port.meter;
+        let usable = self.scheduler.pool.iter().filter(|worker| worker.is_usable(port.now));
+        let (mut count, mut free) = (0, 0);
+        for worker in usable {
+            count += 1;
+            free += u64::from(worker.free().cpu);
+        }
+        let assigned = self.scheduler.pool.iter().map(|worker| worker.assigned.len() as u64).sum();
+        meter.level(Level::OpenJobs, self.scheduler.open_jobs() as u64);
+        meter.level(Level::Assigned, assigned);
+        meter.level(Level::UsableWorkers, count);
+        meter.level(Level::FreeCpu, free);
+        meter.level(Level::Followers, self.peers.count() as u64);
+        meter.level(Level::StoreAge, self.journal.age(port.now).as_millis() as u64);
+    }
+
     fn carry_out(&mut self, port: &mut Port, effect: Effect) {
         match effect {
             Effect::Answer(caller, answer) => self.answer(port, &caller, answer),
@@ -269,7 +306,9 @@
             && self.scheduler.rules.as_ref().is_none_or(|known| known.version < rules.version)
         {
             note!(port, RulesChanged, "version" => rules.version, "queues" => rules.queues.len());
+            port.out.push(Action::Bound(Bounds::from(&rules.limits)));
             self.scheduler.set_rules(rules);
+            self.tell_members(port);
         }
         if what == Watch::Roster {
             if change.is_whole {
@@ -335,7 +374,8 @@
 
     /// Takes the answer of an advice call made here.
     pub fn advised(&mut self, port: &mut Port, call: u64, advised: Option<Advised>) {
-        let Some((job, step)) = self.advisors.done(call) else { return };
+        let Some((job, step)) = self.advisors.done(port, call) else { return };
+        port.meter.count(Count::Advice, if advised.is_some() { "answered" } else { "failed" }, 1);
         if advised.is_none() {
             note!(port, AdviceFailed, "job" => %job, "step" => step);
         }
@@ -430,6 +470,7 @@
         self.retry_orders(port);
         for worker in std::mem::take(&mut self.scheduler.quarantined) {
             note!(port, WorkerAvoided, "worker" => %worker);
+            port.meter.count(Count::Workers, "avoided", 1);
         }
         self.journal.enqueue(std::mem::take(&mut self.scheduler.dirty));
         for start in std::mem::take(&mut self.scheduler.starts) {
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -10,9 +10,10 @@
 use scheduler::{Order, Phase, Refusal, Start, Stop};
 
 use crate::action::Action;
-use crate::event::note;
+use crate::event::{note, note_job};
 use crate::input::OrderReply;
 use crate::lead::Leader;
+use crate::meter::{Count, Hop};
 use crate::node::Port;
 
 /// How long a start may take before it is sent again.
@@ -110,9 +111,10 @@
     }
 
     fn not_started(&mut self, port: &mut Port, start: &Start, why: Refusal) {
-        note!(port, TaskNotStarted, "job" => %start.key.job, "step" => start.key.step,
+        port.meter.count(Count::NotStarted, reason(why), 1);
+        note_job!(port, &start.key.job, TaskNotStarted, "step" => start.key.step,
             "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
-            "reason" => ?why, "fence" => self.epoch);
+            "reason" => reason(why), "epoch" => self.epoch);
         let store_ms = self.store_ms(port.now);
         self.scheduler.not_started(start, why, port.now, store_ms);
     }
@@ -125,8 +127,9 @@
     /// Sends a stop.
     pub(super) fn send_stop(&mut self, port: &mut Port, stop: Stop) {
         let Some(address) = self.links.address(&stop.worker) else { return };
-        note!(port, TaskStopped, "job" => %stop.key.job, "step" => stop.key.step,
-            "index" => stop.key.index, "run" => stop.run, "worker" => %stop.worker);
+        note_job!(port, &stop.key.job, TaskStopped, "step" => stop.key.step,
+            "index" => stop.key.index, "run" => stop.run, "worker" => %stop.worker,
+            "epoch" => self.epoch);
         let call = port.call();
         port.out.push(Action::Stop {
             call,
@@ -167,6 +170,7 @@
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.links.heard(&start.worker, clock_ms, now);
+                self.note_started(port, &start);
                 self.scheduler.started(&start, now);
             }
             OrderReply::Refused { clock_ms, why } => {
@@ -191,7 +195,7 @@
                 self.not_started(port, &start, Refusal::Unhealthy);
             }
             OrderReply::Unreachable | OrderReply::Unknown => {
-                note!(port, TaskUndecided, "job" => %start.key.job, "step" => start.key.step,
+                note_job!(port, &start.key.job, TaskUndecided, "step" => start.key.step,
                     "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
                     "tries" => tries);
                 self.mark_undecided(&start);
@@ -206,6 +210,27 @@
         }
     }
 
+    fn note_started(&self, port: &mut Port, start: &Start) {
+        let held = self.scheduler.pool.get(&start.worker);
+        let held = held.and_then(|worker| worker.assigned.get(&start.key));
+        let Some(held) = held.filter(|held| held.run == start.run && held.order == Order::Sent)
+        else {
+            return;
+        };
+        let took = port.now.saturating_sub(held.since);
+        port.meter.count(Count::Starts, "confirmed", 1);
+        port.meter.time(Hop::Start, took);
+        let job = self.scheduler.jobs.get(&start.key.job);
+        let age = job.map_or(Duration::ZERO, |job| port.now.saturating_sub(job.arrived));
+        if start.run == 1 && start.key.step == 0 && start.key.index == 0 {
+            port.meter.time(Hop::FirstStart, age);
+        }
+        note_job!(port, &start.key.job, TaskStarted, "step" => start.key.step,
+            "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
+            "took_ms" => took.as_millis() as u64, "age_ms" => age.as_millis() as u64,
+            "epoch" => self.epoch);
+    }
+
     fn is_undecided(&self, start: &Start) -> bool {
         let worker = self.scheduler.pool.get(&start.worker);
         let held = worker.and_then(|worker| worker.assigned.get(&start.key));
@@ -254,3 +279,15 @@
         }
     }
 }
+
+/// The word for a refusal in logs and metrics.
+fn reason(why: Refusal) -> &'static str {
+    match why {
+        Refusal::Ticket => "ticket",
+        Refusal::Room => "room",
+        Refusal::Fence => "fence",
+        Refusal::Stale => "stale",
+        Refusal::Unhealthy => "unhealthy",
+        Refusal::Withdrawn => "withdrawn",
+    }
+}
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -7,7 +7,7 @@
 
 use crate::action::Action;
 use crate::entry::{decode, encode_answer};
-use crate::frame::{Advice, Announce, Beat, Body, Hello, Members, Reply, Welcome};
+use crate::frame::{Advice, Announce, Beat, Body, Bounds, Hello, Members, Reply, Welcome};
 use crate::input::Advised;
 use crate::lead::{Leader, requests::Caller};
 use crate::node::Port;
@@ -66,6 +66,11 @@
         self.peers.iter().filter(move |(_, peer)| answers(peer)).map(|(link, _)| *link)
     }
 
+    /// Number of followers.
+    pub fn count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// The follower that answered last.
     pub fn successor(&self) -> Option<Name> {
         let latest = self.peers.values().max_by_key(|peer| peer.heard)?;
@@ -171,9 +176,15 @@
         let (epoch, is_serving) = (self.epoch, self.is_serving());
         let welcome = Welcome { epoch, is_serving, ..Welcome::default() };
         port.send(link, Body::Welcome(welcome));
+        self.tell_members(port);
+    }
+
+    /// Tells all followers who else is there, and the bounds on requests.
+    pub(super) fn tell_members(&self, port: &mut Port) {
         let mut addresses = vec![port.config.address.to_string()];
         addresses.extend(self.peers.peers.values().map(|peer| peer.address.to_string()));
-        self.peers.broadcast(port, &Body::Members(Members { addresses }));
+        let bounds = self.scheduler.rules.as_ref().map(|rules| Bounds::from(&rules.limits));
+        self.peers.broadcast(port, &Body::Members(Members { addresses, bounds }));
     }
 
     fn advice(&mut self, port: &mut Port, advice: &Advice) {
--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -6,7 +6,7 @@
 use scheduler::Submission;
 
 use crate::answer::{Answer, Call, Op};
-use crate::event::note;
+use crate::event::note_job;
 use crate::lead::{Leader, journal::Effect};
 use crate::node::Port;
 
@@ -60,8 +60,8 @@
             (None, None) => self.answer(port, &caller, Answer::NoQueue),
             (None, Some(queue)) => {
                 let version = self.scheduler.rules.as_ref().map_or(0, |rules| rules.version);
-                note!(port, JobAccepted, "job" => &job.id, "queue" => %queue, "rules" => version,
-                    "steps" => job.steps.len());
+                note_job!(port, &job.id, JobAccepted, "queue" => %queue, "rules" => version,
+                    "steps" => job.steps.len(), "epoch" => self.epoch);
                 let store_ms = self.store_ms(port.now);
                 self.scheduler.submit(job, queue, port.now, store_ms);
                 self.journal.enqueue(std::mem::take(&mut self.scheduler.dirty));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,7 +18,9 @@
 mod head;
 mod input;
 mod lead;
+mod meter;
 mod node;
+mod sample;
 mod store;
 
 pub use action::{Action, Watch};
@@ -26,9 +28,10 @@
 pub use config::Config;
 pub use event::Event;
 pub use frame::{
-    Advice, Ask, Beat, Body, Frame, Hello, Members, Reply, Request, Resign, Ticket, Welcome,
+    Advice, Ask, Beat, Body, Bounds, Frame, Hello, Members, Reply, Request, Resign, Ticket, Welcome,
 };
 pub use head::Head;
 pub use input::{Advised, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
+pub use meter::{Count, Hop, Level, Meter, NoMeter};
 pub use node::{Node, Role};
 pub use store::{Commit, Key, Page, Row, Transaction, Write};
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! A daemon: its callers, its links to peers, and its role.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -14,6 +15,8 @@
 use crate::frame::{Advice, Announce, Ask, Body, Frame, Ticket, Welcome};
 use crate::input::{Advised, Input, PeerEvent};
 use crate::lead::{Caller, Fate, Leader};
+use crate::meter::{Count, Level, Meter};
+use crate::sample::Sampler;
 
 /// Time for which a stopping daemon goes on taking connections, so that the platform
 /// notices the failing readiness check first.
@@ -22,6 +25,9 @@
 /// Time before the end of the grace period at which a stopping daemon exits anyway.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Pause between two notes of levels.
+const MEASURE_PAUSE: Duration = Duration::from_secs(2);
+
 /// Suspension after which a leader confirms its place before it answers.
 const LONG_SUSPENSION: Duration = Duration::from_millis(300);
 
@@ -46,6 +52,8 @@
     pub now: Duration,
     pub out: Vec<Action>,
     pub log: Logger,
+    pub meter: Rc<dyn Meter>,
+    pub sampler: Sampler,
     next_call: u64,
     next_link: u64,
     rng: SmallRng,
@@ -90,16 +98,18 @@
     stopping: Option<Duration>,
     has_exited: bool,
     is_ready: Option<bool>,
+    measured: Duration,
     /// Advice calls made for the leader: own number, link and number there.
     asked: Vec<(u64, u64, u64)>,
 }
 
 impl Node {
     /// A node that knows nothing yet.
-    pub fn new(config: Config, log: Logger, now: Duration) -> Self {
+    pub fn new(config: Config, log: Logger, meter: Rc<dyn Meter>, now: Duration) -> Self {
         let rng = SmallRng::seed_from_u64(config.seed);
         let out = Vec::new();
-        let port = Port { config, now, out, log, next_call: 0, next_link: 0, rng };
+        let sampler = Sampler::new();
+        let port = Port { config, now, out, log, meter, sampler, next_call: 0, next_link: 0, rng };
         Self {
             port,
             entry: Entry::default(),
@@ -107,6 +117,7 @@
             stopping: None,
             has_exited: false,
             is_ready: None,
+            measured: now,
             asked: Vec::new(),
         }
     }
@@ -139,6 +150,7 @@
             Input::Peer { link, event } => self.peer(link, event),
             Input::Advised { call, advised } => self.advised(call, advised),
             Input::Stop => self.stop(),
+            Input::Configure(config) => self.port.config.renew(config),
             Input::Woken { gap } => self.woken(gap),
             Input::Read { call, page } => match &mut self.part {
                 Part::Follower(follower) => follower.read(&mut self.port, call, page),
@@ -285,6 +297,7 @@
     fn decide(&mut self, verdict: Verdict) {
         let Verdict::Lead { head, version, store_ms } = verdict else { return };
         note!(self.port, Leads, "epoch" => head.epoch, "version" => version);
+        self.port.meter.count(Count::Leadership, "claimed", 1);
         self.entry.unsend();
         self.asked.clear();
         let members = match &self.part {
@@ -346,6 +359,29 @@
         self.entry.expire(&mut self.port, leaderless, is_cut_off);
         self.tell_ready();
         self.exit_when_done();
+        self.measure();
+    }
+
+    /// Notes levels, and how many log lines were left out.
+    fn measure(&mut self) {
+        if self.port.now < self.measured + MEASURE_PAUSE {
+            return;
+        }
+        self.measured = self.port.now;
+        let leader = match &self.part {
+            Part::Leader(leader) => Some(leader),
+            Part::Follower(_) => None,
+        };
+        self.port.meter.level(Level::Leads, u64::from(leader.is_some()));
+        self.port.meter.level(Level::Requests, self.entry.len() as u64);
+        if let Some(leader) = leader {
+            leader.measure(&self.port);
+        }
+        let left_out = self.port.sampler.take_left_out();
+        if left_out > 0 {
+            self.port.meter.count(Count::LinesLeftOut, "sampled", left_out);
+            note!(self.port, LinesLeftOut, "lines" => left_out);
+        }
     }
 
     fn tell_ready(&mut self) {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -146,7 +146,7 @@
             commit_time: ms(8),
         };
         let log = test_log(&config.member);
-        slot.node = Some(Node::new(config, log, self.now));
+        slot.node = Some(Node::new(config, log, std::rc::Rc::new(control::NoMeter), self.now));
         slot.is_frozen = false;
         let life = slot.life;
         self.exited.remove(&number);
@@ -315,6 +315,7 @@
             Action::Ready(is_ready) => {
                 self.ready.insert(node, is_ready);
             }
+            Action::Bound(_) => {}
             Action::Exit => {
                 self.exited.insert(node);
                 self.kill(node);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod mesh;
 pub mod run;
 pub mod server;
+pub mod telemetry;
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -38,7 +38,9 @@
         pub header_bytes: usize,
         /// Longest time for a body to arrive.
         pub body_timeout: Duration,
-        /// Longest time that a connection may be idle or its header take.
+        /// Longest time for a header to arrive.
+        pub header_timeout: Duration,
+        /// Longest time that a connection may be idle.
         pub idle_timeout: Duration,
     }
 }
@@ -110,7 +112,9 @@
         async move { answer(&*handler, request, limits, &watched).await }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(limits.idle_timeout);
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout));
     builder.max_buf_size(limits.header_bytes.max(8192));
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
--- /dev/null
+++ b/crates/host/src/telemetry.rs
@@ -0,0 +1,86 @@
+//! Metrics in Prometheus text, by OpenTelemetry.
+
+use std::fmt;
+use std::time::Duration;
+
+use control::{Count, Hop, Level, Meter};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 13] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
+
+/// Everything that a daemon measures.
+pub struct Telemetry {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    counters: Vec<Counter<u64>>,
+    histograms: Vec<Histogram<f64>>,
+    gauges: Vec<Gauge<u64>>,
+}
+
+impl fmt::Debug for Telemetry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Telemetry").finish_non_exhaustive()
+    }
+}
+
+impl Telemetry {
+    /// Starts to count.
+    ///
+    /// # Errors
+    ///
+    /// A text where the exporter cannot be set up.
+    pub fn start() -> Result<Self, String> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = exporter.map_err(|error| error.to_string())?;
+        let resource = Resource::builder_empty().with_service_name("bronzerail").build();
+        let provider =
+            SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
+        let meter = provider.meter("bronzerail");
+        let counter = |what: Count| meter.u64_counter(what.name()).build();
+        let histogram = |hop: Hop| {
+            let builder = meter.f64_histogram(hop.name()).with_unit("s");
+            builder.with_boundaries(BUCKETS.to_vec()).build()
+        };
+        let gauge = |level: Level| meter.u64_gauge(level.name()).build();
+        Ok(Self {
+            counters: Count::ALL.map(counter).into(),
+            histograms: Hop::ALL.map(histogram).into(),
+            gauges: Level::ALL.map(gauge).into(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Everything measured, in Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// A text where a metric does not fit the format.
+    pub fn text(&self) -> Result<String, String> {
+        let mut out = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        encoded.map_err(|error| error.to_string())?;
+        Ok(String::from_utf8_lossy(&out).into_owned())
+    }
+}
+
+impl Meter for Telemetry {
+    fn count(&self, what: Count, label: &'static str, by: u64) {
+        self.counters[what as usize].add(by, &[KeyValue::new("kind", label)]);
+    }
+
+    fn time(&self, hop: Hop, span: Duration) {
+        self.histograms[hop as usize].record(span.as_secs_f64(), &[]);
+    }
+
+    fn level(&self, level: Level, value: u64) {
+        self.gauges[level as usize].record(value, &[]);
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,6 @@
 pub use pool::Pool;
 pub use record::{JobRecord, Need, Segment, Step, StepRecord, Submission, TaskRecord};
 pub use rules::{Hint, Limits, Queue, Rules};
-pub use scheduler::{Ask, Refusal, Scheduler, Start, Stop};
+pub use scheduler::{Ask, Ended, Refusal, Scheduler, Start, Stop};
 pub use step::{Fit, StepState};
 pub use worker::{Assignment, Order, Report, Worker};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -38,6 +38,18 @@
         pub worker: Name,
     }
 
+    /// A run that its worker listed as ended.
+    pub struct Ended {
+        /// The task.
+        pub key: TaskKey,
+        /// The run's number.
+        pub run: u32,
+        /// How it ended.
+        pub how: How,
+        /// How long it ran, as seen from here.
+        pub ran: Duration,
+    }
+
     /// An advice call to make.
     pub struct Ask {
         /// The job.
@@ -86,6 +98,8 @@
     pub stops: Vec<Stop>,
     /// Advice calls to make.
     pub asks: Vec<Ask>,
+    /// Ends that were listed, for the log.
+    pub ended: Vec<Ended>,
     /// Workers avoided because they fail what they start, for the log.
     pub quarantined: Vec<Name>,
     pub(crate) estimate: Estimate,
@@ -294,8 +308,10 @@
             How::Failed if worker.note_failure(now) => self.quarantined.push(id.clone()),
             _ => {}
         }
+        let ran = now.saturating_sub(assignment.since);
+        self.ended.push(Ended { key: key.clone(), run: end.run, how, ran });
         if how == How::Done && assignment.order == Order::Running {
-            self.learn(key, now.saturating_sub(assignment.since));
+            self.learn(key, ran);
         }
         self.keep_checkpoint(key, end.run, &end.saved);
         self.run_ended(key, end.run, how, now, store_ms);
@@ -514,6 +530,11 @@
         self.estimate.observe_advice(&job.queue, fresh, granted);
     }
 
+    /// Number of jobs that are open.
+    pub fn open_jobs(&self) -> usize {
+        self.open.len()
+    }
+
     /// Jobs of a queue that wait for their first start.
     pub fn pending(&self, queue: &str) -> usize {
         let open = self.open.keys().filter_map(|(_, _, id)| self.jobs.get(id));
