--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -406,7 +406,7 @@
         let call = port.call();
         self.calls.push(call);
         self.resend_at = port.now + self.pause;
-        self.pause *= RESEND_GROWTH;
+        self.pause = (self.pause * RESEND_GROWTH).min(ANSWER_TIMEOUT);
         let transaction = self.transaction.clone();
         port.out.push(Action::Commit { call, transaction, timeout: ANSWER_TIMEOUT });
     }
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -116,3 +116,15 @@
     assert!(world.reaches("j21", Shown::Completed, secs(25)));
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+#[test]
+fn pending_counts_jobs_whose_start_is_on_its_way() {
+    let mut world = ready(9, 3, 2);
+    world.trouble.late_orders = 1.0;
+    world.submit(job("j21", vec![step(1, 900)]));
+    world.run(Duration::from_millis(500));
+    let token = world.call(1, Op::Pending);
+    world.run(Duration::from_millis(200));
+    assert_eq!(world.answers.get(&token), Some(&Answer::Pending(1)));
+    assert_eq!(world.state("j21"), Some(Answer::State(Shown::Queued)));
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -47,6 +47,8 @@
     pub late_orders: f64,
     /// How many times as long the store takes; 0 for the usual time.
     pub store_slowness: u32,
+    /// Whether the store refuses all commits.
+    pub is_store_busy: bool,
     /// Whether the store is away for all.
     pub is_store_down: bool,
 }
@@ -338,6 +340,10 @@
                 let input = Input::Read { call, page };
                 self.at(self.now + wait, Event::Input { node, life, input });
             }
+            Action::Commit { call, .. } if self.trouble.is_store_busy => {
+                let input = Input::Commit { call, commit: control::Commit::Refused };
+                self.at(self.now + ms(4), Event::Input { node, life, input });
+            }
             Action::Commit { call, transaction, timeout } => {
                 let is_lost = !self.is_store_up(node) || self.chance(self.trouble.lost_commits);
                 if is_lost {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -135,3 +135,18 @@
     }
     assert_eq!((world.leader(), world.store.epoch()), (leader, epoch));
 }
+
+#[test]
+fn busy_store_is_asked_until_it_takes_commits() {
+    let mut world = ready(9, 3);
+    world.trouble.is_store_busy = true;
+    let token = world.call(0, Op::Submit(job("j1", vec![step(1, 300)])));
+    world.run(ms(2500));
+    world.trouble.is_store_busy = false;
+    world.run(ms(500));
+    assert_eq!(world.answers.get(&token), Some(&Answer::Accepted));
+    world.trouble.is_store_busy = true;
+    world.run(ms(20_000));
+    world.trouble.is_store_busy = false;
+    assert_eq!(world.submit(job("j2", vec![step(1, 300)])), Some(Answer::Accepted));
+}
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -79,7 +79,7 @@
         pub phase: Phase,
         /// The phase that the store has; none before the first write.
         pub durable: Option<Phase>,
-        /// Whether any task was placed.
+        /// Whether a worker is known to have begun any task.
         pub has_started: bool,
         /// The time by which its caller wants it.
         pub due: Duration,
@@ -150,7 +150,9 @@
             step.failed_run = stored.failed_run;
             step.tasks = stored.tasks.into_iter().map(read_task).collect();
         }
-        job.has_started = job.steps.iter().any(|step| step.tasks.iter().any(|task| task.run > 0));
+        // What runs now is learned from the workers.
+        let has_ended = |task: &Task| task.is_done || task.failed > 0 || !task.saved.is_empty();
+        job.has_started = job.steps.iter().any(|step| step.tasks.iter().any(has_ended));
         Some(job)
     }
 
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -220,7 +220,6 @@
         let (id, number) = wanted.key;
         let run_time = self.scheduler.estimate.run_time(&wanted.queue.name, wanted.spec.estimate);
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
-        job.has_started = true;
         let step = &mut job.steps[number as usize];
         let gang_run = step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         for (index, slot) in chosen {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -313,6 +313,7 @@
         if how == How::Done && assignment.order == Order::Running {
             self.learn(key, ran);
         }
+        self.begun(&key.job);
         self.keep_checkpoint(key, end.run, &end.saved);
         self.run_ended(key, end.run, how, now, store_ms);
     }
@@ -374,6 +375,9 @@
         for (key, run) in gone {
             self.run_ended(&key, run, How::Lapsed, now, store_ms);
         }
+        for key in listed {
+            self.begun(&key.job);
+        }
         self.stops.extend(strangers);
         for run in &listing.running {
             if let Some(key) = &run.key {
@@ -473,6 +477,14 @@
             assignment.order = Order::Running;
             assignment.since = now;
         }
+        self.begun(&start.key.job);
+    }
+
+    /// Notes that a worker has begun a task of a job.
+    fn begun(&mut self, job: &str) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.has_started = true;
+        }
     }
 
     /// Notes that a run surely neither started nor will.
