A read of the head row tells a lost answer from a slow store

A claim whose answer was lost waited 1.5 s. Ruled out: sending again at a short, steady pause, which floods a slow store. Change: 120 ms after an unanswered commit (or six usual ones) the leader reads the head row: if it shows the commit, it is durable; if the read was quick and does not, the commit is sent again; if the read was slow, the next look comes later. A claim is looked for in the same way. In the test world an answer that is lost no longer always means a late effect; the schedules draw both.

--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::action::Action;
 use crate::event::note;
 use crate::frame::{Beat, Body, Hello, Welcome};
-use crate::head::{HEAD, Head, TABLE};
+use crate::head::{HEAD, Head, TABLE, read_head};
 use crate::input::PeerEvent;
 use crate::node::Port;
 use crate::store::{Commit, Key, Page, Row, Transaction, Write};
@@ -53,6 +53,9 @@
 /// Pause of a leader that gave its place up before it claims it again.
 const RESIGNED_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Time after which the head row is read for a claim that was not answered.
+const CLAIM_CHECK: Duration = Duration::from_millis(120);
+
 /// How long a read or a claim may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -65,7 +68,7 @@
     /// The leader answers.
     Joined { link: u64, heard: Duration, store_age_ms: u32, is_serving: bool },
     /// A claim is under way.
-    Claiming { call: u64, head: Head },
+    Claiming { call: u64, head: Head, since: Duration },
 }
 
 /// The head row as it was when the leader could not be reached.
@@ -190,6 +193,7 @@
                 self.lose(port, DOUBT_SILENT, "no heartbeat");
             }
             Stage::Joined { store_age_ms, .. } if store_age_ms > STORE_SILENCE => self.look(port),
+            Stage::Claiming { since, .. } if port.now > since + CLAIM_CHECK => self.look(port),
             _ => {}
         }
     }
@@ -200,13 +204,7 @@
         }
         let call = port.call();
         self.read = Some((call, port.now));
-        port.out.push(Action::Read {
-            call,
-            table: TABLE,
-            from: Name::new(HEAD),
-            to: Name::new("head0"),
-            timeout: STORE_TIMEOUT,
-        });
+        port.out.push(read_head(call, STORE_TIMEOUT));
     }
 
     fn lose(&mut self, port: &mut Port, pause: Duration, why: &'static str) {
@@ -222,13 +220,18 @@
     }
 
     /// Takes rows that were read; none where the store did not answer.
-    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
-        let Some((_, sent)) = self.read.take_if(|(own, _)| *own == call) else { return };
+    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) -> Verdict {
+        let Some((_, sent)) = self.read.take_if(|(own, _)| *own == call) else {
+            return Verdict::Stay;
+        };
         self.look_at = port.now + LOOK_PAUSE;
         let Some(page) = page else {
             self.probe(port);
-            return;
+            return Verdict::Stay;
         };
+        if let Stage::Claiming { head, .. } = &self.stage {
+            return claimed(head, &page);
+        }
         let took = port.now.saturating_sub(sent);
         self.store_time = took;
         if let Some(doubt) = &mut self.doubt
@@ -237,6 +240,7 @@
             doubt.pause += took * DOUBT_FACTOR;
         }
         self.consider(port, page.rows.into_iter().next());
+        Verdict::Stay
     }
 
     /// Asks some peers for the leader.
@@ -409,13 +413,13 @@
         let write = Write { key: guard.clone(), value: head.encode_to_vec() };
         let transaction = Transaction { guard, version, writes: vec![write], removes: Vec::new() };
         port.out.push(Action::Commit { call, transaction, timeout: STORE_TIMEOUT });
-        self.stage = Stage::Claiming { call, head };
+        self.stage = Stage::Claiming { call, head, since: port.now };
         self.doubt = None;
     }
 
     /// Takes the outcome of a claim.
     pub fn committed(&mut self, port: &mut Port, answered: u64, commit: Commit) -> Verdict {
-        let Stage::Claiming { call, head } = &self.stage else { return Verdict::Stay };
+        let Stage::Claiming { call, head, .. } = &self.stage else { return Verdict::Stay };
         if *call != answered {
             return Verdict::Stay;
         }
@@ -499,3 +503,14 @@
         self.stage = Stage::Joined { link, heard: port.now, store_age_ms, is_serving };
     }
 }
+
+/// Whether the head row shows that a claim succeeded, though its answer was lost.
+fn claimed(claim: &Head, page: &Page) -> Verdict {
+    let Some(row) = page.rows.first() else { return Verdict::Stay };
+    match Head::decode(&*row.value) {
+        Ok(head) if head == *claim => {
+            Verdict::Lead { head, version: row.version, store_ms: page.store_ms }
+        }
+        _ => Verdict::Stay,
+    }
+}
--- a/crates/control/src/head.rs
+++ b/crates/control/src/head.rs
@@ -1,11 +1,20 @@
 //! The head row: who leads, and how far its commits are.
 
+use std::time::Duration;
+
+use common::Name;
+
+use crate::action::Action;
+
 /// Table of the pool's rows.
 pub(crate) const TABLE: &str = "bronzerail";
 
 /// Key of the head row.
 pub(crate) const HEAD: &str = "head";
 
+/// First key after the head row's.
+const HEAD_END: &str = "head0";
+
 /// Prefix of the keys of journal rows.
 pub(crate) const JOURNAL: &str = "log/";
 
@@ -34,3 +43,9 @@
     #[prost(bool, tag = "6")]
     pub is_released: bool,
 }
+
+/// A read of the head row.
+pub(crate) fn read_head(call: u64, timeout: Duration) -> Action {
+    let (from, to) = (Name::new(HEAD), Name::new(HEAD_END));
+    Action::Read { call, table: TABLE, from, to, timeout }
+}
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -7,7 +7,8 @@
 //!
 //! Each transaction is conditional on the head row's version and writes the head row, so
 //! transactions form a chain: one whose answer was lost is sent again unchanged, and either
-//! takes effect then or conflicts with a head row that shows it took effect before.
+//! takes effect then or conflicts with a head row that shows it took effect before. A read
+//! of the head row tells a lost answer, which is made good at once, from a slow store.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -19,11 +20,11 @@
 use crate::action::Action;
 use crate::answer::Answer;
 use crate::event::note;
-use crate::head::{HEAD, Head, JOURNAL, TABLE};
+use crate::head::{HEAD, Head, JOURNAL, TABLE, read_head};
 use crate::lead::requests::Caller;
 use crate::meter::{Count, Hop};
 use crate::node::Port;
-use crate::store::{Commit, Key, Row, Transaction, Write};
+use crate::store::{Commit, Key, Page, Row, Transaction, Write};
 
 /// Pause after a commit in which changes gather for the next one.
 const GROUP_WINDOW: Duration = Duration::from_millis(10);
@@ -37,14 +38,18 @@
 /// Longest time that is waited for the answer to one sending of a commit.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
 
-/// Least time after which an unanswered commit is sent once more.
-const LEAST_RESEND: Duration = Duration::from_millis(150);
+/// Least time after which the head row is read for an unanswered commit.
+const LEAST_CHECK: Duration = Duration::from_millis(120);
 
 /// Commits of the usual length after which an answer may be lost.
-const RESEND_FACTOR: u32 = 6;
+const CHECK_FACTOR: u32 = 6;
 
-/// Growth of the pause from one sending to the next; each costs the store a transaction.
-const RESEND_GROWTH: u32 = 4;
+/// Growth of the pause between reads while the store is slow.
+const CHECK_GROWTH: u32 = 2;
+
+/// Time of a read up to which the store counts as quick, so that a commit that has not taken
+/// effect is sent again; each sending costs the store a transaction.
+const QUICK_READ: Duration = Duration::from_millis(80);
 
 /// Jobs written again with each commit at the most.
 const COMPACTED_AT_ONCE: usize = 64;
@@ -116,8 +121,10 @@
     effects: Vec<Effect>,
     is_release: bool,
     sent: Duration,
-    /// When it is sent once more, and the pause after that.
-    resend_at: Duration,
+    /// The read of the head row under way, and when it was sent.
+    check: Option<(u64, Duration)>,
+    check_at: Duration,
+    /// Pause before the next read.
     pause: Duration,
 }
 
@@ -251,9 +258,7 @@
             note!(port, StoreLost, "age_ms" => self.age(now).as_millis() as u64);
         }
         if let Some(batch) = &mut self.batch {
-            if now >= batch.resend_at {
-                batch.send(port);
-            }
+            batch.progress(port);
             return;
         }
         let age = self.age(now);
@@ -291,8 +296,9 @@
             effects,
             is_release,
             sent: port.now,
-            resend_at: port.now,
-            pause: (self.latency * RESEND_FACTOR).max(LEAST_RESEND),
+            check: None,
+            check_at: port.now,
+            pause: (self.latency * CHECK_FACTOR).max(LEAST_CHECK),
         }
     }
 
@@ -354,13 +360,42 @@
                 let word = if commit == Commit::Refused { "refused" } else { "unanswered" };
                 port.meter.count(Count::Commits, word, 1);
                 if batch.calls.is_empty() {
-                    batch.resend_at = batch.resend_at.min(port.now + REFUSED_PAUSE);
+                    batch.check_at = batch.check_at.min(port.now + REFUSED_PAUSE);
                 }
                 Outcome::None
             }
         }
     }
 
+    /// Takes the head row that was read for an unanswered commit.
+    pub fn read(&mut self, port: &mut Port, call: u64, page: Option<&Page>) -> Outcome {
+        let Some(batch) = self.batch.as_mut() else { return Outcome::None };
+        let Some((_, sent)) = batch.check.take_if(|(own, _)| *own == call) else {
+            return Outcome::None;
+        };
+        let took = port.now.saturating_sub(sent);
+        let row = page.and_then(|page| page.rows.first().cloned());
+        let found = row.as_ref().and_then(|row| Head::decode(&*row.value).ok());
+        let (Some(row), Some(found)) = (row, found) else {
+            batch.check_at = port.now + batch.pause;
+            return Outcome::None;
+        };
+        if found.epoch != self.head.epoch {
+            return Outcome::Deposed { epoch: found.epoch };
+        }
+        if found.commit == batch.commit {
+            port.meter.count(Count::Commits, "found", 1);
+            return self.durable(port, row.version);
+        }
+        if took <= QUICK_READ {
+            batch.send(port);
+        } else {
+            batch.pause = (batch.pause * CHECK_GROWTH).min(ANSWER_TIMEOUT);
+            batch.check_at = port.now + batch.pause;
+        }
+        Outcome::None
+    }
+
     /// Tells a batch that took effect unheard from a change of leader.
     fn conflict(&mut self, port: &mut Port, row: Option<Row>) -> Outcome {
         let found = row.as_ref().and_then(|row| Head::decode(&*row.value).ok());
@@ -401,13 +436,26 @@
 }
 
 impl Batch {
-    /// Sends the transaction, unchanged, and sets the time of the next sending.
+    /// Sends the transaction, unchanged.
     fn send(&mut self, port: &mut Port) {
         let call = port.call();
         self.calls.push(call);
-        self.resend_at = port.now + self.pause;
-        self.pause = (self.pause * RESEND_GROWTH).min(ANSWER_TIMEOUT);
+        self.check_at = port.now + self.pause;
         let transaction = self.transaction.clone();
         port.out.push(Action::Commit { call, transaction, timeout: ANSWER_TIMEOUT });
     }
+
+    /// Sends the transaction again where the store refused it, or looks what became of it.
+    fn progress(&mut self, port: &mut Port) {
+        if port.now < self.check_at || self.check.is_some() {
+            return;
+        }
+        if self.calls.is_empty() {
+            self.send(port);
+            return;
+        }
+        let call = port.call();
+        self.check = Some((call, port.now));
+        port.out.push(read_head(call, ANSWER_TIMEOUT));
+    }
 }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -173,6 +173,8 @@
 
     /// Takes rows that were read; none where the store did not answer.
     pub fn read(&mut self, port: &mut Port, call: u64, page: Option<Page>) {
+        let outcome = self.journal.read(port, call, page.as_ref());
+        self.settle(port, outcome);
         let Some(recovery) = &mut self.recovery else { return };
         let Some(recovered) = recovery.read(port, call, page) else { return };
         for row in recovered.rows {
@@ -202,7 +204,13 @@
         if let Commit::Done { store_ms, .. } = commit {
             self.clock = Clock { store_ms, heard: port.now };
         }
-        match self.journal.committed(port, call, commit) {
+        let outcome = self.journal.committed(port, call, commit);
+        self.settle(port, outcome);
+    }
+
+    /// Does what follows from a commit.
+    fn settle(&mut self, port: &mut Port, outcome: Outcome) {
+        match outcome {
             Outcome::None => {}
             Outcome::Durable { jobs, effects, sent } => {
                 self.doubted = self.doubted.filter(|since| sent < *since);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -152,10 +152,16 @@
             Input::Stop => self.stop(),
             Input::Configure(config) => self.port.config.renew(config),
             Input::Woken { gap } => self.woken(gap),
-            Input::Read { call, page } => match &mut self.part {
-                Part::Follower(follower) => follower.read(&mut self.port, call, page),
-                Part::Leader(leader) => leader.read(&mut self.port, call, page),
-            },
+            Input::Read { call, page } => {
+                let verdict = match &mut self.part {
+                    Part::Follower(follower) => follower.read(&mut self.port, call, page),
+                    Part::Leader(leader) => {
+                        leader.read(&mut self.port, call, page);
+                        Verdict::Stay
+                    }
+                };
+                self.decide(verdict);
+            }
             Input::Commit { call, commit } => {
                 let verdict = match &mut self.part {
                     Part::Follower(follower) => follower.committed(&mut self.port, call, commit),
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -132,6 +132,7 @@
             }
             6 => {
                 self.world.trouble.lost_commits = 0.3;
+                self.world.trouble.late_commits = self.jobs % 2 == 0;
                 self.heals.push(until);
             }
             7 => {
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -150,3 +150,16 @@
     world.trouble.is_store_busy = false;
     assert_eq!(world.submit(job("j2", vec![step(1, 300)])), Some(Answer::Accepted));
 }
+
+#[test]
+fn lost_answers_leader_stays_and_accepts() {
+    let mut world = ready(10, 9);
+    let (leader, epoch) = (world.leader(), world.store.epoch());
+    world.trouble.lost_commits = 0.5;
+    for number in 0..20 {
+        let answer = world.submit(job(&format!("j{number}"), vec![step(1, 300)]));
+        assert_eq!(answer, Some(Answer::Accepted), "j{number}");
+        world.run(ms(100));
+    }
+    assert_eq!((world.leader(), world.store.epoch()), (leader, epoch));
+}
