Time a commit by its answer only

Ruled out: the followers' doubt (600 ms without a commit was real). Change: the mean is taken over answered commits, from their latest sending.

--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -121,6 +121,7 @@
     effects: Vec<Effect>,
     is_release: bool,
     sent: Duration,
+    last_sent: Duration,
     /// The read of the head row under way, and when it was sent.
     check: Option<(u64, Duration)>,
     check_at: Duration,
@@ -296,6 +297,7 @@
             effects,
             is_release,
             sent: port.now,
+            last_sent: port.now,
             check: None,
             check_at: port.now,
             pause: (self.latency * CHECK_FACTOR).max(LEAST_CHECK),
@@ -354,7 +356,12 @@
         };
         batch.calls.swap_remove(position);
         match commit {
-            Commit::Done { version, .. } => self.durable(port, version),
+            Commit::Done { version, .. } => {
+                let took = port.now.saturating_sub(batch.last_sent);
+                let weighed = self.latency.mul_f64(1.0 - LATENCY_WEIGHT);
+                self.latency = weighed + took.mul_f64(LATENCY_WEIGHT);
+                self.durable(port, version)
+            }
             Commit::Conflict { row } => self.conflict(port, row),
             Commit::Refused | Commit::Unknown => {
                 let word = if commit == Commit::Refused { "refused" } else { "unanswered" };
@@ -416,8 +423,6 @@
         self.head.commit = batch.commit;
         let took = port.now.saturating_sub(batch.sent);
         port.meter.time(Hop::Commit, took);
-        let mean = self.latency.mul_f64(1.0 - LATENCY_WEIGHT) + took.mul_f64(LATENCY_WEIGHT);
-        self.latency = mean;
         self.finished = port.now;
         if self.is_lost {
             self.is_lost = false;
@@ -440,6 +445,7 @@
     fn send(&mut self, port: &mut Port) {
         let call = port.call();
         self.calls.push(call);
+        self.last_sent = port.now;
         self.check_at = port.now + self.pause;
         let transaction = self.transaction.clone();
         port.out.push(Action::Commit { call, transaction, timeout: ANSWER_TIMEOUT });
