--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Shown, Submission};
+use scheduler::Shown;
 
 use crate::action::Action;
 use crate::answer::{Answer, Call, Op};
@@ -163,7 +163,7 @@
 /// The call of a peer's request; none where this version does not know it.
 pub(crate) fn decode(request: Request) -> Option<Call> {
     let op = match request.op {
-        1 => Op::Submit(request.submission.unwrap_or_else(Submission::default)),
+        1 => Op::Submit(request.submission.unwrap_or_default()),
         2 => Op::State(Name::new(&request.job)),
         3 => Op::Cancel(Name::new(&request.job)),
         4 => Op::Pending,
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -36,7 +36,7 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 
 /// Longest time that is waited for the answer to one sending of a commit.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Least time after which the head row is read for an unanswered commit.
 const LEAST_CHECK: Duration = Duration::from_millis(120);
@@ -61,7 +61,7 @@
 const LATENCY_WEIGHT: f64 = 0.2;
 
 /// Time without a commit after which the store is taken for lost, for the log.
-const LOST_AFTER: Duration = Duration::from_millis(1000);
+const LOST_AFTER: Duration = Duration::from_secs(1);
 
 /// What follows once a change is durable.
 #[derive(Debug)]
--- a/crates/control/src/lead/links.rs
+++ b/crates/control/src/lead/links.rs
@@ -18,10 +18,10 @@
 use crate::node::Port;
 
 /// Length of a lease, below the platform's bound.
-const LEASE: Duration = Duration::from_millis(4000);
+const LEASE: Duration = Duration::from_secs(4);
 
 /// How long a worker may wait for an end before it answers a renewal.
-const LONG_WAIT: Duration = Duration::from_millis(1000);
+const LONG_WAIT: Duration = Duration::from_secs(1);
 
 /// Added to the wait before a renewal is given up.
 const ANSWER_SLACK: Duration = Duration::from_millis(600);
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -39,7 +39,7 @@
 const PLAN_IDLE: Duration = Duration::from_millis(50);
 
 /// How long one watch of the rules waits for a change.
-const RULES_WAIT: Duration = Duration::from_millis(1000);
+const RULES_WAIT: Duration = Duration::from_secs(1);
 
 /// Pause between two looks at the list of workers.
 const ROSTER_PAUSE: Duration = Duration::from_millis(400);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -85,7 +85,7 @@
 
 #[derive(Debug)]
 enum Part {
-    Follower(Follower),
+    Follower(Box<Follower>),
     Leader(Box<Leader>),
 }
 
@@ -113,7 +113,7 @@
         Self {
             port,
             entry: Entry::default(),
-            part: Part::Follower(Follower::new(now)),
+            part: Part::Follower(Box::new(Follower::new(now))),
             stopping: None,
             has_exited: false,
             is_ready: None,
@@ -252,7 +252,7 @@
                 note!(self.port, Deposed, "by_epoch" => announce.epoch);
                 let mut follower = self.step_down();
                 follower.announced(&mut self.port, announce.epoch, &announce.address);
-                self.part = Part::Follower(follower);
+                self.part = Part::Follower(Box::new(follower));
             }
             Part::Leader(_) => {}
         }
@@ -356,7 +356,7 @@
             }
         };
         if fate == Fate::StepDown {
-            self.part = Part::Follower(self.step_down());
+            self.part = Part::Follower(Box::new(self.step_down()));
         }
         let (leaderless, is_cut_off) = match &self.part {
             Part::Follower(follower) => (follower.leaderless(self.port.now), follower.is_cut_off()),
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -55,7 +55,7 @@
 impl Schedule {
     fn new(seed: u64) -> Self {
         let mut world = World::new(seed, NODES, WORKERS);
-        world.rules = support::rules(seed % 2 == 0);
+        world.rules = support::rules(seed.is_multiple_of(2));
         world.fit_share = 0.8;
         Self {
             world,
@@ -132,7 +132,7 @@
             }
             6 => {
                 self.world.trouble.lost_commits = 0.3;
-                self.world.trouble.late_commits = self.jobs % 2 == 0;
+                self.world.trouble.late_commits = self.jobs.is_multiple_of(2);
                 self.heals.push(until);
             }
             7 => {
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -69,6 +69,7 @@
     pub fails: bool,
 }
 
+#[expect(clippy::struct_excessive_bools, reason = "each trouble is switched on its own")]
 #[derive(Debug)]
 pub struct FakeWorker {
     pub id: Name,
@@ -238,7 +239,7 @@
     fn start_run(&mut self, start: &scheduler::Start, fence: u64, lease_end: u64) -> OrderReply {
         let now = self.now;
         let clock_ms = now.as_millis() as u64;
-        let length = self.length_of(&start.key);
+        let length = Self::length_of(&start.key);
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return OrderReply::Unknown;
         };
@@ -282,7 +283,7 @@
     }
 
     /// The run time of a task, from the number in its job's id after the letter.
-    fn length_of(&self, key: &TaskKey) -> Duration {
+    fn length_of(key: &TaskKey) -> Duration {
         let digits: String = key.job.chars().filter(char::is_ascii_digit).collect();
         let seed: u64 = digits.parse().unwrap_or(0);
         ms(100 + (seed * 37 + u64::from(key.index) * 11) % 900)
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -335,7 +335,7 @@
                 self.at(self.now + ms(1), Event::Input { node: other, life, input });
             }
             Action::Close { link } => self.drop_link((node, link)),
-            Action::Read { call, table: _, from, to, timeout } => {
+            Action::Read { call, from, to, timeout, .. } => {
                 let page = self.is_store_up(node).then(|| self.store.read(&from, &to, self.now));
                 let slow = ms(4) * self.trouble.store_slowness.max(1);
                 let wait = if page.is_some() { slow } else { timeout };
@@ -372,7 +372,7 @@
                 let wait = if cursor.is_none() { ms(5) } else { wait.max(ms(20)) };
                 self.at(self.now + wait, Event::Input { node, life, input });
             }
-            Action::Advise { call, job: _, step: _, workers, timeout: _ } => {
+            Action::Advise { call, workers, .. } => {
                 self.advice_calls += 1;
                 let share = (self.fit_share * 1000.0) as u64;
                 let is_fit = |worker: &Name| common::stable_hash(worker.as_bytes()) % 1000 < share;
--- a/crates/host/src/mesh.rs
+++ b/crates/host/src/mesh.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::timeout;
-use wire::Codec;
+use wire::Coder;
 
 use crate::run::Inputs;
 
@@ -24,10 +24,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest time that a write may take.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(2000);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest silence on a link; heartbeats come more often.
-const READ_TIMEOUT: Duration = Duration::from_millis(5000);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Bytes read at once.
 const READ_BYTES: usize = 8 * 1024;
@@ -80,8 +80,11 @@
 
     /// Sends a frame; a link whose peer does not read is closed.
     pub fn send(&self, link: u64, frame: Frame) {
-        let sent = self.links.borrow().get(&link).map(|sender| sender.try_send(frame));
-        if matches!(sent, Some(Err(_))) {
+        let is_full = self.links.borrow().get(&link).is_some_and(|sender| {
+            let sent = sender.try_send(frame);
+            sent.is_err()
+        });
+        if is_full {
             self.close(link);
             self.event(link, PeerEvent::Closed);
         }
@@ -118,7 +121,7 @@
     }
 
     async fn read(&self, link: u64, mut reader: OwnedReadHalf) {
-        let mut codec = Codec::<Frame>::default();
+        let mut codec = Coder::<Frame>::default();
         let mut buffer = BytesMut::with_capacity(READ_BYTES);
         loop {
             buffer.reserve(READ_BYTES);
@@ -138,7 +141,7 @@
 }
 
 async fn write(mut writer: OwnedWriteHalf, mut receiver: Receiver<Frame>) {
-    let mut codec = Codec::<Frame>::default();
+    let mut codec = Coder::<Frame>::default();
     let mut buffer = BytesMut::new();
     let mut frames = Vec::with_capacity(WRITE_FRAMES);
     while receiver.recv_many(&mut frames, WRITE_FRAMES).await > 0 {
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -64,6 +64,7 @@
 }
 
 impl Host {
+    #[expect(clippy::unnecessary_wraps, reason = "the actor library asks for it")]
     fn start(cx: CX![], host: Self) -> Option<Self> {
         call!([cx], tick());
         Some(host)
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -4,6 +4,7 @@
 //! higher rank is about to use (a gang that collects room, a step that waits for advice)
 //! is taken off the copy, so that jobs behind it do not take it away.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -66,7 +67,7 @@
         if slots.is_empty() || self.rules.is_none() {
             return;
         }
-        let ranked: Vec<Name> = self.open.keys().map(|(_, _, id)| id.clone()).collect();
+        let ranked: Vec<Name> = self.open.iter().map(|(_, _, id)| id.clone()).collect();
         let lands = now + write_delay;
         let mut pass = Pass { scheduler: self, slots, now, lands, collecting: 0 };
         for id in ranked {
@@ -331,7 +332,7 @@
         if unknown.is_empty() {
             return if wanted.spec.is_gang { Vec::new() } else { known };
         }
-        unknown.sort_by(|a, b| b.0.cmp(&a.0));
+        unknown.sort_by_key(|(takes, _)| Reverse(*takes));
         let left = f64::from(count - room);
         let each = f64::from(unknown[0].0.min(count));
         let share = self.scheduler.estimate.fit_share(&wanted.queue.name);
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -60,6 +60,7 @@
 }
 
 /// One step of a job, as its caller describes it.
+#[expect(clippy::struct_excessive_bools, reason = "each is a wish of its own in the interface")]
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Step {
     /// Number of tasks.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,6 +1,6 @@
 //! The state of a pool and everything that changes it but placement.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use common::Name;
@@ -104,7 +104,7 @@
     pub quarantined: Vec<Name>,
     pub(crate) estimate: Estimate,
     /// Jobs that are open, by rank: priority, due time, id.
-    pub(crate) open: BTreeMap<(u32, Duration, Name), ()>,
+    pub(crate) open: BTreeSet<(u32, Duration, Name)>,
 }
 
 impl Scheduler {
@@ -113,7 +113,7 @@
         job.due = self.due(&job);
         let id = job.id.clone();
         if job.phase == Phase::Open {
-            self.open.insert(self.rank(&job), ());
+            self.open.insert(self.rank(&job));
         }
         for (number, step) in job.steps.iter().enumerate() {
             for (index, task) in step.tasks.iter().enumerate() {
@@ -185,9 +185,9 @@
     /// Takes new rules; open jobs are ranked anew.
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = Some(rules);
-        let mut open = BTreeMap::new();
+        let mut open = BTreeSet::new();
         for job in self.jobs.values().filter(|job| job.phase == Phase::Open) {
-            open.insert(self.rank(job), ());
+            open.insert(self.rank(job));
         }
         self.open = open;
     }
@@ -549,7 +549,7 @@
 
     /// Jobs of a queue that wait for their first start.
     pub fn pending(&self, queue: &str) -> usize {
-        let open = self.open.keys().filter_map(|(_, _, id)| self.jobs.get(id));
+        let open = self.open.iter().filter_map(|(_, _, id)| self.jobs.get(id));
         open.filter(|job| &*job.queue == queue && !job.has_started && job.durable.is_some()).count()
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -75,6 +75,7 @@
     }
 
     /// A worker's state.
+    #[expect(clippy::struct_excessive_bools, reason = "each is known from another source")]
     pub struct Worker {
         /// What it says of itself.
         pub report: Report,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -32,21 +32,24 @@
     },
 }
 
-/// Turns frames into bytes and bytes into frames.
+/// Turns messages of one type into bytes and bytes into messages.
 #[derive(Debug)]
-pub struct Codec<M = Frame> {
+pub struct Coder<M> {
     inner: LengthDelimitedCodec,
     message: PhantomData<M>,
 }
 
-impl<M> Default for Codec<M> {
+/// Turns frames into bytes and bytes into frames.
+pub type Codec = Coder<Frame>;
+
+impl<M> Default for Coder<M> {
     fn default() -> Self {
         let inner = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec();
         Self { inner, message: PhantomData }
     }
 }
 
-impl<M: Message + Default> Codec<M> {
+impl<M: Message + Default> Coder<M> {
     /// Appends a frame to a buffer.
     ///
     /// # Errors
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 #[allow(missing_docs, clippy::allow_attributes, clippy::pedantic, clippy::empty_structs_with_brackets, reason = "generated from peer.proto")]
 mod peer;
 
-pub use codec::{Codec, Error, FRAME_LIMIT, VERSION};
+pub use codec::{Codec, Coder, Error, FRAME_LIMIT, VERSION};
 pub use fate::Fate;
 pub use peer::frame::Body;
 pub use peer::{
