Stand-in of the users' platform in its own protocol, and a cell of real daemons against it

Ruled out: the test world of control (it replaces the adapter) and one stand-in for both protocols (their tables and workers share no call). Change: standin::platform plays the store, workers and advice; platform/tests/cell.rs starts real daemons on loopback addresses of their own: submission to completion on both kinds of queue, each daemon killed and replaced, graceful stop, SIGHUP, a settings file with faults.

--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,132 @@
+//! A stand-in for the users' platform, in its own protocol: store, workers, advice.
+//!
+//! It plays what the adapter's tests and the quickstart need: conditional transactions
+//! with versions, feeds, workers with leases, fencing tokens and lists of ends, and an
+//! advice service that hands out tickets. Work takes the time that its text names.
+
+mod http;
+mod store;
+mod worker;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use serde_json::json;
+
+pub use store::Store;
+pub use worker::{Counts, Worker};
+
+/// Name of the service whose workers are played.
+const SERVICE: &str = "service";
+
+/// Host and path prefix of the queue that needs no advice.
+pub const PLAIN: (&str, &str) = ("plain.example", "/plain/");
+
+/// Host and path prefix of the queue whose starts need a ticket.
+pub const ADVISED: (&str, &str) = ("advised.example", "/advised/");
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    /// Where the store listens.
+    pub store_address: SocketAddr,
+    /// Where the advice service listens.
+    pub advice_address: SocketAddr,
+    /// The store.
+    pub store: Arc<Store>,
+    /// The workers.
+    pub workers: Vec<Arc<Worker>>,
+}
+
+impl Platform {
+    /// Starts a store, an advice service and some workers on loopback.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where no port can be had.
+    pub fn start(workers: usize, cpu: u32) -> std::io::Result<Self> {
+        let store = Arc::new(Store::default());
+        store.put("op", "config", &config());
+        let served = Arc::clone(&store);
+        let store_address = http::serve(move |request| served.answer(request))?;
+        let advice_address = http::serve(advise)?;
+        let mut all = Vec::new();
+        for number in 0..workers {
+            let worker = Arc::new(Worker::new(format!("i-{number}"), cpu));
+            let served = Arc::clone(&worker);
+            let address = http::serve(move |request| served.answer(request))?;
+            let entry = json!({
+                "service": SERVICE, "address": address.to_string(), "zone": "zone-a",
+                "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                "capacity": {"cpu": cpu, "mem_mb": 64_000, "gpus": 0},
+                "labels": ["a", "r1"], "sequence": 1, "born": worker.born(),
+            });
+            store.put("servers", worker.id(), &entry);
+            all.push(worker);
+        }
+        Ok(Self { store_address, advice_address, store, workers: all })
+    }
+
+    /// The settings file of a daemon on a loopback address of its own.
+    pub fn settings(&self, name: &str, host: u8, ports: [u16; 3]) -> String {
+        let ip = IpAddr::from(Ipv4Addr::new(127, 0, 0, host));
+        let [callers, readiness, peers] = ports;
+        format!(
+            r#"node_name = "{name}"
+ip = "{ip}"
+zone = "zone-a"
+internal_ports = [{peers}, {peers}]
+hint = "{advice}"
+[listen_addrs]
+frontend = "{ip}:{callers}"
+readiness = "{ip}:{readiness}"
+[bounds]
+max_hold_ms = 10000
+stop_timeout_ms = 400
+status_s = 120
+grace_s = 6
+[platform]
+address = "{store}"
+txn_latency_ms = 8.0
+row_bytes = 65536
+"#,
+            advice = self.advice_address,
+            store = self.store_address,
+        )
+    }
+
+    /// What the workers saw, together.
+    pub fn counts(&self) -> Counts {
+        let mut sum = Counts::default();
+        for worker in &self.workers {
+            sum.add(&worker.counts());
+        }
+        sum
+    }
+}
+
+fn config() -> serde_json::Value {
+    let hint = json!({"decision_ms": 7.0, "period_ms": 0.1, "validity_ms": 1500});
+    let route = |name: &str, (host, prefix): (&str, &str), hint: serde_json::Value| {
+        json!({
+            "name": name, "host": host, "path_prefix": prefix, "type": "non_idempotent",
+            "timeout_ms": 3000, "target_runtime_ms": 250, "priority": 0, "service": SERVICE,
+            "max_attempts": 2, "stretch": 1.5, "hint": hint,
+        })
+    };
+    let plain = route("plain", PLAIN, serde_json::Value::Null);
+    json!({
+        "version": 1, "routes": [plain, route("advised", ADVISED, hint)], "services": [],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+}
+
+/// Allows every worker, with a ticket that names the step.
+fn advise(request: &http::Request) -> http::Answer {
+    let step = request.body["step"].as_str().unwrap_or_default();
+    let workers = request.body["workers"].as_array().cloned().unwrap_or_default();
+    let allowed: Vec<_> =
+        workers.iter().map(|worker| json!([worker, format!("ticket {step}")])).collect();
+    (200, json!({"allowed": allowed, "validity_ms": 1500}))
+}
