Jobs of a removed queue run on, also after a change of leader; ended jobs give their memory back

Cause: a queue that the operator removes left its jobs without service, attempts and advice, so they were never placed again; a new leader could not know them at all. Ruled out: refusing to remove queues with jobs (the operator's write is the acceptance). Change: a job's row keeps what its tasks need of the queue; the scheduler keeps removed queues while jobs use them. An ended job without runs keeps its id and state only. Tests: queue_removed_its_jobs_run_on and 16 more on the scheduler alone.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -258,6 +258,7 @@
                 "age_ms" => age.as_millis() as u64, "late_ms" => late, "epoch" => self.epoch);
         }
         job.durable = Some(phase);
+        job.shrink();
     }
 
     /// Notes the levels of what the leader holds.
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -62,19 +62,17 @@
         let is_first = held.order == Order::Writing;
         let is_usable = worker.is_fenced && !worker.report.is_draining && worker.is_listed;
         let Some(job) = self.scheduler.jobs.get(&start.key.job) else { return };
-        let queue = self.scheduler.rules.as_ref().and_then(|rules| rules.queue(&job.queue));
+        let queue = self.scheduler.queue(&job.queue);
         let needs_ticket = queue.is_some_and(|queue| queue.hint.is_some());
         let ticket = job.ticket(start.key.step, &start.worker, now);
-        let step = &job.steps[start.key.step as usize];
-        let is_gang = job.submission.steps[start.key.step as usize].is_gang;
-        let saved_at = if is_gang { 0 } else { start.key.index as usize };
-        let saved = step.tasks[saved_at].saved.clone();
+        let saved = job.checkpoint(&start.key);
         let payload = job.submission.payload.clone();
-        let is_withdrawn = job.phase != Phase::Open || (needs_ticket && ticket.is_none());
+        let is_over = job.phase != Phase::Open;
+        let is_withdrawn = is_over || (needs_ticket && ticket.is_none());
         let address = self.links.address(&start.worker);
         let lease_end = self.links.lease_end(&start.worker, now);
-        let (Some(address), Some(lease_end), true, false) =
-            (address, lease_end, is_usable, is_withdrawn && is_first)
+        let (Some(address), Some(lease_end), Some(saved), true, false) =
+            (address, lease_end, saved, is_usable, is_over || (is_withdrawn && is_first))
         else {
             self.withdraw(port, start, is_first, needs_ticket);
             return;
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -4,7 +4,7 @@
 
 use common::Name;
 
-use crate::record::{JobRecord, StepRecord, Submission, TaskRecord};
+use crate::record::{JobRecord, QueueRecord, StepRecord, Submission, TaskRecord};
 use crate::step::StepState;
 
 common::key! {
@@ -67,6 +67,8 @@
         pub id: Name,
         /// The queue's name.
         pub queue: Name,
+        /// The queue as it was when the job came.
+        pub queue_rules: Option<QueueRecord>,
         /// What the caller handed in.
         pub submission: Submission,
         /// When it arrived.
@@ -119,6 +121,7 @@
         Self {
             id: Name::new(&submission.id),
             queue,
+            queue_rules: None,
             arrived,
             arrived_ms,
             ended_ms: 0,
@@ -140,6 +143,7 @@
         }
         let queue = Name::new(&record.queue);
         let mut job = Self::new(record.submission, queue, arrived, record.arrived_ms);
+        job.queue_rules = record.queue_rules;
         job.phase = phase;
         job.durable = Some(phase);
         job.ended_ms = record.ended_ms;
@@ -172,6 +176,27 @@
             phase: self.phase.number(),
             steps,
             ended_ms: self.ended_ms,
+            queue_rules: self.queue_rules.clone().filter(|_| is_open),
+        }
+    }
+
+    /// The checkpoint from which a task goes on; empty for none, none for no such task.
+    pub fn checkpoint(&self, key: &TaskKey) -> Option<Name> {
+        let is_gang = self.submission.steps.get(key.step as usize)?.is_gang;
+        // Any member's checkpoint is valid for the gang; the first task keeps it.
+        let index = if is_gang { 0 } else { key.index as usize };
+        let task = self.steps.get(key.step as usize)?.tasks.get(index)?;
+        Some(task.saved.clone())
+    }
+
+    /// Drops what nobody needs of a job that has ended and holds no worker.
+    pub fn shrink(&mut self) {
+        let has_runs = self.steps.iter().any(|s| s.tasks.iter().any(|t| t.worker.is_some()));
+        if self.phase != Phase::Open && !has_runs {
+            self.steps = Vec::new();
+            self.submission.steps = Vec::new();
+            self.submission.payload = String::new();
+            self.queue_rules = None;
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,7 +19,7 @@
 pub use ends::{End, How, Listing, Run};
 pub use job::{Job, Phase, Shown, Task, TaskKey};
 pub use pool::Pool;
-pub use record::{JobRecord, Need, Segment, Step, StepRecord, Submission, TaskRecord};
+pub use record::{JobRecord, Need, QueueRecord, Segment, Step, StepRecord, Submission, TaskRecord};
 pub use rules::{Hint, Limits, Queue, Rules};
 pub use scheduler::{Ask, Ended, Refusal, Scheduler, Start, Stop};
 pub use step::{Fit, StepState};
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -84,8 +84,7 @@
         if ready.is_empty() {
             return;
         }
-        let queue = self.scheduler.rules.as_ref().and_then(|rules| rules.queue(&job.queue));
-        let Some(queue) = queue.cloned() else { return };
+        let Some(queue) = self.scheduler.queue(&job.queue).cloned() else { return };
         for number in ready {
             self.step(id, number, &queue);
         }
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -143,6 +143,35 @@
     pub failed_run: u32,
 }
 
+/// What a job's tasks need to know of its queue, should the operator remove that.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct QueueRecord {
+    /// The service whose workers run the tasks.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// 0 comes first.
+    #[prost(uint32, tag = "2")]
+    pub priority: u32,
+    /// Failed runs after which a task is given up.
+    #[prost(uint32, tag = "3")]
+    pub max_attempts: u32,
+    /// Factor on the longest chain of work in the objective.
+    #[prost(double, tag = "4")]
+    pub stretch: f64,
+    /// Addition to the objective, in ms.
+    #[prost(uint32, tag = "5")]
+    pub target_ms: u32,
+    /// Time of an advice call without workers, in us; 0 where no advice is needed.
+    #[prost(uint32, tag = "6")]
+    pub hint_base_us: u32,
+    /// Time for each worker named, in us.
+    #[prost(uint32, tag = "7")]
+    pub hint_each_us: u32,
+    /// How long a ticket lasts, in ms.
+    #[prost(uint32, tag = "8")]
+    pub hint_validity_ms: u32,
+}
+
 /// A job's row.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JobRecord {
@@ -164,6 +193,9 @@
     /// Time of the end by the store's clock, in ms; 0 while open.
     #[prost(uint64, tag = "6")]
     pub ended_ms: u64,
+    /// The queue as it was when the job came; none once the job has ended.
+    #[prost(message, optional, tag = "7")]
+    pub queue_rules: Option<QueueRecord>,
 }
 
 /// Jobs that were written together.
--- a/crates/scheduler/src/rules.rs
+++ b/crates/scheduler/src/rules.rs
@@ -4,6 +4,8 @@
 
 use common::Name;
 
+use crate::record::QueueRecord;
+
 common::data! {
     /// What an advice call of a queue costs and how long its tickets last.
     pub struct Hint {
@@ -72,3 +74,42 @@
         self.queues.iter().find(|queue| &*queue.name == name)
     }
 }
+
+impl Queue {
+    /// What a job's row keeps of its queue.
+    pub fn record(&self) -> QueueRecord {
+        let hint = self.hint.as_ref();
+        let micros =
+            |span: fn(&Hint) -> Duration| hint.map_or(0, |hint| span(hint).as_micros() as u32);
+        QueueRecord {
+            service: self.service.to_string(),
+            priority: self.priority,
+            max_attempts: self.max_attempts,
+            stretch: self.stretch,
+            target_ms: self.target.as_millis() as u32,
+            hint_base_us: micros(|hint| hint.base),
+            hint_each_us: micros(|hint| hint.each),
+            hint_validity_ms: micros(|hint| hint.validity) / 1000,
+        }
+    }
+
+    /// The queue of a job whose row was read; it takes no requests.
+    pub fn from_record(name: Name, record: &QueueRecord) -> Self {
+        let hint = Hint {
+            base: Duration::from_micros(record.hint_base_us.into()),
+            each: Duration::from_micros(record.hint_each_us.into()),
+            validity: Duration::from_millis(record.hint_validity_ms.into()),
+        };
+        Self {
+            name,
+            host: Name::default(),
+            prefix: Name::default(),
+            service: Name::new(&record.service),
+            priority: record.priority,
+            max_attempts: record.max_attempts,
+            stretch: record.stretch,
+            target: Duration::from_millis(record.target_ms.into()),
+            hint: (!hint.validity.is_zero()).then_some(hint),
+        }
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::job::{Job, Phase, TaskKey};
 use crate::pool::Pool;
 use crate::record::Submission;
-use crate::rules::Rules;
+use crate::rules::{Queue, Rules};
 use crate::step::Fit;
 use crate::worker::{Assignment, Order, Report};
 
@@ -86,6 +86,8 @@
 pub struct Scheduler {
     /// The operator's rules; none before the first version was read.
     pub rules: Option<Rules>,
+    /// Queues that the operator removed and that open jobs came by.
+    retired: HashMap<Name, Queue>,
     /// The jobs, by id.
     pub jobs: HashMap<Name, Job>,
     /// The workers.
@@ -110,6 +112,12 @@
 impl Scheduler {
     /// Takes a job in, new or from its row.
     pub fn admit(&mut self, mut job: Job) {
+        if let Some(record) = &job.queue_rules
+            && self.queue(&job.queue).is_none()
+        {
+            let queue = Queue::from_record(job.queue.clone(), record);
+            self.retired.insert(job.queue.clone(), queue);
+        }
         job.due = self.due(&job);
         let id = job.id.clone();
         if job.phase == Phase::Open {
@@ -128,7 +136,8 @@
 
     /// Takes a new job in and marks it for writing.
     pub fn submit(&mut self, submission: Submission, queue: Name, now: Duration, store_ms: u64) {
-        let job = Job::new(submission, queue, now, store_ms);
+        let mut job = Job::new(submission, queue, now, store_ms);
+        job.queue_rules = self.queue(&job.queue).map(Queue::record);
         self.dirty.insert(job.id.clone());
         self.admit(job);
     }
@@ -163,15 +172,20 @@
         }
     }
 
+    /// The queue of a name, also where the operator removed it.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        let current = self.rules.as_ref().and_then(|rules| rules.queue(name));
+        current.or_else(|| self.retired.get(name))
+    }
+
     fn rank(&self, job: &Job) -> (u32, Duration, Name) {
-        let queue = self.rules.as_ref().and_then(|rules| rules.queue(&job.queue));
+        let queue = self.queue(&job.queue);
         (queue.map_or(u32::MAX, |queue| queue.priority), job.due, job.id.clone())
     }
 
     /// The time by which a job's caller wants it.
     fn due(&self, job: &Job) -> Duration {
-        let queue = self.rules.as_ref().and_then(|rules| rules.queue(&job.queue));
-        let Some(queue) = queue else { return job.arrived };
+        let Some(queue) = self.queue(&job.queue) else { return job.arrived };
         let mut chain = vec![Duration::ZERO; job.submission.steps.len()];
         for (number, step) in job.submission.steps.iter().enumerate() {
             let before = step.after.iter().filter_map(|earlier| chain.get(*earlier as usize));
@@ -184,7 +198,11 @@
 
     /// Takes new rules; open jobs are ranked anew.
     pub fn set_rules(&mut self, rules: Rules) {
-        self.rules = Some(rules);
+        let former = self.rules.replace(rules);
+        let former = former.into_iter().flat_map(|rules| rules.queues);
+        self.retired.extend(former.map(|queue| (queue.name.clone(), queue)));
+        let in_use: BTreeSet<&Name> = self.jobs.values().map(|job| &job.queue).collect();
+        self.retired.retain(|name, _| in_use.contains(name));
         let mut open = BTreeSet::new();
         for job in self.jobs.values().filter(|job| job.phase == Phase::Open) {
             open.insert(self.rank(job));
@@ -445,9 +463,7 @@
 
     fn give_up_if_spent(&mut self, key: &TaskKey, store_ms: u64) {
         let Some(job) = self.jobs.get(&key.job) else { return };
-        let rules = self.rules.as_ref();
-        let queue = rules.and_then(|rules| rules.queue(&job.queue));
-        let Some(attempts) = queue.map(|queue| queue.max_attempts) else { return };
+        let Some(attempts) = self.queue(&job.queue).map(|queue| queue.max_attempts) else { return };
         let step = &job.steps[key.step as usize];
         if step.tasks.iter().any(|task| !task.is_done && task.failed >= attempts) {
             self.close(&key.job, Phase::Failed, store_ms);
--- /dev/null
+++ b/crates/scheduler/tests/pool.rs
@@ -0,0 +1,363 @@
+//! Decisions about one pool: placement, advice, gangs, attempts, ends.
+
+use std::time::Duration;
+
+use common::Name;
+use scheduler::{
+    End, Hint, How, Limits, Listing, Need, Order, Phase, Queue, Refusal, Report, Rules, Run,
+    Scheduler, Shown, Start, Step, Submission, TaskKey,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+const NO_DELAY: Duration = Duration::ZERO;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn rules(hint: Option<Hint>) -> Rules {
+    let queue = Queue {
+        name: Name::new("q"),
+        host: Name::new("h"),
+        prefix: Name::new("/p/"),
+        service: Name::new("s"),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        target: secs(1),
+        hint,
+    };
+    let limits =
+        Limits { header_bytes: 1, body_bytes: 1, header_timeout: secs(1), idle_timeout: secs(1) };
+    Rules { version: 1, queues: vec![queue], limits }
+}
+
+fn hint() -> Hint {
+    let base = Duration::from_millis(7);
+    Hint { base, each: Duration::from_micros(100), validity: Duration::from_millis(1500) }
+}
+
+fn report(id: &str, cpu: u32) -> Report {
+    Report {
+        id: Name::new(id),
+        born: 1,
+        address: Name::new("a"),
+        service: Name::new("s"),
+        zone: Name::new("z"),
+        labels: vec![Name::new("kind"), Name::new("rack")],
+        capacity: Need { cpu, mem: 1000, gpus: 0 },
+        is_draining: false,
+    }
+}
+
+/// A pool of workers of two cores each that have answered.
+fn pool(workers: &[&str], hint: Option<Hint>) -> Scheduler {
+    let mut scheduler = Scheduler::default();
+    scheduler.set_rules(rules(hint));
+    for id in workers {
+        scheduler.pool.report(report(id, 2000));
+        scheduler.pool.get_mut(id).expect("it was reported").is_fenced = true;
+    }
+    scheduler
+}
+
+fn step(count: u32) -> Step {
+    let need = Need { cpu: 1000, mem: 100, gpus: 0 };
+    Step { count, need, estimate: 1000, ..Step::default() }
+}
+
+fn submit(scheduler: &mut Scheduler, id: &str, steps: Vec<Step>) {
+    let job = Submission { id: id.to_owned(), payload: String::new(), steps };
+    scheduler.submit(job, Name::new("q"), NOW, 0);
+}
+
+fn place(scheduler: &mut Scheduler, now: Duration) -> Vec<Start> {
+    scheduler.plan(now, NO_DELAY);
+    std::mem::take(&mut scheduler.starts)
+}
+
+fn confirm(scheduler: &mut Scheduler, starts: &[Start]) {
+    for start in starts {
+        let worker = scheduler.pool.get_mut(&start.worker).expect("it is known");
+        worker.run_mut(&start.key, start.run).expect("it is assigned").order = Order::Sent;
+        scheduler.started(start, NOW);
+    }
+}
+
+fn end(scheduler: &mut Scheduler, start: &Start, how: How) {
+    let end = End {
+        number: 1,
+        key: Some(start.key.clone()),
+        run: start.run,
+        how: Some(how),
+        saved: Name::default(),
+    };
+    let held = scheduler.pool.get(&start.worker).expect("it is known").assigned.clone();
+    let running = held.iter().filter(|(key, _)| **key != start.key).map(|(key, held)| Run {
+        key: Some(key.clone()),
+        run: held.run,
+        saved: Name::default(),
+        percent: 10,
+    });
+    let listing = Listing { born: 1, running: running.collect(), finished: vec![end] };
+    scheduler.listing(&start.worker, &listing, false, NOW + secs(1), NOW + secs(1), 0);
+}
+
+fn phase(scheduler: &Scheduler, id: &str) -> Phase {
+    scheduler.jobs[id].phase
+}
+
+#[test]
+fn plan_never_over_room() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    submit(&mut scheduler, "j", vec![step(9)]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 4);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    assert!(scheduler.pool.iter().all(|worker| worker.free().cpu == 0));
+}
+
+#[test]
+fn plan_waits_for_earlier_steps() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut second = step(1);
+    second.after = vec![0];
+    submit(&mut scheduler, "j", vec![step(1), second]);
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(starts.iter().map(|start| start.key.step).collect::<Vec<_>>(), [0]);
+    confirm(&mut scheduler, &starts);
+    end(&mut scheduler, &starts[0], How::Done);
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(starts.iter().map(|start| start.key.step).collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn plan_keeps_spread() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut spread = step(4);
+    spread.spread = 1;
+    submit(&mut scheduler, "j", vec![spread]);
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(starts.len(), 2);
+    assert_ne!(starts[0].worker, starts[1].worker);
+}
+
+#[test]
+fn plan_gang_all_or_none() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut gang = step(5);
+    gang.is_gang = true;
+    submit(&mut scheduler, "big", vec![gang.clone()]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    gang.count = 4;
+    submit(&mut scheduler, "fits", vec![gang]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "the first gang collects the room");
+    assert!(scheduler.cancel("big", 0));
+    assert_eq!(place(&mut scheduler, NOW).len(), 4);
+}
+
+#[test]
+fn gang_member_refused_takes_gang_back() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut gang = step(3);
+    gang.is_gang = true;
+    submit(&mut scheduler, "j", vec![gang]);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts[..2]);
+    scheduler.not_started(&starts[2], Refusal::Room, NOW, 0);
+    let stops = std::mem::take(&mut scheduler.stops);
+    assert_eq!(stops.len(), 2);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "two members are still there");
+    for start in &starts[..2] {
+        end(&mut scheduler, start, How::Stopped);
+    }
+    let again = place(&mut scheduler, NOW);
+    assert_eq!(again.iter().map(|start| start.run).collect::<Vec<_>>(), [2, 2, 2]);
+}
+
+#[test]
+fn gang_done_by_one_member_is_done() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut gang = step(3);
+    gang.is_gang = true;
+    submit(&mut scheduler, "j", vec![gang]);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts);
+    end(&mut scheduler, &starts[0], How::Done);
+    assert_eq!(phase(&scheduler, "j"), Phase::Completed);
+    assert!(scheduler.stops.is_empty());
+}
+
+#[test]
+fn gang_failure_counts_once_a_run() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let mut gang = step(2);
+    gang.is_gang = true;
+    submit(&mut scheduler, "j", vec![gang]);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts);
+    end(&mut scheduler, &starts[0], How::Failed);
+    end(&mut scheduler, &starts[1], How::Failed);
+    assert_eq!(phase(&scheduler, "j"), Phase::Open);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts);
+    end(&mut scheduler, &starts[0], How::Failed);
+    assert_eq!(phase(&scheduler, "j"), Phase::Failed);
+}
+
+#[test]
+fn attempts_only_failed_ends_count() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    for how in [How::Lapsed, How::Broken, How::Failed, How::Stopped] {
+        let starts = place(&mut scheduler, NOW);
+        confirm(&mut scheduler, &starts);
+        end(&mut scheduler, &starts[0], how);
+        assert_eq!(phase(&scheduler, "j"), Phase::Open, "{how:?}");
+    }
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(starts[0].run, 5);
+    confirm(&mut scheduler, &starts);
+    end(&mut scheduler, &starts[0], How::Failed);
+    assert_eq!(phase(&scheduler, "j"), Phase::Failed);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+}
+
+#[test]
+fn advice_asked_before_placement() {
+    let mut scheduler = pool(&["w1", "w2", "w3"], Some(hint()));
+    submit(&mut scheduler, "j", vec![step(2)]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    let asks = std::mem::take(&mut scheduler.asks);
+    assert_eq!(asks.len(), 1);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    assert!(scheduler.asks.is_empty(), "one call at a time for a step");
+    let allowed = vec![(Name::new("w2"), Name::new("ticket"))];
+    scheduler.advised("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    let starts = place(&mut scheduler, NOW);
+    assert!(starts.iter().all(|start| &*start.worker == "w2"));
+    assert_eq!(starts.len(), 2);
+}
+
+#[test]
+fn advice_expired_is_renewed_not_used() {
+    let mut scheduler = pool(&["w1"], Some(hint()));
+    submit(&mut scheduler, "j", vec![step(1)]);
+    place(&mut scheduler, NOW);
+    scheduler.asks.clear();
+    let allowed = vec![(Name::new("w1"), Name::new("ticket"))];
+    scheduler.advised("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    assert_eq!(place(&mut scheduler, NOW + secs(2)).len(), 0);
+    let asks = std::mem::take(&mut scheduler.asks);
+    assert_eq!(asks[0].workers, [Name::new("w1")]);
+}
+
+#[test]
+fn advice_ticket_refused_is_asked_again() {
+    let mut scheduler = pool(&["w1"], Some(hint()));
+    submit(&mut scheduler, "j", vec![step(1)]);
+    place(&mut scheduler, NOW);
+    scheduler.asks.clear();
+    let allowed = vec![(Name::new("w1"), Name::new("ticket"))];
+    scheduler.advised("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    let starts = place(&mut scheduler, NOW);
+    scheduler.not_started(&starts[0], Refusal::Ticket, NOW, 0);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    assert_eq!(scheduler.asks.len(), 1);
+}
+
+#[test]
+fn cancel_withdraws_what_was_not_sent() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j", vec![step(2)]);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts[..1]);
+    assert!(scheduler.cancel("j", 0));
+    assert_eq!(scheduler.stops.len(), 1);
+    let worker = scheduler.pool.get("w1").expect("it is known");
+    assert_eq!(worker.assigned.len(), 1, "the run that was sent keeps its room");
+}
+
+#[test]
+fn worker_that_fails_all_is_avoided() {
+    let mut scheduler = pool(&["w1"], None);
+    for job in ["a", "b", "c"] {
+        submit(&mut scheduler, job, vec![step(1)]);
+        let starts = place(&mut scheduler, NOW);
+        confirm(&mut scheduler, &starts);
+        end(&mut scheduler, &starts[0], How::Failed);
+        scheduler.cancel(job, 0);
+    }
+    assert_eq!(scheduler.quarantined, [Name::new("w1")]);
+    submit(&mut scheduler, "d", vec![step(1)]);
+    assert_eq!(place(&mut scheduler, NOW + secs(2)).len(), 0);
+    assert_eq!(place(&mut scheduler, NOW + secs(10)).len(), 1, "it is tried again later");
+}
+
+#[test]
+fn listing_decides_what_a_former_owner_placed() {
+    let mut first = pool(&["w1", "w2"], None);
+    submit(&mut first, "j", vec![step(2)]);
+    let starts = place(&mut first, NOW);
+    let record = first.jobs["j"].record();
+    let mut second = pool(&["w1", "w2"], None);
+    second.admit(scheduler::Job::from_record(record, NOW).expect("it was written so"));
+    assert_eq!(place(&mut second, NOW).len(), 0, "both may run");
+    let run = Run { key: Some(starts[0].key.clone()), run: 1, saved: Name::default(), percent: 0 };
+    let listing = Listing { born: 1, running: vec![run], finished: Vec::new() };
+    second.listing(&starts[0].worker, &listing, false, NOW, NOW, 0);
+    let again = place(&mut second, NOW);
+    assert_eq!(again.len(), 1);
+    assert_eq!((again[0].key.index, again[0].run), (starts[1].key.index, 2));
+}
+
+#[test]
+fn shown_states_follow_the_store() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    assert_eq!(scheduler.jobs["j"].shown(), None);
+    let durable = |scheduler: &mut Scheduler| {
+        let job = scheduler.jobs.get_mut("j").expect("it was submitted");
+        job.durable = Some(job.phase);
+        job.shown()
+    };
+    assert_eq!(durable(&mut scheduler), Some(Shown::Queued));
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(durable(&mut scheduler), Some(Shown::Queued));
+    confirm(&mut scheduler, &starts);
+    assert_eq!(durable(&mut scheduler), Some(Shown::Running));
+    end(&mut scheduler, &starts[0], How::Done);
+    assert_eq!(scheduler.jobs["j"].shown(), Some(Shown::Running), "not before it is stored");
+    assert_eq!(durable(&mut scheduler), Some(Shown::Completed));
+    assert!(!scheduler.cancel("j", 0));
+}
+
+#[test]
+fn stranger_is_stopped_and_closes_the_worker() {
+    let mut scheduler = pool(&["w1"], None);
+    let key = TaskKey { job: Name::new("x"), step: 0, index: 0 };
+    let run = Run { key: Some(key), run: 3, saved: Name::default(), percent: 0 };
+    let listing = Listing { born: 1, running: vec![run], finished: Vec::new() };
+    scheduler.listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
+    assert_eq!(scheduler.stops.len(), 1);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "its room is not known");
+}
+
+#[test]
+fn queue_removed_its_jobs_run_on() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    let mut without = rules(None);
+    without.version = 2;
+    without.queues.clear();
+    scheduler.set_rules(without.clone());
+    assert_eq!(place(&mut scheduler, NOW).len(), 1);
+
+    let record = scheduler.jobs["j"].record();
+    let mut later = pool(&["w1"], None);
+    later.set_rules(without);
+    later.admit(scheduler::Job::from_record(record, NOW).expect("it was written so"));
+    let listing = Listing { born: 1, running: Vec::new(), finished: Vec::new() };
+    later.listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
+    assert_eq!(place(&mut later, NOW).len(), 1);
+}
