Pages for the users' platform: design, operations, invariants, incidents, decisions

Cause: the design, what power loss means at each point, the way from an id to a cause and the two incidents were nowhere written down. Ruled out: rewriting the former pages, which describe bronzeraild truly; they stay, PLATFORM.md as BORDERS.md. Change: docs/PLATFORM.md, OPERATIONS.md, EVENTS-PLATFORM.md (a test holds code and catalogue together), incidents/, decisions 013 to 016, rows in INVARIANTS, GLOSSARY, CAPACITY, README, CHANGELOG.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each border is a trait whose calls return at once and answer through a
 //! [`stakker::Ret`]. [`http`] holds the clients that ship; tests put small fakes in
-//! their place. `docs/PLATFORM.md` lists what is assumed of the real platform.
+//! their place. `docs/BORDERS.md` lists what is assumed of the real platform.
 
 pub mod executors;
 pub mod fleet;
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -1,4 +1,4 @@
-//! Numbered log events of the control plane; `docs/EVENTS.md` is their catalogue.
+//! Numbered log events of the control plane; `docs/EVENTS-PLATFORM.md` is their catalogue.
 
 macro_rules! events {
     ($($number:literal $name:ident $text:literal;)*) => {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The node's state lives in one `stakker` actor. I/O runs as tasks of a `tokio` runtime
 //! on the same thread, which queue inputs for the actor and wake its loop; see
-//! `docs/decisions/012-hyper-beside-stakker.md`.
+//! `docs/decisions/014-hyper-beside-stakker.md`.
 
 pub mod client;
 pub mod mesh;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One process serves all of them over HTTP, for tests, the quickstart and measures. It
 //! can lose answers, answer late and go down, and it counts for itself what it was asked
-//! to run. `docs/PLATFORM.md` describes the interface. [`platform`] stands in for the users'
+//! to run. `docs/BORDERS.md` describes the interface. [`platform`] stands in for the users'
 //! platform in its own protocol.
 
 pub mod executors;
