Advice calls wait at the leader, by kind, until a daemon is about to be free

Cause: after a takeover the jobs that wait ask for advice all at once. Ruled out: the store (its commits were back at 10 ms) and room (free). Change: three queues at the leader (slow, middling, quick) and a third of the daemons for each; a daemon gets the next call when those under way there take 20 ms at most. Calls of ended jobs are dropped.

--- a/crates/control/src/lead/advisors.rs
+++ b/crates/control/src/lead/advisors.rs
@@ -1,14 +1,14 @@
 //! Advice calls, spread over the daemons.
 //!
 //! The advice service handles the calls of one machine in turn, so a slow call delays all
-//! behind it. Slow calls go to some of the daemons only, and each call goes to the daemon
-//! whose calls under way take the least time.
+//! behind it. Calls wait at the leader until a daemon is about to be free. Slow, middling and
+//! quick calls go to different daemons, so that quick ones never wait behind slow ones.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use common::Name;
-use scheduler::Ask;
+use scheduler::{Ask, Phase, Scheduler};
 
 use crate::action::Action;
 use crate::frame::{self, Body};
@@ -19,8 +19,12 @@
 /// Expected time from which a call counts as slow.
 const SLOW_CALL: Duration = Duration::from_millis(200);
 
-/// Share of the daemons that make slow calls, as numerator and denominator.
-const SLOW_SHARE: (usize, usize) = (2, 3);
+/// Expected time from which a call counts as middling.
+const MIDDLING_CALL: Duration = Duration::from_millis(30);
+
+/// Expected time of the calls under way at a daemon up to which it gets another one, so that
+/// the service has no gap between two.
+const BACKLOG: Duration = Duration::from_millis(20);
 
 /// Times of the expected wait after which a call is given up.
 const TIMEOUT_FACTOR: u32 = 2;
@@ -42,47 +46,110 @@
     deadline: Duration,
 }
 
-/// Advice calls under way.
+/// Advice calls that wait or are under way.
 #[derive(Debug, Default)]
 pub(crate) struct Advisors {
+    slow: VecDeque<Ask>,
+    middling: VecDeque<Ask>,
+    quick: VecDeque<Ask>,
     calls: HashMap<u64, Call>,
 }
 
+/// The daemons that make calls, by kind of call.
+struct Places {
+    slow: Vec<Option<u64>>,
+    middling: Vec<Option<u64>>,
+    quick: Vec<Option<u64>>,
+}
+
+impl Places {
+    /// A third of the daemons for each kind; all for all where there are fewer than three.
+    fn new(peers: &Peers, now: Duration) -> Self {
+        let mut all: Vec<Option<u64>> = peers.links(now).map(Some).collect();
+        all.push(None);
+        if all.len() < 3 {
+            return Self { slow: all.clone(), middling: all.clone(), quick: all };
+        }
+        let third = all.len() / 3;
+        let quick = all.split_off(2 * third);
+        let middling = all.split_off(third);
+        Self { slow: all, middling, quick }
+    }
+}
+
 impl Advisors {
+    /// Takes a call that is to be made.
+    pub fn ask(&mut self, ask: Ask) {
+        let queue = match ask.cost {
+            cost if cost >= SLOW_CALL => &mut self.slow,
+            cost if cost >= MIDDLING_CALL => &mut self.middling,
+            _ => &mut self.quick,
+        };
+        queue.push_back(ask);
+    }
+
+    /// Makes the calls for which a daemon is about to be free.
+    pub fn progress(&mut self, port: &mut Port, peers: &Peers, scheduler: &Scheduler) {
+        if self.slow.is_empty() && self.middling.is_empty() && self.quick.is_empty() {
+            return;
+        }
+        let places = Places::new(peers, port.now);
+        let queues = [
+            (std::mem::take(&mut self.slow), &places.slow),
+            (std::mem::take(&mut self.middling), &places.middling),
+            (std::mem::take(&mut self.quick), &places.quick),
+        ];
+        let [slow, middling, quick] =
+            queues.map(|(queue, places)| self.drain(port, queue, places, scheduler));
+        (self.slow, self.middling, self.quick) = (slow, middling, quick);
+    }
+
+    /// Makes calls of one kind; returns those that still wait.
+    fn drain(
+        &mut self,
+        port: &mut Port,
+        mut queue: VecDeque<Ask>,
+        places: &[Option<u64>],
+        scheduler: &Scheduler,
+    ) -> VecDeque<Ask> {
+        while let Some(ask) = queue.pop_front() {
+            let job = scheduler.jobs.get(&ask.job);
+            if job.is_none_or(|job| job.phase != Phase::Open) {
+                continue;
+            }
+            let free = places.iter().map(|place| (self.backlog(*place), *place)).min();
+            match free {
+                Some((backlog, place)) if backlog <= BACKLOG => self.call(port, place, ask),
+                _ => {
+                    queue.push_front(ask);
+                    break;
+                }
+            }
+        }
+        queue
+    }
+
     fn backlog(&self, link: Option<u64>) -> Duration {
         self.calls.values().filter(|call| call.link == link).map(|call| call.cost).sum()
     }
 
-    /// Makes a call at the daemon that is free the soonest.
-    pub fn ask(&mut self, port: &mut Port, peers: &Peers, ask: Ask) {
-        let mut places: Vec<Option<u64>> = peers.links(port.now).map(Some).collect();
-        if ask.cost >= SLOW_CALL && !places.is_empty() {
-            places.truncate((places.len() * SLOW_SHARE.0).div_ceil(SLOW_SHARE.1));
-        } else {
-            places.push(None);
-            places.reverse();
-        }
-        let place = places.into_iter().min_by_key(|place| self.backlog(*place)).flatten();
+    fn call(&mut self, port: &mut Port, place: Option<u64>, ask: Ask) {
         let timeout = (self.backlog(place) + ask.cost) * TIMEOUT_FACTOR + TIMEOUT_SLACK;
         let call = port.call();
+        let deadline = port.now + timeout + RELAY_SLACK;
+        let Ask { job, step, workers, cost } = ask;
         match place {
-            None => port.out.push(Action::Advise {
-                call,
-                job: ask.job.clone(),
-                step: ask.step,
-                workers: ask.workers.clone(),
-                timeout,
-            }),
+            None => {
+                let job = job.clone();
+                port.out.push(Action::Advise { call, job, step, workers, timeout });
+            }
             Some(link) => {
-                let workers = ask.workers.iter().map(ToString::to_string).collect();
+                let workers = workers.iter().map(ToString::to_string).collect();
                 let timeout_ms = timeout.as_millis() as u32;
-                let job = ask.job.to_string();
-                let frame = frame::Ask { id: call, job, step: ask.step, workers, timeout_ms };
-                port.send(link, Body::Ask(frame));
+                let job = job.to_string();
+                port.send(link, Body::Ask(frame::Ask { id: call, job, step, workers, timeout_ms }));
             }
         }
-        let deadline = port.now + timeout + RELAY_SLACK;
-        let Ask { job, step, cost, .. } = ask;
         let state = Call { link: place, job, step, cost, sent: port.now, deadline };
         self.calls.insert(call, state);
     }
@@ -102,9 +169,7 @@
 
     /// Gives up the calls of a follower that left; returns their jobs and steps.
     pub fn drop_link(&mut self, link: u64) -> Vec<(Name, u32)> {
-        let lost = self.calls.iter().filter(|(_, call)| call.link == Some(link));
-        let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
-        let calls = lost.into_iter().filter_map(|id| self.calls.remove(&id));
-        calls.map(|call| (call.job, call.step)).collect()
+        let lost = self.calls.extract_if(|_, call| call.link == Some(link));
+        lost.map(|(_, call)| (call.job, call.step)).collect()
     }
 }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -471,8 +471,9 @@
             self.scheduler.advised(&job, step, None, port.now);
         }
         for ask in std::mem::take(&mut self.scheduler.asks) {
-            self.advisors.ask(port, &self.peers, ask);
+            self.advisors.ask(ask);
         }
+        self.advisors.progress(port, &self.peers, &self.scheduler);
         for stop in std::mem::take(&mut self.scheduler.stops) {
             self.send_stop(port, stop);
         }
