Gangs ask about workers without room too, and four of them may collect room

Ruled out: order (rebuilds come before tallies already) and advice (first starts after 0.9 s, its own time).

--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -17,7 +17,7 @@
 use crate::worker::{Assignment, Order};
 
 /// Gangs that may hold room back while they collect it.
-const COLLECTING_GANGS: usize = 2;
+const COLLECTING_GANGS: usize = 4;
 
 /// Workers named in an advice call at the most, so that its answer is worth the wait.
 const MAX_ASKED: usize = 30;
@@ -321,7 +321,11 @@
                     room += takes;
                     known.push(id.clone());
                 }
-            } else if takes > 0 && !step.fit.contains_key(id) && self.is_candidate(wanted, slot) {
+            } else if (takes > 0 || wanted.spec.is_gang)
+                && !step.fit.contains_key(id)
+                && self.is_candidate(wanted, slot)
+            {
+                // A gang collects room over time, so workers that are full now count too.
                 unknown.push((takes, id.clone()));
             }
         }
@@ -333,7 +337,7 @@
         }
         unknown.sort_by_key(|(takes, _)| Reverse(*takes));
         let left = f64::from(count - room);
-        let each = f64::from(unknown[0].0.min(count));
+        let each = f64::from(unknown[0].0.clamp(1, count));
         let share = self.scheduler.estimate.fit_share(&wanted.queue.name);
         let mut asked = (left / each / share * ASK_SURPLUS).ceil() as usize + 1;
         if wanted.spec.is_gang {
