--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -58,16 +58,7 @@
 const RECORD_OVERHEAD: usize = 8;
 
 /// Weight of a new observation in the mean time of a commit.
-const LATENCY_WEIGHT: f64 = 0.5;
-
-/// Time before a batch is gathered in which tasks are placed for it; an advice call fits in.
-const PLAN_AHEAD: Duration = Duration::from_millis(100);
-
-/// Age of a commit from which on the store may be away.
-const AWAY_AFTER: Duration = Duration::from_millis(400);
-
-/// The same in commits of the usual length.
-const AWAY_FACTOR: u32 = 3;
+const LATENCY_WEIGHT: f64 = 0.2;
 
 /// Time without a commit after which the store is taken for lost, for the log.
 const LOST_AFTER: Duration = Duration::from_secs(1);
@@ -190,17 +181,6 @@
         self.latency + GROUP_WINDOW
     }
 
-    /// Whether what is placed now is written soon.
-    ///
-    /// Tickets run out, so nothing is placed long before the next batch is gathered, nor
-    /// while the store seems to be away.
-    pub fn is_near(&self, now: Duration) -> bool {
-        let Some(batch) = &self.batch else { return true };
-        let age = now.saturating_sub(batch.sent);
-        let is_away = age > AWAY_AFTER && age > self.latency * AWAY_FACTOR;
-        age + PLAN_AHEAD >= self.latency && !is_away
-    }
-
     /// Marks jobs for writing.
     pub fn enqueue(&mut self, jobs: BTreeSet<Name>) {
         for job in jobs {
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -461,7 +461,7 @@
         self.forget_ended(port);
         let since = port.now.saturating_sub(self.planned);
         let is_due = (self.is_changed && since >= PLAN_PAUSE) || since >= PLAN_IDLE;
-        if is_due && !self.is_resigning && self.journal.is_near(port.now) {
+        if is_due && !self.is_resigning {
             self.planned = port.now;
             self.is_changed = false;
             self.scheduler.plan(port.now, self.journal.latency());
