Gangs with choice enough ask no more; two thirds of the daemons make slow advice calls

Ruled out: room (free at the end), a call that was never answered (all end or run out). Change: a gang that knows allowed workers for twice its size waits for room. Slow and middling calls share two thirds of the daemons, quick ones have the last third for themselves. Test: gang_with_enough_choice_waits_for_room_without_asking.

--- a/crates/control/src/lead/advisors.rs
+++ b/crates/control/src/lead/advisors.rs
@@ -58,22 +58,19 @@
 /// The daemons that make calls, by kind of call.
 struct Places {
     slow: Vec<Option<u64>>,
-    middling: Vec<Option<u64>>,
     quick: Vec<Option<u64>>,
 }
 
 impl Places {
-    /// A third of the daemons for each kind; all for all where there are fewer than three.
+    /// A third of the daemons for quick calls; all for all where there are fewer than three.
     fn new(peers: &Peers, now: Duration) -> Self {
         let mut all: Vec<Option<u64>> = peers.links(now).map(Some).collect();
         all.push(None);
         if all.len() < 3 {
-            return Self { slow: all.clone(), middling: all.clone(), quick: all };
+            return Self { slow: all.clone(), quick: all };
         }
-        let third = all.len() / 3;
-        let quick = all.split_off(2 * third);
-        let middling = all.split_off(third);
-        Self { slow: all, middling, quick }
+        let quick = all.split_off(all.len() - all.len() / 3);
+        Self { slow: all, quick }
     }
 }
 
@@ -95,13 +92,13 @@
         }
         let places = Places::new(peers, port.now);
         let queues = [
-            (std::mem::take(&mut self.slow), &places.slow),
-            (std::mem::take(&mut self.middling), &places.middling),
             (std::mem::take(&mut self.quick), &places.quick),
+            (std::mem::take(&mut self.middling), &places.slow),
+            (std::mem::take(&mut self.slow), &places.slow),
         ];
-        let [slow, middling, quick] =
+        let [quick, middling, slow] =
             queues.map(|(queue, places)| self.drain(port, queue, places, scheduler));
-        (self.slow, self.middling, self.quick) = (slow, middling, quick);
+        (self.quick, self.middling, self.slow) = (quick, middling, slow);
     }
 
     /// Makes calls of one kind; returns those that still wait.
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -25,6 +25,10 @@
 /// Workers named at the least in the first call for a gang, as the base cost dominates.
 const GANG_ASKED: usize = 24;
 
+/// Places on allowed workers, busy ones too, that a gang knows before it only waits for room,
+/// as a multiple of its size.
+const GANG_CHOICE: u32 = 2;
+
 /// Workers asked about beyond the expected need.
 const ASK_SURPLUS: f64 = 1.4;
 
@@ -330,8 +334,11 @@
         if room >= count {
             return known;
         }
+        if wanted.spec.is_gang && (unknown.is_empty() || self.has_choice(wanted)) {
+            return Vec::new();
+        }
         if unknown.is_empty() {
-            return if wanted.spec.is_gang { Vec::new() } else { known };
+            return known;
         }
         unknown.sort_by_key(|(takes, _)| Reverse(*takes));
         let left = f64::from(count - room);
@@ -346,6 +353,19 @@
         known
     }
 
+    /// Whether a gang knows enough workers that it may run on, and only lacks room.
+    fn has_choice(&self, wanted: &Wanted<'_>) -> bool {
+        let Some(job) = self.scheduler.jobs.get(wanted.key.0) else { return false };
+        let step = &job.steps[wanted.key.1 as usize];
+        let count = wanted.waiting.len() as u32;
+        let mut places = 0;
+        for id in step.fit.keys().filter(|id| step.is_allowed(id)) {
+            let Some(worker) = self.scheduler.pool.get(id) else { continue };
+            places += wanted.spec.need.times_in(&worker.report.capacity).min(count);
+        }
+        places >= count * GANG_CHOICE
+    }
+
     fn is_candidate(&self, wanted: &Wanted<'_>, slot: usize) -> bool {
         let worker = self.scheduler.pool.get(&self.slots[slot].id);
         worker.is_some_and(|worker| {
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -361,3 +361,32 @@
     later.listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
     assert_eq!(place(&mut later, NOW).len(), 1);
 }
+
+#[test]
+fn gang_with_enough_choice_waits_for_room_without_asking() {
+    let mut scheduler = pool(&["w1", "w2", "w3", "w4", "w5"], Some(hint()));
+    submit(&mut scheduler, "busy", vec![step(10)]);
+    place(&mut scheduler, NOW);
+    scheduler.asks.clear();
+    let tickets = |ids: &[&str]| {
+        let allowed = ids.iter().map(|id| (Name::new(id), Name::new("t"))).collect();
+        Some((allowed, Duration::from_millis(1500)))
+    };
+    scheduler.advised("busy", 0, tickets(&["w1", "w2", "w3", "w4", "w5"]), NOW);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts);
+    let first = starts.iter().find(|start| &*start.worker == "w5").expect("w5 is used");
+    end(&mut scheduler, first, How::Done);
+    let mut gang = step(2);
+    gang.is_gang = true;
+    submit(&mut scheduler, "gang", vec![gang]);
+    place(&mut scheduler, NOW);
+    let asked = std::mem::take(&mut scheduler.asks);
+    assert_eq!(asked.len(), 1);
+    let allowed: Vec<&str> = vec!["w1", "w2"];
+    scheduler.jobs.get_mut("gang").expect("it is known").steps[0].asking =
+        Some(vec![Name::new("w1"), Name::new("w2")]);
+    scheduler.advised("gang", 0, tickets(&allowed), NOW);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0);
+    assert!(scheduler.asks.is_empty(), "four places for two tasks are choice enough");
+}
