Placement passes look at a bounded number of steps, and less often the more jobs are open

Change: at most 150 steps a pass, by rank; tasks for which no slot has room are passed over at once; the pause between passes grows by 50 us with each open job. Test: plan_looks_at_bounded_steps_a_pass (400 without the bound).

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -37,6 +37,9 @@
 /// Least pause between two placement passes.
 const PLAN_PAUSE: Duration = Duration::from_millis(5);
 
+/// Added to the pause for each open job, since a pass looks at them all.
+const PLAN_PAUSE_A_JOB: Duration = Duration::from_micros(50);
+
 /// Longest pause between two placement passes, as tickets and quarantines run out.
 const PLAN_IDLE: Duration = Duration::from_millis(50);
 
@@ -326,7 +329,8 @@
         self.renew_workers(port);
         self.forget_ended(port);
         let since = port.now.saturating_sub(self.planned);
-        let is_due = (self.is_changed && since >= PLAN_PAUSE) || since >= PLAN_IDLE;
+        let pause = PLAN_PAUSE + PLAN_PAUSE_A_JOB * self.scheduler.open_jobs() as u32;
+        let is_due = (self.is_changed && since >= pause) || since >= PLAN_IDLE.max(pause);
         if is_due && !self.is_resigning {
             self.planned = port.now;
             self.is_changed = false;
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -32,6 +32,9 @@
 /// Workers asked about beyond the expected need.
 const ASK_SURPLUS: f64 = 1.4;
 
+/// Steps looked at in a pass; those of lower rank wait for a later one.
+const STEPS_A_PASS: usize = 150;
+
 /// Smallest free room, in thousandths of a core, worth looking at.
 const LEAST_CPU: u32 = 50;
 
@@ -50,6 +53,10 @@
     /// When a start that is decided now reaches its worker.
     lands: Duration,
     collecting: usize,
+    /// Steps looked at so far.
+    seen: usize,
+    /// The most free processors and the most free memory of any slot.
+    largest: Need,
 }
 
 /// What a step still needs in a pass.
@@ -73,8 +80,13 @@
         }
         let ranked: Vec<Name> = self.open.iter().map(|(_, _, id)| id.clone()).collect();
         let lands = now + write_delay;
-        let mut pass = Pass { scheduler: self, slots, now, lands, collecting: 0 };
+        let largest = Need::default();
+        let mut pass = Pass { scheduler: self, slots, now, lands, collecting: 0, seen: 0, largest };
+        pass.measure();
         for id in ranked {
+            if pass.seen >= STEPS_A_PASS {
+                return;
+            }
             pass.job(&id);
         }
     }
@@ -94,9 +106,24 @@
         }
     }
 
+    /// Notes the most room that a single task could get.
+    fn measure(&mut self) {
+        let rooms = self.slots.iter().map(|slot| slot.room);
+        self.largest = rooms.fold(Need::default(), |most, room| Need {
+            cpu: most.cpu.max(room.cpu),
+            mem: most.mem.max(room.mem),
+            gpus: most.gpus.max(room.gpus),
+        });
+    }
+
     fn step(&mut self, id: &Name, number: usize, queue: &Queue) {
         let Some(job) = self.scheduler.jobs.get(id) else { return };
-        let spec = job.submission.steps[number].clone();
+        let spec = &job.submission.steps[number];
+        if !spec.is_gang && !spec.need.fits(&self.largest) {
+            return;
+        }
+        self.seen += 1;
+        let spec = spec.clone();
         let state = &job.steps[number];
         if spec.is_gang && !state.is_clear() {
             return;
@@ -246,6 +273,7 @@
             self.scheduler.starts.push(start);
         }
         self.scheduler.dirty.insert(id.clone());
+        self.measure();
     }
 
     /// Keeps room of the slots that may run a gang for it.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -390,3 +390,16 @@
     assert_eq!(place(&mut scheduler, NOW).len(), 0);
     assert!(scheduler.asks.is_empty(), "four places for two tasks are choice enough");
 }
+
+#[test]
+fn plan_looks_at_bounded_steps_a_pass() {
+    let ids: Vec<String> = (0..400).map(|number| format!("w{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = pool(&ids, Some(hint()));
+    for number in 0..400 {
+        submit(&mut scheduler, &format!("j{number:03}"), vec![step(1)]);
+    }
+    place(&mut scheduler, NOW);
+    assert_eq!(scheduler.asks.len(), 150);
+    assert_eq!(&*scheduler.asks[0].job, "j000", "those of the highest rank");
+}
