One piece of code for what stood twice in placement, leases, jobs and refusals

Cause: read once more, the check of a worker's service and label stood in may_run and is_candidate, the end of a lease in lease_end and in the renewal, the look for runs in record and shrink, the pause that refused callers are told in entry and requests. best_slot and choose_all took a flag that was always true. Ruled out: the two event macros (control and daemon), which log different fields; docs/issues/005 owes their packages' merger. Change: may_run calls is_candidate, Link::lend, Job::has_runs, entry::refused. Behaviour stays; no test changed.

--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -142,7 +142,8 @@
     }
 }
 
-fn refused(elsewhere: bool) -> Answer {
+/// A refusal; `elsewhere` says that another daemon is the better choice.
+pub(crate) fn refused(elsewhere: bool) -> Answer {
     Answer::Refused { retry_after: RETRY_AFTER, elsewhere }
 }
 
--- a/crates/control/src/lead/links.rs
+++ b/crates/control/src/lead/links.rs
@@ -113,10 +113,7 @@
 
     /// The end of a lease that begins now, noted as possibly in force.
     pub fn lease_end(&mut self, id: &str, now: Duration) -> Option<u64> {
-        let link = self.links.get_mut(id)?;
-        let end = link.clock?.latest(now) + LEASE.as_millis() as u64;
-        link.lease_end = link.lease_end.max(end);
-        Some(end)
+        self.links.get_mut(id)?.lend(now)
     }
 
     /// Takes a worker's clock from an answer to an order.
@@ -174,6 +171,14 @@
         }
     }
 
+    /// The end of a lease that begins now, noted as possibly in force; none before the
+    /// worker's clock is known.
+    fn lend(&mut self, now: Duration) -> Option<u64> {
+        let end = self.clock?.latest(now) + LEASE.as_millis() as u64;
+        self.lease_end = self.lease_end.max(end);
+        Some(end)
+    }
+
     /// Whether everything that ran there has surely ended, if it was not heard since.
     fn is_lapsed(&self, now: Duration, max_lease: Duration) -> bool {
         let Some(clock) = self.clock else {
@@ -219,11 +224,7 @@
             let is_quiet = worker.is_fenced && link.failures == 0 && link.listed <= ack;
             let wait = if is_quiet && holds { LONG_WAIT } else { Duration::ZERO };
             // A silent worker's lease is left to lapse, so that its runs can be written off.
-            let lease_end = link.clock.filter(|_| link.failures == 0).map(|clock| {
-                let end = clock.latest(port.now) + LEASE.as_millis() as u64;
-                link.lease_end = link.lease_end.max(end);
-                end
-            });
+            let lease_end = if link.failures == 0 { link.lend(port.now) } else { None };
             let call = port.call();
             link.call = Some((call, port.now));
             self.links.calls.insert(call, id.clone());
--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -1,18 +1,14 @@
 //! Callers' requests at the leader.
 
-use std::time::Duration;
-
 use common::Name;
 use scheduler::Submission;
 
 use crate::answer::{Answer, Call, Op};
+use crate::entry::refused;
 use crate::event::note_job;
 use crate::lead::{Leader, journal::Effect};
 use crate::node::Port;
 
-/// Pause that refused callers are told.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Who asked.
 #[derive(Debug, Clone)]
 pub(crate) enum Caller {
@@ -31,11 +27,7 @@
     /// Takes a request.
     pub fn request(&mut self, port: &mut Port, caller: Caller, call: Call) {
         let Some(rules) = &self.scheduler.rules else {
-            self.answer(
-                port,
-                &caller,
-                Answer::Refused { retry_after: RETRY_AFTER, elsewhere: false },
-            );
+            self.answer(port, &caller, refused(false));
             return;
         };
         let queue = rules.route(&call.host, &call.path).map(|queue| queue.name.clone());
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -160,11 +160,15 @@
         Some(job)
     }
 
+    /// Whether any task is on a worker.
+    fn has_runs(&self) -> bool {
+        self.steps.iter().any(|step| step.tasks.iter().any(|task| task.worker.is_some()))
+    }
+
     /// The job's row.
     pub fn record(&self) -> JobRecord {
         let is_open = self.phase == Phase::Open;
-        let has_runs = self.steps.iter().any(|s| s.tasks.iter().any(|t| t.worker.is_some()));
-        let (submission, steps) = if is_open || has_runs {
+        let (submission, steps) = if is_open || self.has_runs() {
             (self.submission.clone(), self.steps.iter().map(write_step).collect())
         } else {
             (Submission { id: self.submission.id.clone(), ..Submission::default() }, Vec::new())
@@ -191,8 +195,7 @@
 
     /// Drops what nobody needs of a job that has ended and holds no worker.
     pub fn shrink(&mut self) {
-        let has_runs = self.steps.iter().any(|s| s.tasks.iter().any(|t| t.worker.is_some()));
-        if self.phase != Phase::Open && !has_runs {
+        if self.phase != Phase::Open && !self.has_runs() {
             self.steps = Vec::new();
             self.submission.steps = Vec::new();
             self.submission.payload = String::new();
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -138,7 +138,7 @@
     fn tasks(&mut self, mut wanted: Wanted<'_>) {
         let mut unplaced = Vec::new();
         for index in std::mem::take(&mut wanted.waiting) {
-            match self.best_slot(&wanted, true) {
+            match self.best_slot(&wanted) {
                 Some(slot) => self.place(&wanted, &[(index, slot)]),
                 None => unplaced.push(index),
             }
@@ -151,7 +151,7 @@
 
     /// Places all tasks of a gang, or none.
     fn gang(&mut self, wanted: Wanted<'_>) {
-        if let Some(chosen) = self.choose_all(&wanted, true) {
+        if let Some(chosen) = self.choose_all(&wanted) {
             self.place(&wanted, &chosen);
             return;
         }
@@ -166,13 +166,13 @@
 
     /// Whether a slot's worker may run a step; `with_ticket` asks for a valid ticket too.
     fn may_run(&self, wanted: &Wanted<'_>, slot: usize, with_ticket: bool) -> bool {
-        let id = &self.slots[slot].id;
-        let Some(worker) = self.scheduler.pool.get(id) else { return false };
-        let is_right = worker.report.service == wanted.queue.service
-            && (wanted.spec.requirement.is_empty() || worker.has_label(&wanted.spec.requirement));
-        if !is_right || wanted.queue.hint.is_none() {
-            return is_right;
+        if !self.is_candidate(wanted, slot) {
+            return false;
+        }
+        if wanted.queue.hint.is_none() {
+            return true;
         }
+        let id = &self.slots[slot].id;
         let Some(job) = self.scheduler.jobs.get(wanted.key.0) else { return false };
         let step = &job.steps[wanted.key.1 as usize];
         if with_ticket { step.ticket(id, self.lands).is_some() } else { step.is_allowed(id) }
@@ -196,10 +196,10 @@
     }
 
     /// The slot with the least room that takes a task, near its data if possible.
-    fn best_slot(&self, wanted: &Wanted<'_>, with_ticket: bool) -> Option<usize> {
+    fn best_slot(&self, wanted: &Wanted<'_>) -> Option<usize> {
         let fitting = (0..self.slots.len()).filter(|slot| {
             wanted.spec.need.fits(&self.slots[*slot].room)
-                && self.may_run(wanted, *slot, with_ticket)
+                && self.may_run(wanted, *slot, true)
                 && self.spread_left(wanted, *slot) > 0
         });
         fitting.min_by_key(|slot| (!self.is_near(wanted.spec, *slot), self.slots[*slot].room.cpu))
@@ -211,9 +211,9 @@
     }
 
     /// Slots for all waiting tasks of a gang; none where they do not fit together.
-    fn choose_all(&self, wanted: &Wanted<'_>, with_ticket: bool) -> Option<Vec<(u32, usize)>> {
+    fn choose_all(&self, wanted: &Wanted<'_>) -> Option<Vec<(u32, usize)>> {
         let mut fitting: Vec<usize> =
-            (0..self.slots.len()).filter(|slot| self.may_run(wanted, *slot, with_ticket)).collect();
+            (0..self.slots.len()).filter(|slot| self.may_run(wanted, *slot, true)).collect();
         fitting.sort_by_key(|slot| (!self.is_near(wanted.spec, *slot), self.slots[*slot].room.cpu));
         if wanted.spec.same_rack
             && let Some(chosen) = self.choose_in_rack(wanted, &fitting)
@@ -394,6 +394,7 @@
         places >= count * GANG_CHOICE
     }
 
+    /// Whether a slot's worker is of the right service and has the label that the step asks for.
     fn is_candidate(&self, wanted: &Wanted<'_>, slot: usize) -> bool {
         let worker = self.scheduler.pool.get(&self.slots[slot].id);
         worker.is_some_and(|worker| {
