Callers wait for a leader that recovers instead of being broken off

The owner answered that it does not lead, the row moved once more, and the followers took the leader for alive and out of reach: after 50 ms they broke their callers off, 20 ms before the leader served. Ruled out: a slow recovery (165 ms from the claim to serving), a lost link (the followers were connected). Change: a leader counts as out of reach only where the connection to it failed after its row was seen to move.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -101,7 +101,9 @@
     leaderless: Duration,
     /// How long the latest read took.
     store_time: Duration,
-    /// Whether the head row moves although its leader is out of reach.
+    /// Whether the head row was seen to move since its leader was doubted.
+    is_leader_alive: bool,
+    /// Whether a leader that is alive could not be reached.
     is_cut_off: bool,
     /// Where peers were, as the latest leader told.
     members: Vec<Name>,
@@ -123,6 +125,7 @@
             hold_off: Duration::ZERO,
             leaderless: now,
             store_time: Duration::ZERO,
+            is_leader_alive: false,
             is_cut_off: false,
             members: Vec::new(),
             probes: Vec::new(),
@@ -207,6 +210,7 @@
         if matches!(self.stage, Stage::Joined { .. }) {
             self.leaderless = port.now;
         }
+        self.is_cut_off = self.is_leader_alive;
         let pause = self.doubt.as_ref().map_or(pause, |doubt| doubt.pause.min(pause));
         self.stage = Stage::Looking;
         self.look_at = port.now;
@@ -286,7 +290,7 @@
                 note!(port, ClaimSpared, "epoch" => epoch, "version" => version);
                 self.doubt = None;
                 if !is_joined {
-                    self.is_cut_off = true;
+                    self.is_leader_alive = true;
                     self.join(port);
                 }
             }
@@ -381,6 +385,8 @@
         match body {
             Some(Body::Welcome(welcome)) if welcome.epoch < epoch || welcome.epoch == 0 => {
                 port.out.push(Action::Close { link: from });
+                // It was reached, and may not know yet that its claim succeeded.
+                self.is_leader_alive = false;
                 self.lose(port, DOUBT_REFUSED, "peer does not lead");
             }
             Some(Body::Welcome(welcome)) => {
@@ -415,6 +421,7 @@
         if store_age_ms <= STORE_SILENCE {
             self.doubt = None;
         }
+        self.is_leader_alive = false;
         self.is_cut_off = false;
         self.stage = Stage::Joined { link, heard: port.now, store_age_ms, is_serving };
     }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -49,6 +49,10 @@
     pub late_orders: f64,
     /// How many times as long the store takes; 0 for the usual time.
     pub store_slowness: u32,
+    /// How much later answers to commits arrive.
+    pub late_answers: Duration,
+    /// How much longer a read takes for each row after its first.
+    pub row_time: Duration,
     /// Whether the store refuses all commits.
     pub is_store_busy: bool,
     /// Whether the store is away for all.
@@ -262,7 +266,8 @@
                 let commit = self.store.commit(&transaction, self.now);
                 if !is_lost {
                     let input = Input::Commit { call, commit };
-                    self.at(self.now + ms(4), Event::Input { node, life, input });
+                    let at = self.now + ms(4) + self.trouble.late_answers;
+                    self.at(at, Event::Input { node, life, input });
                 }
             }
             Event::Order { node, life, order, born, is_lost } => {
@@ -337,7 +342,9 @@
             Action::Read { call, from, to, timeout, .. } => {
                 let page = self.is_store_up(node).then(|| self.store.read(&from, &to, self.now));
                 let slow = ms(4) * self.trouble.store_slowness.max(1);
-                let wait = if page.is_some() { slow } else { timeout };
+                let more = page.as_ref().map_or(0, |page| page.rows.len().saturating_sub(1));
+                let long = slow + self.trouble.row_time * more as u32;
+                let wait = if page.is_some() { long } else { timeout };
                 let input = Input::Read { call, page };
                 self.at(self.now + wait, Event::Input { node, life, input });
             }
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -114,6 +114,35 @@
     assert_eq!(world.store.epoch(), before + 1);
 }
 
+#[test]
+fn recovering_leader_requests_wait_for_it() {
+    for seed in 20..30 {
+        let mut world = ready(seed, 9);
+        for number in 0..200 {
+            world.submit(job(&format!("old{number}"), vec![step(1, 300)]));
+        }
+        for node in 0..9 {
+            world.kill(node);
+        }
+        world.run(ms(500));
+        world.trouble.late_answers = ms(30);
+        world.trouble.row_time = ms(30);
+        for node in 0..9 {
+            world.start(node);
+            world.run(ms(1));
+        }
+        let submit = |world: &mut World, node| {
+            let id = format!("j{node}");
+            world.call(node, Op::Submit(job(&id, vec![step(1, 300)])))
+        };
+        let tokens: Vec<u64> = (0..9).map(|node| submit(&mut world, node)).collect();
+        world.run(ms(1500));
+        for token in tokens {
+            assert_eq!(world.answers.get(&token), Some(&Answer::Accepted), "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn slow_store_leader_stays_and_accepts() {
     let mut world = ready(8, 9);
