Operators' interface of the new daemon: jobs, queues, workers, daemons, and what jobs wait for

Cause: the command-line tool and operators had no way into bronzerail-platform (docs/issues/005), and a job that waits for room or advice left no log line (docs/issues/006). Ruled out: a second port (the metrics' address is the operators' already); answers from followers' own knowledge (they keep none), so views go to the leader as callers' requests do. Change: host::console serves /v1/jobs, /v1/queues, /v1/workers, /v1/members and /metrics at any daemon; scheduler::explain says what each step waits for; event 5411 logs it for jobs past their objective. The form of a submission is checked in one place, scheduler::check.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -16,14 +16,39 @@
         Cancel(Name),
         /// Count the queue's jobs that wait for their first start.
         Pending,
+        /// Show the leader's state to an operator.
+        View(View),
+    }
+
+    /// What an operator wants to see.
+    pub enum View {
+        /// A job: its steps, and what it waits for.
+        Job(Name),
+        /// The queues and their open jobs.
+        Queues,
+        /// The workers.
+        Workers,
+        /// The daemons.
+        Members,
+    }
+
+    /// Where a request is meant for.
+    pub enum Target {
+        /// The queue of a host and a path.
+        Route {
+            /// The host that the caller names.
+            host: Name,
+            /// The whole path.
+            path: Name,
+        },
+        /// The queue of a name; empty where the request concerns none.
+        Queue(Name),
     }
 
     /// A caller's request.
     pub struct Call {
-        /// The host that it names.
-        pub host: Name,
-        /// Its whole path.
-        pub path: Name,
+        /// The queue that it is for.
+        pub target: Target,
         /// What it wants.
         pub op: Op,
         /// How long the caller waits.
@@ -44,6 +69,8 @@
         NoQueue,
         /// No such job.
         NoJob,
+        /// What an operator asked to see, as JSON.
+        View(String),
         /// Nothing was done; worth another try after a while.
         Refused {
             /// When to come back.
@@ -55,3 +82,12 @@
         Unknown,
     }
 }
+
+impl std::fmt::Display for Target {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Route { path, .. } => f.write_str(path),
+            Self::Queue(name) => f.write_str(name),
+        }
+    }
+}
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -7,7 +7,7 @@
 use scheduler::Shown;
 
 use crate::action::Action;
-use crate::answer::{Answer, Call, Op};
+use crate::answer::{Answer, Call, Op, Target, View};
 use crate::event::note;
 use crate::frame::{Body, Reply, Request};
 use crate::meter::{Count, Hop};
@@ -50,7 +50,7 @@
     /// Takes a caller's request; returns its number, or none where it was refused.
     pub fn arrive(&mut self, port: &mut Port, token: u64, call: Call) -> Option<u64> {
         if self.pending.len() >= MAX_PENDING {
-            note!(port, JobRefused, "path" => %call.path, "reason" => "too many requests under way");
+            note!(port, JobRefused, "path" => %call.target, "reason" => "too many requests under way");
             port.answer(token, refused(false));
             return None;
         }
@@ -128,8 +128,7 @@
         for id in over {
             let Some(pending) = self.pending.remove(&id) else { continue };
             let waited = now.saturating_sub(pending.arrived).as_millis() as u64;
-            let path = &pending.call.path;
-            note!(port, CallUnanswered, "path" => %path, "waited_ms" => waited,
+            note!(port, CallUnanswered, "path" => %pending.call.target, "waited_ms" => waited,
                 "sent" => pending.was_sent, "cut_off" => is_cut_off);
             let changes = matches!(pending.call.op, Op::Submit(_) | Op::Cancel(_));
             let answer = if pending.was_sent && changes {
@@ -151,14 +150,26 @@
 const LOCAL: u64 = u64::MAX;
 
 fn encode(id: u64, call: &Call) -> Request {
-    let (op, job, submission) = match &call.op {
-        Op::Submit(submission) => (1, String::new(), Some(submission.clone())),
-        Op::State(job) => (2, job.to_string(), None),
-        Op::Cancel(job) => (3, job.to_string(), None),
-        Op::Pending => (4, String::new(), None),
+    let (op, job) = match &call.op {
+        Op::Submit(_) => (1, None),
+        Op::State(job) => (2, Some(job)),
+        Op::Cancel(job) => (3, Some(job)),
+        Op::Pending => (4, None),
+        Op::View(View::Job(job)) => (5, Some(job)),
+        Op::View(View::Queues) => (6, None),
+        Op::View(View::Workers) => (7, None),
+        Op::View(View::Members) => (8, None),
     };
-    let (host, path) = (call.host.to_string(), call.path.to_string());
-    Request { id, host, path, op, job, submission }
+    let job = job.map(ToString::to_string).unwrap_or_default();
+    let submission = match &call.op {
+        Op::Submit(submission) => Some(submission.clone()),
+        _ => None,
+    };
+    let (host, path, queue) = match &call.target {
+        Target::Route { host, path } => (host.to_string(), path.to_string(), String::new()),
+        Target::Queue(queue) => (String::new(), String::new(), queue.to_string()),
+    };
+    Request { id, host, path, op, job, submission, queue }
 }
 
 /// The call of a peer's request; none where this version does not know it.
@@ -168,14 +179,26 @@
         2 => Op::State(Name::new(&request.job)),
         3 => Op::Cancel(Name::new(&request.job)),
         4 => Op::Pending,
+        5 => Op::View(View::Job(Name::new(&request.job))),
+        6 => Op::View(View::Queues),
+        7 => Op::View(View::Workers),
+        8 => Op::View(View::Members),
         _ => return None,
     };
-    let (host, path) = (Name::new(&request.host), Name::new(&request.path));
-    Some(Call { host, path, op, patience: Duration::ZERO })
+    let target = if request.host.is_empty() && request.path.is_empty() {
+        Target::Queue(Name::new(&request.queue))
+    } else {
+        Target::Route { host: Name::new(&request.host), path: Name::new(&request.path) }
+    };
+    Some(Call { target, op, patience: Duration::ZERO })
 }
 
 /// The frame of an answer.
 pub(crate) fn encode_answer(id: u64, answer: &Answer) -> Reply {
+    let text = match answer {
+        Answer::View(text) => text.clone(),
+        _ => String::new(),
+    };
     let (answer, value) = match answer {
         Answer::Accepted => (1, 0),
         Answer::State(shown) => (2, *shown as u64),
@@ -185,8 +208,9 @@
         Answer::NoJob => (6, 0),
         Answer::Refused { retry_after, .. } => (7, retry_after.as_millis() as u64),
         Answer::Unknown => (8, 0),
+        Answer::View(_) => (9, 0),
     };
-    Reply { id, answer, value }
+    Reply { id, answer, value, text }
 }
 
 /// The answer in a frame; unknown where this version does not know it.
@@ -201,6 +225,7 @@
         5 => Answer::NoQueue,
         6 => Answer::NoJob,
         7 => Answer::Refused { retry_after: Duration::from_millis(reply.value), elsewhere: false },
+        9 => Answer::View(reply.text.clone()),
         _ => Answer::Unknown,
     }
 }
@@ -223,5 +248,6 @@
         Answer::NoJob => "no_job",
         Answer::Refused { .. } => "refused",
         Answer::Unknown => "unknown",
+        Answer::View(_) => "view",
     }
 }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -65,6 +65,7 @@
     5408 AdviceFailed "advice call failed";
     5409 CallUnanswered "request not answered in time";
     5410 TaskStopped "task stop ordered";
+    5411 JobWaits "job waits beyond its objective";
 }
 
 /// Logs an event with its fields.
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -109,15 +109,18 @@
     /// The path that the caller named.
     #[prost(string, tag = "3")]
     pub path: String,
-    /// 1 submit, 2 state, 3 cancel, 4 pending.
+    /// 1 submit, 2 state, 3 cancel, 4 pending; views: 5 job, 6 queues, 7 workers, 8 members.
     #[prost(uint32, tag = "4")]
     pub op: u32,
-    /// The job's id, for state and cancel.
+    /// The job's id, for state, cancel and the view of a job.
     #[prost(string, tag = "5")]
     pub job: String,
     /// The job, for submit.
     #[prost(message, optional, tag = "6")]
     pub submission: Option<Submission>,
+    /// The queue's name, where host and path are empty.
+    #[prost(string, tag = "7")]
+    pub queue: String,
 }
 
 /// The leader's answer to a [`Request`].
@@ -126,12 +129,16 @@
     /// The request's number.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// 1 accepted, 2 state, 3 cancelled, 4 pending, 5 no queue, 6 no job, 7 refused, 8 unknown.
+    /// 1 accepted, 2 state, 3 cancelled, 4 pending, 5 no queue, 6 no job, 7 refused, 8 unknown,
+    /// 9 view.
     #[prost(uint32, tag = "2")]
     pub answer: u32,
     /// The state's number, the count, or when to come back in ms.
     #[prost(uint64, tag = "3")]
     pub value: u64,
+    /// The view, as JSON.
+    #[prost(string, tag = "4")]
+    pub text: String,
 }
 
 /// An advice call that a follower makes for the leader.
--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -1,5 +1,8 @@
 //! What the leader notes of its jobs and levels.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
 use scheduler::Phase;
 
 use crate::event::note_job;
@@ -7,7 +10,33 @@
 use crate::meter::{Count, Hop, Level};
 use crate::node::Port;
 
+/// Pause between two looks at what overdue jobs wait for.
+const WAITS_PAUSE: Duration = Duration::from_secs(1);
+
+/// Overdue jobs explained at a look, as each costs a pass over the workers.
+const WAITS_AT_ONCE: usize = 20;
+
 impl Leader {
+    /// Logs what overdue jobs wait for, again where that has changed.
+    pub(super) fn note_waits(&mut self, port: &mut Port) {
+        if port.now < self.waits_noted + WAITS_PAUSE {
+            return;
+        }
+        self.waits_noted = port.now;
+        let overdue = self.scheduler.overdue(port.now).take(WAITS_AT_ONCE);
+        let mut waits = HashMap::new();
+        for id in overdue.map(|job| job.id.clone()).collect::<Vec<_>>() {
+            let Some(wait) = self.scheduler.why_waiting(&id, port.now) else { continue };
+            if self.waits.get(&id) != Some(&wait) {
+                let rank = self.scheduler.ahead_of(&id);
+                note_job!(port, &id, JobWaits, "reason" => %wait, "ahead" => rank,
+                    "epoch" => self.epoch);
+            }
+            waits.insert(id, wait);
+        }
+        self.waits = waits;
+    }
+
     /// Notes that the store has a job in a phase.
     pub(super) fn job_durable(&mut self, port: &mut Port, id: &str, phase: Phase) {
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -8,11 +8,13 @@
 mod peers;
 mod recovery;
 mod requests;
+mod views;
 mod watch;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
-use scheduler::Scheduler;
+use scheduler::{Scheduler, Wait};
 
 use crate::Body;
 use crate::action::Action;
@@ -96,6 +98,9 @@
     is_resigning: bool,
     /// Since when it is not sure that it leads; none while it is.
     doubted: Option<Duration>,
+    /// What overdue jobs were last logged to wait for.
+    waits: HashMap<common::Name, Wait>,
+    waits_noted: Duration,
 }
 
 impl Leader {
@@ -129,6 +134,8 @@
             fate: Fate::Stay,
             is_resigning: false,
             doubted: None,
+            waits: HashMap::new(),
+            waits_noted: now,
         };
         leader.recovery = Some(Recovery::begin(port));
         // The head row moves at once, so that others see that its owner is alive.
@@ -344,6 +351,7 @@
             self.advisors.ask(ask);
         }
         self.advisors.progress(port, &self.peers, &self.scheduler);
+        self.note_waits(port);
         for stop in std::mem::take(&mut self.scheduler.stops) {
             self.send_stop(port, stop);
         }
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -7,7 +7,7 @@
 
 use crate::action::Action;
 use crate::entry::{decode, encode_answer};
-use crate::frame::{Advice, Announce, Beat, Body, Bounds, Hello, Members, Reply, Welcome};
+use crate::frame::{Advice, Announce, Beat, Body, Bounds, Hello, Members, Welcome};
 use crate::input::Advised;
 use crate::lead::{Leader, requests::Caller};
 use crate::node::Port;
@@ -71,6 +71,12 @@
         self.peers.len()
     }
 
+    /// Name and address of each follower, and how long it has been silent.
+    pub fn list(&self, now: Duration) -> impl Iterator<Item = (&str, &str, Duration)> {
+        let row = move |peer: &Peer| now.saturating_sub(peer.heard);
+        self.peers.values().map(move |peer| (&*peer.member, &*peer.address, row(peer)))
+    }
+
     /// The follower that answered last.
     pub fn successor(&self) -> Option<Name> {
         let latest = self.peers.values().max_by_key(|peer| peer.heard)?;
@@ -157,7 +163,9 @@
                 let id = request.id;
                 match decode(request) {
                     Some(call) => self.request(port, Caller::Peer { link, id }, call),
-                    None => port.send(link, Body::Reply(Reply { id, answer: 8, value: 0 })),
+                    None => {
+                        port.send(link, Body::Reply(encode_answer(id, &crate::Answer::Unknown)))
+                    }
                 }
             }
             Body::Advice(advice) => self.advice(port, &advice),
--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -3,7 +3,7 @@
 use common::Name;
 use scheduler::Submission;
 
-use crate::answer::{Answer, Call, Op};
+use crate::answer::{Answer, Call, Op, Target};
 use crate::entry::refused;
 use crate::event::note_job;
 use crate::lead::{Leader, journal::Effect};
@@ -30,7 +30,11 @@
             self.answer(port, &caller, refused(false));
             return;
         };
-        let queue = rules.route(&call.host, &call.path).map(|queue| queue.name.clone());
+        let queue = match &call.target {
+            Target::Route { host, path } => rules.route(host, path),
+            Target::Queue(name) => rules.queue(name),
+        };
+        let queue = queue.map(|queue| queue.name.clone());
         match call.op {
             Op::Submit(submission) => self.submit(port, caller, queue, submission),
             Op::State(id) => self.tell_state(port, caller, id),
@@ -41,6 +45,10 @@
                 });
                 self.answer(port, &caller, answer);
             }
+            Op::View(view) => {
+                let answer = self.view(port, &view);
+                self.answer(port, &caller, answer);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/control/src/lead/views.rs
@@ -0,0 +1,148 @@
+//! What operators are shown of the leader's state, as JSON.
+
+use std::collections::BTreeMap;
+
+use scheduler::{Job, Need, Phase, Progress, Shown, Worker};
+use serde_json::{Value, json};
+
+use crate::answer::{Answer, View};
+use crate::lead::Leader;
+use crate::node::Port;
+
+/// Most rows of a view, so that it fits into a message between daemons.
+const MOST_ROWS: usize = 1000;
+
+impl Leader {
+    /// Shows an operator a part of the state.
+    pub(super) fn view(&self, port: &Port, view: &View) -> Answer {
+        let value = match view {
+            View::Job(id) => match self.scheduler.jobs.get(id) {
+                Some(job) => self.job_view(port, job),
+                None => return Answer::NoJob,
+            },
+            View::Queues => rows(self.queue_rows()),
+            View::Workers => {
+                rows(self.scheduler.pool.iter().map(|worker| worker_row(port, worker)).collect())
+            }
+            View::Members => rows(self.member_rows(port)),
+        };
+        Answer::View(value.to_string())
+    }
+
+    fn job_view(&self, port: &Port, job: &Job) -> Value {
+        let steps = self.scheduler.explain(&job.id, port.now).unwrap_or_default();
+        let steps: Vec<Value> = steps.iter().enumerate().map(step_row).collect();
+        let due_in = job.due.as_millis() as i64 - port.now.as_millis() as i64;
+        json!({
+            "id": &*job.id,
+            "queue": &*job.queue,
+            "state": job.shown().map_or("being stored", Shown::word),
+            "age_ms": port.now.saturating_sub(job.arrived).as_millis() as u64,
+            "due_in_ms": due_in,
+            "ahead": self.scheduler.ahead_of(&job.id),
+            "steps": steps,
+            "epoch": self.epoch,
+            "leader": &*port.config.member,
+        })
+    }
+
+    fn queue_rows(&self) -> Vec<Value> {
+        let Some(rules) = &self.scheduler.rules else { return Vec::new() };
+        let mut open: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+        for job in self.scheduler.jobs.values().filter(|job| job.phase == Phase::Open) {
+            let (all, waiting) = open.entry(&job.queue).or_default();
+            *all += 1;
+            *waiting += u64::from(!job.has_started);
+        }
+        let row = |queue: &scheduler::Queue| {
+            let (all, waiting) = open.get(&*queue.name).copied().unwrap_or_default();
+            json!({
+                "queue": &*queue.name,
+                "service": &*queue.service,
+                "priority": queue.priority,
+                "max_attempts": queue.max_attempts,
+                "advice": queue.hint.is_some(),
+                "open": all,
+                "waiting": waiting,
+                "rules": rules.version,
+            })
+        };
+        rules.queues.iter().map(row).collect()
+    }
+
+    fn member_rows(&self, port: &Port) -> Vec<Value> {
+        let leader = json!({
+            "member": &*port.config.member,
+            "address": &*port.config.address,
+            "role": "leader",
+            "epoch": self.epoch,
+            "silent_ms": 0,
+        });
+        let follower = |(member, address, silent): (&str, &str, std::time::Duration)| {
+            json!({
+                "member": member,
+                "address": address,
+                "role": "follower",
+                "epoch": self.epoch,
+                "silent_ms": silent.as_millis() as u64,
+            })
+        };
+        let followers = self.peers.list(port.now).map(follower);
+        std::iter::once(leader).chain(followers).collect()
+    }
+}
+
+/// The rows of a view, and how many did not fit.
+fn rows(mut all: Vec<Value>) -> Value {
+    let left_out = all.len().saturating_sub(MOST_ROWS);
+    all.truncate(MOST_ROWS);
+    json!({ "rows": all, "left_out": left_out })
+}
+
+fn step_row((number, progress): (usize, &Progress)) -> Value {
+    json!({
+        "step": number,
+        "tasks": progress.tasks,
+        "done": progress.done,
+        "placed": progress.placed,
+        "failed": progress.failed,
+        "waits": progress.wait.as_ref().map(ToString::to_string),
+    })
+}
+
+fn worker_row(port: &Port, worker: &Worker) -> Value {
+    let labels: Vec<&str> = worker.report.labels.iter().map(|label| &**label).collect();
+    json!({
+        "worker": &*worker.report.id,
+        "service": &*worker.report.service,
+        "zone": &*worker.report.zone,
+        "labels": labels,
+        "standing": standing(port, worker),
+        "tasks": worker.assigned.len(),
+        "used": room(&worker.used),
+        "room": room(&worker.report.capacity),
+    })
+}
+
+/// Why a worker takes no work, or that it does.
+fn standing(port: &Port, worker: &Worker) -> &'static str {
+    if !worker.is_listed {
+        "not listed"
+    } else if worker.report.is_draining {
+        "leaving"
+    } else if !worker.is_reachable {
+        "silent"
+    } else if !worker.is_fenced {
+        "not asked yet"
+    } else if worker.has_strangers {
+        "runs unknown tasks"
+    } else if worker.avoided_until > port.now {
+        "avoided"
+    } else {
+        "open"
+    }
+}
+
+fn room(need: &Need) -> Value {
+    json!({ "cpu": need.cpu, "memory": need.mem, "accelerators": need.gpus })
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -24,7 +24,7 @@
 mod store;
 
 pub use action::{Action, Watch};
-pub use answer::{Answer, Call, Op};
+pub use answer::{Answer, Call, Op, Target, View};
 pub use config::Config;
 pub use event::Event;
 pub use frame::{
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Action, Answer, Call, Config, Input, Node, Op, PeerEvent, Role};
+use control::{Action, Answer, Call, Config, Input, Node, Op, PeerEvent, Role, Target};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use scheduler::{Hint, Limits, Need, Queue, Rules, Shown, Step, Submission, TaskKey};
@@ -461,10 +461,10 @@
         let path = match &op {
             Op::Submit(job) => format!("{PREFIX}{}", job.id),
             Op::State(id) | Op::Cancel(id) => format!("{PREFIX}{id}"),
-            Op::Pending => PREFIX.to_owned(),
+            Op::Pending | Op::View(_) => PREFIX.to_owned(),
         };
-        let call =
-            Call { host: Name::new(HOST), path: Name::from(path.as_str()), op, patience: ms(3000) };
+        let target = Target::Route { host: Name::new(HOST), path: Name::from(path.as_str()) };
+        let call = Call { target, op, patience: ms(3000) };
         let life = self.slots[node].life;
         self.at(self.now, Event::Input { node, life, input: Input::Call { token, call } });
         token
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,7 +5,9 @@
 //! `docs/decisions/014-hyper-beside-stakker.md`.
 
 pub mod client;
+pub mod console;
 pub mod mesh;
 pub mod run;
 pub mod server;
 pub mod telemetry;
+pub mod waiting;
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -90,6 +90,19 @@
     }
 }
 
+impl Shown {
+    /// The state in one word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 impl Task {
     fn new() -> Self {
         Self { is_done: false, run: 0, failed: 0, worker: None, saved: Name::default() }
@@ -214,6 +227,12 @@
         })
     }
 
+    /// Steps with tasks that could be placed now.
+    pub fn ready(&self) -> impl Iterator<Item = usize> {
+        let is_ready = |number: &usize| self.steps[*number].has_waiting() && self.is_ready(*number);
+        (0..self.steps.len()).filter(is_ready)
+    }
+
     /// Whether all steps that a step waits for have ended.
     pub fn is_ready(&self, step: usize) -> bool {
         let after = &self.submission.steps[step].after;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,8 +5,10 @@
 //! carries out the starts and stops that it asked for. All times are durations since the
 //! start of the owner's loop.
 
+mod check;
 mod ends;
 mod estimate;
+mod explain;
 mod job;
 mod listing;
 mod place;
@@ -17,7 +19,9 @@
 mod step;
 mod worker;
 
+pub use check::{Fault, is_job_id};
 pub use ends::{End, How, Listing, Run};
+pub use explain::{Progress, Wait};
 pub use job::{Job, Phase, Shown, Task, TaskKey};
 pub use pool::Pool;
 pub use record::{JobRecord, Need, QueueRecord, Segment, Step, StepRecord, Submission, TaskRecord};
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -95,8 +95,7 @@
 impl Pass<'_> {
     fn job(&mut self, id: &Name) {
         let Some(job) = self.scheduler.jobs.get(id) else { return };
-        let ready = |number: &usize| job.steps[*number].has_waiting() && job.is_ready(*number);
-        let ready: Vec<usize> = (0..job.steps.len()).filter(ready).collect();
+        let ready: Vec<usize> = job.ready().collect();
         if ready.is_empty() {
             return;
         }
--- /dev/null
+++ b/crates/scheduler/tests/explain.rs
@@ -0,0 +1,138 @@
+//! What the scheduler says of jobs that wait.
+
+use std::time::Duration;
+
+use common::Name;
+use scheduler::{
+    Hint, Limits, Need, Queue, Report, Rules, Scheduler, Step, Submission, Wait, is_job_id,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// A pool of workers of two processors with one queue.
+fn pool(workers: &[&str], needs_advice: bool) -> Scheduler {
+    let hint = Hint { base: secs(0), each: secs(0), validity: secs(2) };
+    let queue = Queue {
+        name: Name::new("q"),
+        host: Name::new("h"),
+        prefix: Name::new("/p/"),
+        service: Name::new("s"),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        target: secs(1),
+        hint: needs_advice.then_some(hint),
+    };
+    let limits =
+        Limits { header_bytes: 1, body_bytes: 1, header_timeout: secs(1), idle_timeout: secs(1) };
+    let mut scheduler = Scheduler::default();
+    scheduler.set_rules(Rules { version: 1, queues: vec![queue], limits });
+    for id in workers {
+        scheduler.pool.report(Report {
+            id: Name::new(id),
+            born: 1,
+            address: Name::new("a"),
+            service: Name::new("s"),
+            zone: Name::new("z"),
+            labels: vec![Name::new("kind"), Name::new("rack")],
+            capacity: Need { cpu: 2000, mem: 1000, gpus: 0 },
+            is_draining: false,
+        });
+        scheduler.pool.get_mut(id).expect("it was reported").is_fenced = true;
+    }
+    scheduler
+}
+
+fn step(count: u32, cpu: u32) -> Step {
+    Step { count, need: Need { cpu, mem: 100, gpus: 0 }, estimate: 1000, ..Step::default() }
+}
+
+fn submit(scheduler: &mut Scheduler, id: &str, steps: Vec<Step>) {
+    let job = Submission { id: id.to_owned(), payload: String::new(), steps };
+    scheduler.submit(job, Name::new("q"), NOW, 0);
+}
+
+fn wait(scheduler: &Scheduler, id: &str) -> Option<Wait> {
+    scheduler.why_waiting(id, NOW)
+}
+
+#[test]
+fn wait_without_usable_worker() {
+    let mut scheduler = pool(&[], false);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    assert_eq!(wait(&scheduler, "j1"), Some(Wait::NoWorker));
+}
+
+#[test]
+fn wait_for_room_names_need_and_most_free() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![step(2, 1500)]);
+    scheduler.plan(NOW, secs(0));
+    submit(&mut scheduler, "j2", vec![step(1, 1000)]);
+    scheduler.plan(NOW, secs(0));
+    assert_eq!(wait(&scheduler, "j2"), Some(Wait::NoRoom { cpu: 1000, most_free: 500 }));
+    assert_eq!(scheduler.ahead_of("j2"), 1);
+    assert_eq!(wait(&scheduler, "j1"), None);
+}
+
+#[test]
+fn wait_of_gang_counts_places() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![Step { is_gang: true, ..step(5, 1000) }]);
+    scheduler.plan(NOW, secs(0));
+    assert_eq!(wait(&scheduler, "j1"), Some(Wait::Gang { places: 4, size: 5 }));
+}
+
+#[test]
+fn wait_for_advice_then_denied() {
+    let mut scheduler = pool(&["w1", "w2"], true);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    assert_eq!(wait(&scheduler, "j1"), Some(Wait::NoneAllowed));
+    scheduler.plan(NOW, secs(0));
+    assert_eq!(wait(&scheduler, "j1"), Some(Wait::Advice(2)));
+    scheduler.advised("j1", 0, Some((Vec::new(), secs(2))), NOW);
+    assert_eq!(wait(&scheduler, "j1"), Some(Wait::NoneAllowed));
+}
+
+#[test]
+fn explain_later_step_names_earlier_one() {
+    let mut scheduler = pool(&["w1"], false);
+    let last = Step { after: vec![0], ..step(1, 1000) };
+    submit(&mut scheduler, "j1", vec![step(2, 1000), last]);
+    scheduler.plan(NOW, secs(0));
+    let steps = scheduler.explain("j1", NOW).expect("the job is known");
+    assert_eq!((steps[0].tasks, steps[0].placed, &steps[0].wait), (2, 2, &None));
+    assert_eq!(steps[1].wait, Some(Wait::EarlierStep(0)));
+    assert!(scheduler.explain("j2", NOW).is_none());
+}
+
+#[test]
+fn overdue_only_past_objective_with_tasks_to_place() {
+    let mut scheduler = pool(&["w1"], false);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    submit(&mut scheduler, "j2", vec![step(1, 3000)]);
+    scheduler.plan(NOW, secs(0));
+    assert_eq!(scheduler.overdue(NOW + secs(2)).count(), 0);
+    let overdue: Vec<_> = scheduler.overdue(NOW + secs(4)).map(|job| job.id.clone()).collect();
+    assert_eq!(overdue, [Name::new("j2")]);
+}
+
+#[test]
+fn check_names_first_fault() {
+    let job = |id: &str, steps| Submission { id: id.to_owned(), payload: String::new(), steps };
+    let fault = |job: Submission| job.check().expect_err("it has a fault").to_string();
+    let id = "0123456789abcdef";
+    assert!(is_job_id(id) && !is_job_id("0123456789abcdeg"));
+    assert!(job(id, vec![step(1, 1)]).check().is_ok());
+    assert_eq!(fault(job("1", vec![step(1, 1)])), "the id is not 16 hexadecimal digits");
+    assert_eq!(fault(job(id, Vec::new())), "there are no steps");
+    assert_eq!(fault(job(id, vec![step(1, 1), step(0, 1)])), "step 1 has no tasks");
+    let own = Step { after: vec![0], ..step(1, 1) };
+    assert_eq!(fault(job(id, vec![own])), "step 0 waits for a step that is not before it");
+    let long = Submission { payload: "x".repeat(4001), ..job(id, vec![step(1, 1)]) };
+    assert_eq!(fault(long), "the payload is longer than 4000 bytes");
+}
