--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -56,6 +56,7 @@
             let late = port.now.saturating_sub(job.due).as_millis() as u64;
             note_job!(port, id, JobEnded, "phase" => word, "queue" => %job.queue,
                 "age_ms" => age.as_millis() as u64, "late_ms" => late, "epoch" => self.epoch);
+            port.sampler.forget(id);
         }
         job.durable = Some(phase);
         job.shrink();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,4 +34,5 @@
 pub use input::{Advised, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
 pub use meter::{Count, Hop, Level, Meter, NoMeter};
 pub use node::{Node, Role};
+pub use sample::Sampler;
 pub use store::{Commit, Key, Page, Row, Transaction, Write};
