--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -54,6 +54,10 @@
     Queue(Queue),
     /// Watch the cell.
     Top(Top),
+    /// A pool of bronzerail-platform.
+    Pool(Pool),
+    /// Draw a day from logs.
+    Report(Report),
 }
 
 /// Submit work; asking again under the same id gives the same answer.
@@ -148,12 +152,136 @@
     Explain
 }
 
-on_request! {
-    /// Show the spans of each hop of a request, with times.
-    #[argh(subcommand, name = "trace")]
-    Trace
+/// Show each hop of a request with times, or what collected logs tell of a job.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "trace",
+    example = "{command_name} toolroom s-1",
+    example = "{command_name} 09fb713d88796a49 --logs a.log --logs b.log"
+)]
+pub struct Trace {
+    /// the customer; with --logs the job's id
+    #[argh(positional)]
+    pub customer: String,
+
+    /// the request's id; not with --logs
+    #[argh(positional)]
+    pub id: Option<String>,
+
+    /// a file of log lines of bronzerail-platform; may be given for each daemon
+    #[argh(option)]
+    pub logs: Vec<String>,
 }
 
+/// Print and draw what a cell of bronzerail-platform did, from its logs.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "report",
+    example = "{command_name} --logs a.log --logs b.log --out day.svg"
+)]
+pub struct Report {
+    /// a file of log lines; may be given for each daemon
+    #[argh(option)]
+    pub logs: Vec<String>,
+
+    /// where to put a picture (SVG)
+    #[argh(option)]
+    pub out: Option<String>,
+}
+
+/// Submit to and look at a pool of bronzerail-platform; --server is an operators' address.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "pool", example = "{command_name} explain 09fb713d88796a49")]
+pub struct Pool {
+    /// what to do
+    #[argh(subcommand)]
+    pub verb: PoolVerb,
+}
+
+/// What to do with a pool.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum PoolVerb {
+    /// Submit a job.
+    Submit(PoolSubmit),
+    /// Show a job's state.
+    Status(PoolStatus),
+    /// Cancel a job.
+    Cancel(PoolCancel),
+    /// Say what a job's steps wait for.
+    Explain(PoolExplain),
+    /// Show the queues.
+    Queues(PoolQueues),
+    /// Show the workers.
+    Workers(PoolWorkers),
+    /// Show the daemons.
+    Members(PoolMembers),
+}
+
+/// Submit a job; asking again under the same id is one job.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit", example = "{command_name} 09fb713d88796a49 job.json --wait 1m")]
+pub struct PoolSubmit {
+    /// the job's id, 16 hexadecimal digits
+    #[argh(positional)]
+    pub id: String,
+
+    /// the job as JSON: queue, payload, steps
+    #[argh(positional)]
+    pub file: String,
+
+    /// wait so long for its end, such as 1m
+    #[argh(option)]
+    pub wait: Option<String>,
+}
+
+macro_rules! on_job {
+    ($(#[$meta:meta])* $name:ident) => {
+        #[derive(Debug, FromArgs)]
+        $(#[$meta])*
+        pub struct $name {
+            /// the job's id
+            #[argh(positional)]
+            pub id: String,
+        }
+    };
+}
+
+on_job! {
+    /// Show a job's state.
+    #[argh(subcommand, name = "status")]
+    PoolStatus
+}
+
+on_job! {
+    /// Cancel a job.
+    #[argh(subcommand, name = "cancel")]
+    PoolCancel
+}
+
+on_job! {
+    /// Say how far a job's steps are and what they wait for.
+    #[argh(subcommand, name = "explain")]
+    PoolExplain
+}
+
+/// Show the queues with their open jobs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "queues")]
+pub struct PoolQueues {}
+
+/// Show the workers with their room and use.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "workers")]
+pub struct PoolWorkers {}
+
+/// Show the daemons and which one leads.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "members")]
+pub struct PoolMembers {}
+
 /// Wait for a request's answer.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "wait", example = "{command_name} toolroom s-1 --for 10m")]
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,6 +1,8 @@
 //! The commands.
 
 mod files;
+mod history;
+mod pool;
 mod requests;
 mod views;
 
@@ -8,7 +10,7 @@
 
 use settings::quantity::Span;
 
-use crate::args::Action;
+use crate::args::{Action, Trace};
 use crate::config::Config;
 use crate::error::Error;
 
@@ -24,13 +26,27 @@
         Action::Wait(on) => requests::wait(config, &on.customer, &on.id, on.length.as_deref()),
         Action::Cancel(on) => requests::cancel(config, &on.customer, &on.id),
         Action::Explain(on) => requests::explain(config, &on.customer, &on.id),
-        Action::Trace(on) => requests::trace(config, &on.customer, &on.id),
+        Action::Trace(on) => trace(config, &on),
         Action::Inventory(file) => files::run(config, "inventory", file.verb),
         Action::Rules(file) => files::run(config, "rules", file.verb),
         Action::Members(_) => views::members(config),
         Action::Workers(_) => views::workers(config),
         Action::Queue(_) => views::queue(config),
         Action::Top(top) => views::top(config, &top),
+        Action::Pool(pool) => pool::run(config, &pool),
+        Action::Report(report) => history::report(config, &report),
+    }
+}
+
+/// Shows a request's hops, by its daemon or by logs.
+fn trace(config: &Config, on: &Trace) -> Result<(), Error> {
+    match &on.id {
+        None if !on.logs.is_empty() => history::trace(config, &on.customer, &on.logs),
+        Some(id) if on.logs.is_empty() => requests::trace(config, &on.customer, id),
+        _ => {
+            let text = "give a customer and an id, or a job's id and --logs".to_owned();
+            Err(Error::Option { option: "logs", text })
+        }
     }
 }
 
--- a/crates/cli/src/command/views.rs
+++ b/crates/cli/src/command/views.rs
@@ -52,6 +52,7 @@
 struct View {
     rows: Vec<Value>,
     missing: u64,
+    left_out: u64,
 }
 
 fn fetch(config: &Config, what: &str, sort: &[&str]) -> Result<View, Error> {
@@ -63,10 +64,16 @@
     let key = |row: &Value| sort.iter().map(|field| row[*field].to_string()).collect::<Vec<_>>();
     rows.sort_by_cached_key(key);
     let missing = answer.body["members_missing"].as_u64().unwrap_or(0);
-    Ok(View { rows, missing })
+    let left_out = answer.body["left_out"].as_u64().unwrap_or(0);
+    Ok(View { rows, missing, left_out })
 }
 
-fn show(config: &Config, what: &str, sort: &[&str], columns: &[Column]) -> Result<(), Error> {
+pub(super) fn show(
+    config: &Config,
+    what: &str,
+    sort: &[&str],
+    columns: &[Column],
+) -> Result<(), Error> {
     let view = fetch(config, what, sort)?;
     if config.is_json {
         print_json(&Value::from(view.rows));
@@ -76,6 +83,9 @@
     if view.missing > 0 {
         println!("{} members did not answer", view.missing);
     }
+    if view.left_out > 0 {
+        println!("{} more are not shown", view.left_out);
+    }
     Ok(())
 }
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -56,6 +56,18 @@
         /// The daemon's words.
         text: String,
     },
+    /// The logs say nothing of a job, or nothing at all.
+    #[snafu(display("no log line tells of {}", if job.is_empty() { "anything" } else { job }))]
+    NoLines {
+        /// The job; empty where any line would do.
+        job: String,
+    },
+    /// The picture cannot be drawn.
+    #[snafu(display("{text}"))]
+    Chart {
+        /// What is wrong.
+        text: String,
+    },
     /// The request goes on.
     #[snafu(display("the request is {state}"))]
     Open {
@@ -71,6 +83,8 @@
             Self::Option { .. } | Self::File { .. } | Self::Settings { .. } => {
                 Kind::Malformed.exit()
             }
+            Self::NoLines { .. } => Kind::NotFound.exit(),
+            Self::Chart { .. } => Kind::Internal.exit(),
             Self::NoAnswer { .. } => EXIT_NO_ANSWER,
             Self::Refused { kind, .. } => kind.exit(),
             Self::Open { .. } => EXIT_OPEN,
