--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -17,6 +17,7 @@
 struct Cell {
     daemon: Child,
     folder: PathBuf,
+    operators: SocketAddr,
     _platform: Platform,
 }
 
@@ -53,7 +54,8 @@
         let mut daemon = Command::new(program);
         daemon.arg("--settings").arg(&settings).stdout(Stdio::null());
         let daemon = daemon.spawn().expect("the daemon starts");
-        let cell = Self { daemon, folder, _platform: platform };
+        let operators = SocketAddr::from((Ipv4Addr::new(127, 0, 0, HOST), 9464));
+        let cell = Self { daemon, folder, operators, _platform: platform };
         let end = Instant::now() + PATIENCE;
         while cell.tool(&["pool", "queues"]).status.code() != Some(0) {
             assert!(Instant::now() < end, "the daemon does not lead");
@@ -63,7 +65,7 @@
     }
 
     fn tool(&self, words: &[&str]) -> Output {
-        let address = SocketAddr::from((Ipv4Addr::new(127, 0, 0, HOST), 9464));
+        let address = self.operators;
         let mut tool = Command::new(env!("CARGO_BIN_EXE_bronzerail"));
         tool.args(["--server", &format!("http://{address}")]).args(words);
         tool.output().expect("the tool runs")
--- a/crates/logs/src/day.rs
+++ b/crates/logs/src/day.rs
@@ -137,7 +137,7 @@
             let style = ShapeStyle::from(color.mix(0.15)).filled();
             chart.draw_series(std::iter::once(Rectangle::new(corners, style)))?;
         }
-        let series: [(&str, RGBColor, fn(&Second) -> u32); 4] = [
+        let series: [Series; 4] = [
             ("accepted", BLUE, |second| second.accepted),
             ("ended in time", GREEN, |second| second.in_time),
             ("ended late or failed", RED, |second| second.late),
@@ -163,6 +163,9 @@
     }
 }
 
+/// A line of the chart: its name, its color and its value in a second.
+type Series = (&'static str, RGBColor, fn(&Second) -> u32);
+
 const STORE: &str = "store away";
 const LEADER: &str = "no leader";
 
--- a/crates/logs/tests/logs.rs
+++ b/crates/logs/tests/logs.rs
@@ -64,7 +64,7 @@
     let spans: Vec<(&str, u64)> = day
         .troubles
         .iter()
-        .map(|span| (span.what, (span.to - span.from).as_millis() as u64))
+        .map(|span| (span.what, span.to.saturating_sub(span.from).as_millis() as u64))
         .collect();
     assert_eq!(spans, [("store away", 3210), ("no leader", 800)]);
     let svg = day.chart().expect("it can be drawn");
