A leader whose processor falls behind hands its place to a quicker daemon

Change: lateness of the loop's timer, told with each heartbeat's echo; a leader that is 5 ms late on average and three times as late as the quickest follower for 0.4 s gives its place up to it, at most every 6 s. The successor at a planned stop is the quickest follower too. Tests: takeover leader_that_falls_behind_* (two, seen failing first), leader_stays_where_all_fall_behind.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -44,6 +44,7 @@
     5108 Resigned "leadership given up";
     5109 ClaimSpared "leader is alive; not claimed";
     5110 LeaderCutOff "most followers fell silent; giving the place up";
+    5111 LeaderSlow "processor falls behind; giving the place up";
     5201 StoreLost "store does not answer";
     5202 StoreBack "store answers again";
     5203 RowIgnored "row cannot be read; ignored";
--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -396,7 +396,9 @@
             }
             Some(Body::Beat(beat)) => {
                 self.heard(port, from, beat.is_serving, beat.store_age_ms);
-                port.send(from, Body::Beat(Beat { epoch: beat.epoch, ..Beat::default() }));
+                let lag_us = port.lag.mean().as_micros() as u32;
+                let echo = Beat { epoch: beat.epoch, lag_us, ..Beat::default() };
+                port.send(from, Body::Beat(echo));
                 return beat.is_serving;
             }
             Some(Body::Members(members)) => {
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -95,6 +95,9 @@
     /// Whether it takes requests already.
     #[prost(bool, tag = "3")]
     pub is_serving: bool,
+    /// Mean lateness of the sender's timer, in us.
+    #[prost(uint32, tag = "4")]
+    pub lag_us: u32,
 }
 
 /// A caller's request on its way to the leader.
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -51,6 +51,19 @@
 /// Pause between two looks for jobs to forget.
 const FORGET_PAUSE: Duration = Duration::from_secs(1);
 
+/// Mean lateness of the timer from which on a leader may be too slow; the usual one is the
+/// timer's resolution, 1 ms.
+const LAG_LIMIT: Duration = Duration::from_millis(5);
+
+/// How much later than the quickest follower's the leader's timer must be.
+const LAG_FACTOR: u32 = 3;
+
+/// How long the leader must be too slow before it gives its place up.
+const LAG_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Least time between two changes of leader for slowness; a change costs some 200 ms.
+const LAG_REST: Duration = Duration::from_secs(6);
+
 common::key! {
     /// What becomes of a leader.
     pub(crate) enum Fate {
@@ -98,6 +111,10 @@
     is_resigning: bool,
     /// Since when it is not sure that it leads; none while it is.
     doubted: Option<Duration>,
+    /// Since when it leads.
+    began: Duration,
+    /// Since when its processor falls behind those of its followers.
+    slow_since: Option<Duration>,
     /// What overdue jobs were last logged to wait for.
     waits: HashMap<common::Name, Wait>,
     waits_noted: Duration,
@@ -134,6 +151,8 @@
             fate: Fate::Stay,
             is_resigning: false,
             doubted: None,
+            began: now,
+            slow_since: None,
             waits: HashMap::new(),
             waits_noted: now,
         };
@@ -326,12 +345,31 @@
             }
         }
         self.peers.announce(port);
+        self.watch_lag(port);
         if self.peers.is_cut_off(port.now) && !self.is_resigning {
             note!(port, LeaderCutOff, "epoch" => self.epoch);
             self.resign();
         }
     }
 
+    /// Gives its place up where its processor falls behind and a follower's does not.
+    fn watch_lag(&mut self, port: &Port) {
+        let lag = port.lag.mean();
+        let quickest = self.peers.quickest();
+        let is_slow =
+            lag >= LAG_LIMIT && quickest.is_some_and(|(_, follower)| lag >= follower * LAG_FACTOR);
+        if !is_slow || self.is_resigning || port.now < self.began + LAG_REST {
+            self.slow_since = None;
+            return;
+        }
+        let since = *self.slow_since.get_or_insert(port.now);
+        if port.now >= since + LAG_PATIENCE {
+            note!(port, LeaderSlow, "epoch" => self.epoch, "lag_us" => lag.as_micros() as u64,
+                "quickest_us" => quickest.map_or(0, |(_, lag)| lag.as_micros() as u64));
+            self.resign();
+        }
+    }
+
     fn drive(&mut self, port: &mut Port) {
         self.renew_workers(port);
         self.forget_ended(port);
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -35,6 +35,8 @@
     member: Name,
     address: Name,
     heard: Duration,
+    /// Mean lateness of its timer; none before its first echo.
+    lag: Option<Duration>,
 }
 
 /// The followers that are connected.
@@ -77,10 +79,16 @@
         self.peers.values().map(move |peer| (&*peer.member, &*peer.address, row(peer)))
     }
 
-    /// The follower that answered last.
+    /// The follower whose timer is the least late, and how late it is.
+    pub fn quickest(&self) -> Option<(&Name, Duration)> {
+        let quickest = self.peers.values().filter_map(|peer| Some((&peer.member, peer.lag?)));
+        quickest.min_by_key(|(_, lag)| *lag)
+    }
+
+    /// Who is to take the leader's place over: the quickest follower that has answered.
     pub fn successor(&self) -> Option<Name> {
-        let latest = self.peers.values().max_by_key(|peer| peer.heard)?;
-        Some(latest.member.clone())
+        let any = self.peers.values().next().map(|peer| &peer.member);
+        self.quickest().map(|(member, _)| member).or(any).cloned()
     }
 
     /// Forgets a link that was closed or reset.
@@ -145,7 +153,8 @@
         self.beat_at = port.now + BEAT_PAUSE;
         self.was_serving = is_serving;
         let store_age_ms = store_age.as_millis() as u32;
-        self.broadcast(port, &Body::Beat(Beat { epoch, store_age_ms, is_serving }));
+        let beat = Beat { epoch, store_age_ms, is_serving, ..Beat::default() };
+        self.broadcast(port, &Body::Beat(beat));
     }
 }
 
@@ -154,9 +163,10 @@
     pub(super) fn frame(&mut self, port: &mut Port, link: u64, body: Body) {
         match body {
             Body::Hello(hello) => self.welcome(port, link, &hello),
-            Body::Beat(_) => {
+            Body::Beat(beat) => {
                 if let Some(peer) = self.peers.peers.get_mut(&link) {
                     peer.heard = port.now;
+                    peer.lag = Some(Duration::from_micros(beat.lag_us.into()));
                 }
             }
             Body::Request(request) if self.is_serving() => {
@@ -164,7 +174,7 @@
                 match decode(request) {
                     Some(call) => self.request(port, Caller::Peer { link, id }, call),
                     None => {
-                        port.send(link, Body::Reply(encode_answer(id, &crate::Answer::Unknown)))
+                        port.send(link, Body::Reply(encode_answer(id, &crate::Answer::Unknown)));
                     }
                 }
             }
@@ -180,7 +190,7 @@
         let (member, address) = (Name::new(&hello.member), Name::new(&hello.address));
         self.peers.lost.remove(&address);
         self.peers.peers.retain(|_, peer| peer.member != member);
-        self.peers.peers.insert(link, Peer { member, address, heard: port.now });
+        self.peers.peers.insert(link, Peer { member, address, heard: port.now, lag: None });
         let (epoch, is_serving) = (self.epoch, self.is_serving());
         let welcome = Welcome { epoch, is_serving, ..Welcome::default() };
         port.send(link, Body::Welcome(welcome));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod frame;
 mod head;
 mod input;
+mod lag;
 mod lead;
 mod meter;
 mod node;
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -66,6 +66,8 @@
         Followers,
         /// Time since the last commit, in ms.
         StoreAge,
+        /// Mean lateness of the daemon's timer, in ms.
+        Lag,
     }
 }
 
@@ -151,7 +153,7 @@
 
 impl Level {
     /// Every level.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Leads,
         Self::Requests,
         Self::OpenJobs,
@@ -160,6 +162,7 @@
         Self::FreeCpu,
         Self::Followers,
         Self::StoreAge,
+        Self::Lag,
     ];
 
     /// The metric's name.
@@ -173,6 +176,7 @@
             Self::FreeCpu => "bronzerail.workers.free_cpu",
             Self::Followers => "bronzerail.followers",
             Self::StoreAge => "bronzerail.store.age",
+            Self::Lag => "bronzerail.loop.lag",
         }
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -14,6 +14,7 @@
 use crate::follow::{Follower, Verdict};
 use crate::frame::{Advice, Announce, Ask, Body, Frame, Ticket, Welcome};
 use crate::input::{Advised, Input, PeerEvent};
+use crate::lag::Lag;
 use crate::lead::{Caller, Fate, Leader};
 use crate::meter::{Count, Level, Meter};
 use crate::sample::Sampler;
@@ -28,6 +29,12 @@
 /// Pause between two notes of levels.
 const MEASURE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Pause between ticks of a daemon that leads.
+const LEADER_TICK: Duration = Duration::from_millis(5);
+
+/// Pause between ticks of any other daemon.
+const FOLLOWER_TICK: Duration = Duration::from_millis(50);
+
 /// Suspension after which a leader confirms its place before it answers.
 const LONG_SUSPENSION: Duration = Duration::from_millis(300);
 
@@ -54,6 +61,7 @@
     pub log: Logger,
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
+    pub lag: Lag,
     next_call: u64,
     next_link: u64,
     rng: SmallRng,
@@ -109,7 +117,9 @@
         let rng = SmallRng::seed_from_u64(config.seed);
         let out = Vec::new();
         let sampler = Sampler::new();
-        let port = Port { config, now, out, log, meter, sampler, next_call: 0, next_link: 0, rng };
+        let lag = Lag::default();
+        let (next_call, next_link) = (0, 0);
+        let port = Port { config, now, out, log, meter, sampler, lag, next_call, next_link, rng };
         Self {
             port,
             entry: Entry::default(),
@@ -140,11 +150,19 @@
         }
     }
 
+    /// Pause to the next tick.
+    pub fn tick_pause(&self) -> Duration {
+        match self.part {
+            Part::Leader(_) => LEADER_TICK,
+            Part::Follower(_) => FOLLOWER_TICK,
+        }
+    }
+
     /// Takes an input and returns what is to be done.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.port.now = now;
         match input {
-            Input::Tick => {}
+            Input::Tick => self.port.lag.tick(now, self.tick_pause()),
             Input::Call { token, call } => self.call(token, call),
             Input::Gone { token } => self.entry.forget(token),
             Input::Peer { link, event } => self.peer(link, event),
@@ -327,6 +345,7 @@
     }
 
     fn woken(&mut self, gap: Duration) {
+        self.port.lag.reset();
         note!(self.port, Woken, "gap_ms" => gap.as_millis() as u64);
         if gap >= LONG_SUSPENSION
             && let Part::Leader(leader) = &mut self.part
@@ -379,6 +398,7 @@
             Part::Follower(_) => None,
         };
         self.port.meter.level(Level::Leads, u64::from(leader.is_some()));
+        self.port.meter.level(Level::Lag, self.port.lag.mean().as_millis() as u64);
         self.port.meter.level(Level::Requests, self.entry.len() as u64);
         if let Some(leader) = leader {
             leader.measure(&self.port);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -77,6 +77,8 @@
     pub advice_calls: u64,
     /// Share of workers that advice allows.
     pub fit_share: f64,
+    /// How late the timers of some nodes fire.
+    pub late_timers: HashMap<usize, Duration>,
     pub starts: u64,
     store_free: Duration,
     rng: SmallRng,
@@ -111,6 +113,7 @@
             ready: HashMap::new(),
             advice_calls: 0,
             fit_share: 1.0,
+            late_timers: HashMap::new(),
             starts: 0,
             store_free: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
@@ -253,9 +256,9 @@
         match event {
             Event::Tick { node, life } => {
                 if self.deliver(node, life, Input::Tick) {
-                    let leads =
-                        self.slots[node].node.as_ref().is_some_and(|n| n.role() == Role::Leading);
-                    let pause = if leads { ms(5) } else { ms(50) };
+                    let node_up = self.slots[node].node.as_ref();
+                    let late = self.late_timers.get(&node).copied().unwrap_or_default();
+                    let pause = node_up.map_or(ms(50), Node::tick_pause) + late;
                     self.at(self.now + pause, Event::Tick { node, life });
                 }
             }
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -192,3 +192,41 @@
     }
     assert_eq!((world.leader(), world.store.epoch()), (leader, epoch));
 }
+
+#[test]
+fn leader_that_falls_behind_hands_over_once() {
+    let mut world = ready(11, 5);
+    let leader = world.leader().expect("one leads");
+    world.run(ms(7000));
+    let epoch = world.store.epoch();
+    world.late_timers.insert(leader, ms(12));
+    assert!(other_leader(&mut world, leader, ms(1500)).is_some());
+    world.run(ms(20_000));
+    assert_eq!(world.store.epoch(), epoch + 1);
+    assert_ne!(world.leader(), Some(leader));
+}
+
+#[test]
+fn leader_that_falls_behind_chooses_quickest_follower() {
+    let mut world = ready(12, 5);
+    let leader = world.leader().expect("one leads");
+    let quick = (0..5).rev().find(|node| *node != leader).expect("there are others");
+    for node in (0..5).filter(|node| *node != quick && *node != leader) {
+        world.late_timers.insert(node, ms(1));
+    }
+    world.run(ms(7000));
+    world.late_timers.insert(leader, ms(12));
+    assert_eq!(other_leader(&mut world, leader, ms(1500)), Some(quick));
+}
+
+#[test]
+fn leader_stays_where_all_fall_behind() {
+    let mut world = ready(13, 5);
+    let (leader, epoch) = (world.leader(), world.store.epoch());
+    world.run(ms(7000));
+    for node in 0..5 {
+        world.late_timers.insert(node, ms(12));
+    }
+    world.run(ms(10_000));
+    assert_eq!((world.leader(), world.store.epoch()), (leader, epoch));
+}
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -5,19 +5,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use control::{Action, Input, Node, Role};
+use control::{Action, Input, Node};
 use rustix::time::{ClockId, clock_gettime};
 use stakker::{ActorOwn, CX, Stakker, actor, after, call, ret_nop};
 use tokio::sync::Notify;
 
 use crate::mesh::Mesh;
 
-/// Pause between ticks of a daemon that leads.
-const LEADER_TICK: Duration = Duration::from_millis(5);
-
-/// Pause between ticks of any other daemon.
-const FOLLOWER_TICK: Duration = Duration::from_millis(50);
-
 /// Longest sleep of the loop.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
@@ -94,9 +88,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         self.input(cx, Input::Tick);
-        let is_leader = matches!(self.node.role(), Role::Leading | Role::Recovering);
-        let pause = if is_leader { LEADER_TICK } else { FOLLOWER_TICK };
-        after!(pause, [cx], tick());
+        after!(self.node.tick_pause(), [cx], tick());
     }
 }
 
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -127,7 +127,7 @@
     let fault = |job: Submission| job.check().expect_err("it has a fault").to_string();
     let id = "0123456789abcdef";
     assert!(is_job_id(id) && !is_job_id("0123456789abcdeg"));
-    assert!(job(id, vec![step(1, 1)]).check().is_ok());
+    assert_eq!(job(id, vec![step(1, 1)]).check(), Ok(()));
     assert_eq!(fault(job("1", vec![step(1, 1)])), "the id is not 16 hexadecimal digits");
     assert_eq!(fault(job(id, Vec::new())), "there are no steps");
     assert_eq!(fault(job(id, vec![step(1, 1), step(0, 1)])), "step 1 has no tasks");
