--- a/crates/control/src/lead/advisors.rs
+++ b/crates/control/src/lead/advisors.rs
@@ -1,15 +1,14 @@
 //! Advice calls, spread over the daemons.
 //!
 //! The advice service handles the calls of one machine in turn, so a slow call delays all
-//! behind it. A placement pass asks for no more calls than there are daemons about to be free,
-//! so that calls are made by rank and name workers that have room. Slow and middling calls go
-//! to other daemons than quick ones, which never wait behind slow ones.
+//! behind it. Calls wait at the leader until a daemon is about to be free. Slow, middling and
+//! quick calls go to different daemons, so that quick ones never wait behind slow ones.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Ask, AskRoom, Pace, Phase, Scheduler};
+use scheduler::{Ask, Phase, Scheduler};
 
 use crate::action::Action;
 use crate::frame::{self, Body};
@@ -17,19 +16,16 @@
 use crate::meter::Hop;
 use crate::node::Port;
 
+/// Expected time from which a call counts as slow.
+const SLOW_CALL: Duration = Duration::from_millis(200);
+
+/// Expected time from which a call counts as middling.
+const MIDDLING_CALL: Duration = Duration::from_millis(30);
+
 /// Expected time of the calls under way at a daemon up to which it gets another one, so that
 /// the service has no gap between two.
 const BACKLOG: Duration = Duration::from_millis(20);
 
-/// Slow calls that may wait for each daemon that is about to be free.
-const WAITING_SLOW: usize = 1;
-
-/// Middling calls that may wait for each such daemon; they fill the time to the next pass.
-const WAITING_MIDDLING: usize = 2;
-
-/// Quick calls that may wait for each such daemon; they fill the time to the next pass.
-const WAITING_QUICK: usize = 4;
-
 /// Times of the expected wait after which a call is given up.
 const TIMEOUT_FACTOR: u32 = 2;
 
@@ -81,28 +77,14 @@
 impl Advisors {
     /// Takes a call that is to be made.
     pub fn ask(&mut self, ask: Ask) {
-        let queue = match ask.pace {
-            Pace::Slow => &mut self.slow,
-            Pace::Middling => &mut self.middling,
-            Pace::Quick => &mut self.quick,
+        let queue = match ask.cost {
+            cost if cost >= SLOW_CALL => &mut self.slow,
+            cost if cost >= MIDDLING_CALL => &mut self.middling,
+            _ => &mut self.quick,
         };
         queue.push_back(ask);
     }
 
-    /// How many more calls may be asked for now.
-    pub fn room(&self, peers: &Peers, now: Duration) -> AskRoom {
-        let places = Places::new(peers, now);
-        let free = |places: &[Option<u64>]| {
-            places.iter().filter(|place| self.backlog(**place) <= BACKLOG).count()
-        };
-        let (slow, quick) = (free(&places.slow), free(&places.quick));
-        AskRoom {
-            quick: usize::MAX,
-            middling: usize::MAX,
-            slow: (slow * WAITING_SLOW).saturating_sub(self.middling.len() + self.slow.len()),
-        }
-    }
-
     /// Makes the calls for which a daemon is about to be free.
     pub fn progress(&mut self, port: &mut Port, peers: &Peers, scheduler: &Scheduler) {
         if self.slow.is_empty() && self.middling.is_empty() && self.quick.is_empty() {
@@ -152,7 +134,7 @@
         let timeout = (self.backlog(place) + ask.cost) * TIMEOUT_FACTOR + TIMEOUT_SLACK;
         let call = port.call();
         let deadline = port.now + timeout + RELAY_SLACK;
-        let Ask { job, step, workers, cost, .. } = ask;
+        let Ask { job, step, workers, cost } = ask;
         match place {
             None => {
                 let job = job.clone();
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -379,7 +379,6 @@
         if is_due && !self.is_resigning {
             self.planned = port.now;
             self.is_changed = false;
-            self.scheduler.ask_room = self.advisors.room(&self.peers, port.now);
             self.scheduler.plan(port.now, self.journal.latency());
         }
         for (job, step) in self.advisors.expire(port.now) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,7 +5,6 @@
 //! carries out the starts and stops that it asked for. All times are durations since the
 //! start of the owner's loop.
 
-mod advice;
 mod check;
 mod ends;
 mod estimate;
@@ -20,7 +19,6 @@
 mod step;
 mod worker;
 
-pub use advice::{AskRoom, Pace};
 pub use check::{Fault, is_job_id};
 pub use ends::{End, How, Listing, Run};
 pub use explain::{Progress, Wait};
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -10,7 +10,6 @@
 
 use common::Name;
 
-use crate::advice::Pace;
 use crate::job::{Job, TaskKey};
 use crate::record::{Need, Step};
 use crate::rules::{Hint, Queue};
@@ -299,7 +298,6 @@
         let workers = match &step.asking {
             Some(asked) => asked.clone(),
             None if step.ask_after > self.now => return,
-            None if !self.scheduler.ask_room.has(Pace::of(hint.base)) => return,
             None => self.ask(wanted, hint),
         };
         if !wanted.spec.is_gang {
@@ -331,10 +329,8 @@
             return workers;
         }
         job.steps[number as usize].asking = Some(workers.clone());
-        let pace = Pace::of(hint.base);
-        self.scheduler.ask_room.take(pace);
         let cost = hint.base + hint.each * workers.len() as u32;
-        let ask = Ask { job: id.clone(), step: number, workers: workers.clone(), pace, cost };
+        let ask = Ask { job: id.clone(), step: number, workers: workers.clone(), cost };
         self.scheduler.asks.push(ask);
         workers
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -5,7 +5,6 @@
 
 use common::Name;
 
-use crate::advice::{AskRoom, Pace};
 use crate::ends::How;
 use crate::estimate::Estimate;
 use crate::job::{Job, Phase, TaskKey};
@@ -59,8 +58,6 @@
         pub step: u32,
         /// Workers to ask about.
         pub workers: Vec<Name>,
-        /// The kind of call.
-        pub pace: Pace,
         /// How long the call is expected to take.
         pub cost: Duration,
     }
@@ -103,8 +100,6 @@
     pub stops: Vec<Stop>,
     /// Advice calls to make.
     pub asks: Vec<Ask>,
-    /// How many more advice calls a pass may ask for.
-    pub ask_room: AskRoom,
     /// Ends that were listed, for the log.
     pub ended: Vec<Ended>,
     /// Workers avoided because they fail what they start, for the log.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -4,8 +4,8 @@
 
 use common::Name;
 use scheduler::{
-    AskRoom, End, Hint, How, Limits, Listing, Need, Order, Phase, Queue, Refusal, Report, Rules,
-    Run, Scheduler, Shown, Start, Step, Submission, TaskKey,
+    End, Hint, How, Limits, Listing, Need, Order, Phase, Queue, Refusal, Report, Rules, Run,
+    Scheduler, Shown, Start, Step, Submission, TaskKey,
 };
 
 const NOW: Duration = Duration::from_secs(10);
@@ -403,21 +403,3 @@
     assert_eq!(scheduler.asks.len(), 150);
     assert_eq!(&*scheduler.asks[0].job, "j000", "those of the highest rank");
 }
-
-#[test]
-fn plan_asks_by_rank_within_room_for_calls() {
-    let slow = Hint { base: secs(1), each: Duration::ZERO, validity: secs(2) };
-    let mut scheduler = pool(&["w1", "w2"], Some(slow));
-    submit(&mut scheduler, "j2", vec![Step { estimate: 3000, ..step(1) }]);
-    submit(&mut scheduler, "j1", vec![step(1)]);
-    let asked = |scheduler: &mut Scheduler, room| {
-        scheduler.ask_room = AskRoom { slow: room, ..AskRoom::default() };
-        scheduler.plan(NOW, NO_DELAY);
-        let asks = std::mem::take(&mut scheduler.asks);
-        asks.into_iter().map(|ask| ask.job.to_string()).collect::<Vec<_>>()
-    };
-    assert!(asked(&mut scheduler, 0).is_empty());
-    assert_eq!(asked(&mut scheduler, 1), ["j1"]);
-    assert!(asked(&mut scheduler, 0).is_empty());
-    assert_eq!(asked(&mut scheduler, 1), ["j2"]);
-}
