Gangs whose known workers stay busy ask about further ones

A gang that knows workers for twice its size asked no more: where those run long tasks, or leave, it waits for them alone while others, not asked, are free. Change: after 1.5 s with its choice busy a gang asks about workers that have room. Test: scheduler gang_with_busy_choice_asks_about_free_workers_after_a_while, seen failing first.

--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -29,6 +29,10 @@
 /// as a multiple of its size.
 const GANG_CHOICE: u32 = 2;
 
+/// How long a gang with so much choice waits for room before it asks about further workers,
+/// as those that it knows may be busy for long.
+const CHOICE_PATIENCE: Duration = Duration::from_millis(1500);
+
 /// Workers asked about beyond the expected need.
 const ASK_SURPLUS: f64 = 1.4;
 
@@ -341,6 +345,9 @@
         let step = &job.steps[wanted.key.1 as usize];
         let count = wanted.waiting.len() as u32;
         let (mut known, mut room) = (Vec::new(), 0);
+        let has_choice = wanted.spec.is_gang && self.has_choice(wanted);
+        // A gang collects room over time, so workers that are full now count too.
+        let takes_full = wanted.spec.is_gang && !has_choice;
         let mut unknown = Vec::new();
         for slot in 0..self.slots.len() {
             let takes = self.takes(wanted, slot);
@@ -350,18 +357,18 @@
                     room += takes;
                     known.push(id.clone());
                 }
-            } else if (takes > 0 || wanted.spec.is_gang)
+            } else if (takes > 0 || takes_full)
                 && !step.fit.contains_key(id)
                 && self.is_candidate(wanted, slot)
             {
-                // A gang collects room over time, so workers that are full now count too.
                 unknown.push((takes, id.clone()));
             }
         }
         if room >= count {
             return known;
         }
-        if wanted.spec.is_gang && (unknown.is_empty() || self.has_choice(wanted)) {
+        let is_patient = has_choice && self.now < step.answered + CHOICE_PATIENCE;
+        if wanted.spec.is_gang && (unknown.is_empty() || is_patient) {
             return Vec::new();
         }
         if unknown.is_empty() {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -352,6 +352,7 @@
             step.ask_after = now + ADVICE_RETRY;
             return;
         };
+        step.answered = now;
         let fresh = asked.iter().filter(|worker| !step.fit.contains_key(*worker)).count();
         let mut granted = 0;
         let expires = (now + validity).saturating_sub(TICKET_MARGIN);
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -33,6 +33,8 @@
         pub asking: Option<Vec<Name>>,
         /// Earliest time of the next advice call.
         pub ask_after: Duration,
+        /// When an advice call was last answered.
+        pub answered: Duration,
     }
 }
 
@@ -40,7 +42,14 @@
     /// A step of which nothing is known yet.
     pub fn new(tasks: Vec<Task>) -> Self {
         let none = HashMap::new();
-        Self { tasks, failed_run: 0, fit: none, asking: None, ask_after: Duration::ZERO }
+        Self {
+            tasks,
+            failed_run: 0,
+            fit: none,
+            asking: None,
+            ask_after: Duration::ZERO,
+            answered: Duration::ZERO,
+        }
     }
 
     /// Whether all tasks have ended successfully.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -403,3 +403,27 @@
     assert_eq!(scheduler.asks.len(), 150);
     assert_eq!(&*scheduler.asks[0].job, "j000", "those of the highest rank");
 }
+
+#[test]
+fn gang_with_busy_choice_asks_about_free_workers_after_a_while() {
+    let ids: Vec<String> = (0..28).map(|number| format!("w{number:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = pool(&ids, Some(hint()));
+    submit(&mut scheduler, "j1", vec![Step { is_gang: true, ..step(4) }]);
+    scheduler.plan(NOW, NO_DELAY);
+    let ask = std::mem::take(&mut scheduler.asks).pop().expect("advice is asked for");
+    let allowed: Vec<Name> = ask.workers.iter().take(4).cloned().collect();
+    for id in &allowed {
+        scheduler.pool.get_mut(id).expect("it is known").used = Need { cpu: 2000, mem: 0, gpus: 0 };
+    }
+    let tickets = allowed.into_iter().map(|id| (id, Name::new("t"))).collect();
+    scheduler.advised("j1", 0, Some((tickets, secs(2))), NOW);
+    scheduler.plan(NOW + secs(1), NO_DELAY);
+    assert!(scheduler.asks.is_empty());
+    scheduler.plan(NOW + secs(3), NO_DELAY);
+    let ask = std::mem::take(&mut scheduler.asks).pop().expect("advice is asked for again");
+    assert_eq!(ask.workers.len(), 4);
+    let tickets = ask.workers.into_iter().take(2).map(|id| (id, Name::new("t"))).collect();
+    scheduler.advised("j1", 0, Some((tickets, secs(2))), NOW + secs(3));
+    assert_eq!(place(&mut scheduler, NOW + secs(3)).len(), 4);
+}
