Quickstart of a pool: real daemons on the stand-in of the users' platform

Cause: the quickstart did not start the new daemon (docs/issues/005). The report calls the time between leaders 'change of leader', from the last decision on a job, as it may hold time in which nothing was to be decided.

--- a/crates/logs/src/day.rs
+++ b/crates/logs/src/day.rs
@@ -167,7 +167,7 @@
 type Series = (&'static str, RGBColor, fn(&Second) -> u32);
 
 const STORE: &str = "store away";
-const LEADER: &str = "no leader";
+const LEADER: &str = "change of leader";
 
 /// Spans in which a leader had no store, and in which no leader decided anything.
 fn troubles(lines: &[Line], begin: Timestamp, end: Timestamp) -> Vec<Span> {
--- a/crates/logs/tests/logs.rs
+++ b/crates/logs/tests/logs.rs
@@ -66,7 +66,7 @@
         .iter()
         .map(|span| (span.what, span.to.saturating_sub(span.from).as_millis() as u64))
         .collect();
-    assert_eq!(spans, [("store away", 3210), ("no leader", 800)]);
+    assert_eq!(spans, [("store away", 3210), ("change of leader", 800)]);
     let svg = day.chart().expect("it can be drawn");
     assert!(svg.starts_with("<svg") && svg.contains("accepted"));
     assert!(Day::of(&[]).is_none());
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,4 +5,7 @@
 cd "$(dirname "$0")/.."
 cell=${1:-es-north}
 cargo build --release --quiet --locked --bins
+if [ "$cell" = pool ]; then
+  exec ./target/release/quickstart-pool --bin target/release
+fi
 exec ./target/release/quickstart --bin target/release "examples/$cell"
