A daemon whose log nobody reads ends by itself

Cause: at the end the logger waits for its thread, which waits for a pipe that nobody reads; the process then ended only by SIGKILL. Found by the test that a reader who stops reading costs lines and never requests. Ruled out: the loop (1,500 jobs were served meanwhile). Change: host::log keeps the writer's guard and waits at most 300 ms for the last lines. The logger moved out of platform/. Test: platform cell daemon_whose_log_nobody_reads_serves_and_ends, seen failing first (the daemon did not end within 40 s).

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod console;
+pub mod log;
 pub mod mesh;
 pub mod run;
 pub mod server;
