--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -20,7 +20,7 @@
 const WORKERS: usize = 5;
 
 /// Kinds of faults; the first ten are those that the seeds in [`FAILED_ONCE`] were found with.
-const FAULT_KINDS: u64 = 11;
+const FAULT_KINDS: u64 = 12;
 const FIRST_FAULT_KINDS: u64 = 10;
 
 /// Length of the time in which faults come.
@@ -150,10 +150,15 @@
                 worker.is_reachable = false;
                 self.heals.push(until);
             }
-            _ => {
+            10 => {
                 self.world.trouble.store_slowness = 60;
                 self.heals.push(until);
             }
+            _ => {
+                let leader = self.world.leader().unwrap_or(node);
+                self.world.late_timers.insert(leader, ms(15));
+                self.heals.push(until);
+            }
         }
     }
 
@@ -180,6 +185,7 @@
             self.world.trouble = support::Trouble::default();
             self.world.cut_from_store.clear();
             self.world.cut_from_peers.clear();
+            self.world.late_timers.clear();
             for worker in self.world.workers.values_mut() {
                 worker.is_reachable = true;
             }
