Hand-overs for slowness only where the machine is slow, once a minute

Change: a leader that uses more than half of its processor has too much work and stays; the time of the last hand-over for slowness is in the head row, and the next comes a minute later at the earliest. Tests: takeover leader_with_too_much_work_stays, leader_that_any_daemon_would_be_too_slow_for_hands_over_once, both seen failing.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -319,7 +319,9 @@
         if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
             port.out.push(Action::Close { link });
         }
+        let former = self.known.as_ref().filter(|(known, _)| known.epoch == epoch);
         let head = Head {
+            slow_ms: former.map_or(0, |(known, _)| known.slow_ms),
             epoch: epoch + 1,
             member: port.config.member.to_string(),
             address: port.config.address.to_string(),
--- a/crates/control/src/head.rs
+++ b/crates/control/src/head.rs
@@ -42,6 +42,9 @@
     /// Whether the leader gave its place up.
     #[prost(bool, tag = "6")]
     pub is_released: bool,
+    /// When a leader last gave its place up for slowness, by the store's clock, in ms.
+    #[prost(uint64, tag = "7")]
+    pub slow_ms: u64,
 }
 
 /// A read of the head row.
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -246,6 +246,16 @@
         self.is_releasing = true;
     }
 
+    /// When a leader last gave its place up for slowness, by the store's clock, in ms.
+    pub fn slow_ms(&self) -> u64 {
+        self.head.slow_ms
+    }
+
+    /// Notes that the place is given up for slowness.
+    pub fn note_slow(&mut self, store_ms: u64) {
+        self.head.slow_ms = store_ms;
+    }
+
     /// Commits soon even where nothing has changed.
     pub fn confirm(&mut self) {
         self.is_confirming = true;
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -58,11 +58,19 @@
 /// How much later than the quickest follower's the leader's timer must be.
 const LAG_FACTOR: u32 = 3;
 
+/// Share of its processor above which a late leader has too much work rather than a slow
+/// machine, so that no other daemon would do better.
+const BUSY_SHARE: f64 = 0.5;
+
 /// How long the leader must be too slow before it gives its place up.
 const LAG_PATIENCE: Duration = Duration::from_millis(400);
 
-/// Least time between two changes of leader for slowness; a change costs some 200 ms.
-const LAG_REST: Duration = Duration::from_secs(6);
+/// Time after a takeover in which slowness is no sign, as recovery takes the processor.
+const LAG_GRACE: Duration = Duration::from_secs(6);
+
+/// Least time between two changes of leader for slowness: where the next leader soon falls
+/// behind too, the work is too much for any of them, and each change costs more.
+const LAG_REST: Duration = Duration::from_mins(1);
 
 common::key! {
     /// What becomes of a leader.
@@ -356,9 +364,12 @@
     fn watch_lag(&mut self, port: &Port) {
         let lag = port.lag.mean();
         let quickest = self.peers.quickest();
-        let is_slow =
-            lag >= LAG_LIMIT && quickest.is_some_and(|(_, follower)| lag >= follower * LAG_FACTOR);
-        if !is_slow || self.is_resigning || port.now < self.began + LAG_REST {
+        let is_slow = port.load < port.config.cpu * BUSY_SHARE
+            && lag >= LAG_LIMIT
+            && quickest.is_some_and(|(_, follower)| lag >= follower * LAG_FACTOR);
+        let rests_until = self.journal.slow_ms() + LAG_REST.as_millis() as u64;
+        let rests = self.journal.slow_ms() > 0 && self.store_ms(port.now) < rests_until;
+        if !is_slow || rests || self.is_resigning || port.now < self.began + LAG_GRACE {
             self.slow_since = None;
             return;
         }
@@ -366,6 +377,8 @@
         if port.now >= since + LAG_PATIENCE {
             note!(port, LeaderSlow, "epoch" => self.epoch, "lag_us" => lag.as_micros() as u64,
                 "quickest_us" => quickest.map_or(0, |(_, lag)| lag.as_micros() as u64));
+            let store_ms = self.store_ms(port.now);
+            self.journal.note_slow(store_ms);
             self.resign();
         }
     }
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -241,3 +241,33 @@
         assert!(other_leader(&mut world, leader, ms(1000)).is_some(), "seed {seed}");
     }
 }
+
+#[test]
+fn leader_that_any_daemon_would_be_too_slow_for_hands_over_once() {
+    let mut world = ready(14, 5);
+    world.run(ms(7000));
+    let epoch = world.store.epoch();
+    let end = world.now + ms(25_000);
+    while world.now < end {
+        if let Some(leader) = world.leader() {
+            world.late_timers.clear();
+            world.late_timers.insert(leader, ms(12));
+        }
+        world.run(ms(100));
+    }
+    assert_eq!(world.store.epoch(), epoch + 1);
+}
+
+#[test]
+fn leader_with_too_much_work_stays() {
+    let mut world = ready(15, 5);
+    let leader = world.leader().expect("one leads");
+    world.run(ms(7000));
+    let epoch = world.store.epoch();
+    world.input(leader, control::Input::Load(0.2));
+    world.late_timers.insert(leader, ms(12));
+    world.run(ms(3000));
+    assert_eq!((world.leader(), world.store.epoch()), (Some(leader), epoch));
+    world.input(leader, control::Input::Load(0.04));
+    assert!(other_leader(&mut world, leader, ms(1500)).is_some());
+}
