--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -31,8 +31,6 @@
         pub most_rows: usize,
         /// Time of a transaction by the store's own account.
         pub commit_time: Duration,
-        /// Processors that the daemon may use.
-        pub cpu: f64,
     }
 }
 
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -103,8 +103,6 @@
     pub enum Input {
         /// Time has passed.
         Tick,
-        /// How many processors the process used of late.
-        Load(f64),
         /// A local caller asks something.
         Call {
             /// The caller's token.
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -58,10 +58,6 @@
 /// How much later than the quickest follower's the leader's timer must be.
 const LAG_FACTOR: u32 = 3;
 
-/// Share of its processor above which a late leader has too much work rather than a slow
-/// machine, so that no other daemon would do better.
-const BUSY_SHARE: f64 = 0.5;
-
 /// How long the leader must be too slow before it gives its place up.
 const LAG_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -364,9 +360,8 @@
     fn watch_lag(&mut self, port: &Port) {
         let lag = port.lag.mean();
         let quickest = self.peers.quickest();
-        let is_slow = port.load < port.config.cpu * BUSY_SHARE
-            && lag >= LAG_LIMIT
-            && quickest.is_some_and(|(_, follower)| lag >= follower * LAG_FACTOR);
+        let is_slow =
+            lag >= LAG_LIMIT && quickest.is_some_and(|(_, follower)| lag >= follower * LAG_FACTOR);
         let rests_until = self.journal.slow_ms() + LAG_REST.as_millis() as u64;
         let rests = self.journal.slow_ms() > 0 && self.store_ms(port.now) < rests_until;
         if !is_slow || rests || self.is_resigning || port.now < self.began + LAG_GRACE {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -62,8 +62,6 @@
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
     pub lag: Lag,
-    /// Processors that the process used of late.
-    pub load: f64,
     next_call: u64,
     next_link: u64,
     rng: SmallRng,
@@ -120,19 +118,8 @@
         let out = Vec::new();
         let sampler = Sampler::new();
         let lag = Lag::default();
-        let port = Port {
-            config,
-            now,
-            out,
-            log,
-            meter,
-            sampler,
-            lag,
-            load: 0.0,
-            next_call: 0,
-            next_link: 0,
-            rng,
-        };
+        let (next_call, next_link) = (0, 0);
+        let port = Port { config, now, out, log, meter, sampler, lag, next_call, next_link, rng };
         Self {
             port,
             entry: Entry::default(),
@@ -175,7 +162,6 @@
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.port.now = now;
         match input {
-            Input::Load(load) => self.port.load = load,
             Input::Tick => self.port.lag.tick(now, self.tick_pause()),
             Input::Call { token, call } => self.call(token, call),
             Input::Gone { token } => self.entry.forget(token),
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -18,9 +18,6 @@
 /// Suspension worth telling the node about.
 const LEAST_GAP: Duration = Duration::from_millis(100);
 
-/// Pause between two looks at the processor time that the process took.
-const LOAD_PAUSE: Duration = Duration::from_millis(500);
-
 #[derive(Debug, Default)]
 struct Queue {
     inputs: RefCell<VecDeque<Input>>,
@@ -58,8 +55,6 @@
     mesh: Mesh,
     began: Instant,
     drift: Duration,
-    /// When the process's processor time was last read, and what it was.
-    used: (Instant, Duration),
 }
 
 impl Host {
@@ -91,21 +86,7 @@
         }
     }
 
-    /// Tells the node how much processor time the process takes.
-    fn look_at_load(&mut self, cx: CX![]) {
-        let (since, before) = self.used;
-        let span = cx.now().saturating_duration_since(since);
-        if span < LOAD_PAUSE {
-            return;
-        }
-        let used = clock(ClockId::ProcessCPUTime);
-        self.used = (cx.now(), used);
-        let load = used.saturating_sub(before).as_secs_f64() / span.as_secs_f64();
-        self.input(cx, Input::Load(load));
-    }
-
     fn tick(&mut self, cx: CX![]) {
-        self.look_at_load(cx);
         self.input(cx, Input::Tick);
         after!(self.node.tick_pause(), [cx], tick());
     }
@@ -113,13 +94,12 @@
 
 /// How long the machine was suspended since it started.
 fn suspended() -> Duration {
-    clock(ClockId::Boottime).saturating_sub(clock(ClockId::Monotonic))
-}
-
-/// What a clock of the system shows.
-fn clock(id: ClockId) -> Duration {
-    let spec = clock_gettime(id);
-    Duration::new(spec.tv_sec.unsigned_abs(), spec.tv_nsec.unsigned_abs() as u32)
+    let boot = clock_gettime(ClockId::Boottime);
+    let steady = clock_gettime(ClockId::Monotonic);
+    let span = |spec: rustix::time::Timespec| {
+        Duration::new(spec.tv_sec.unsigned_abs(), spec.tv_nsec.unsigned_abs() as u32)
+    };
+    span(boot).saturating_sub(span(steady))
 }
 
 /// Runs a node until its task is dropped.
@@ -127,14 +107,7 @@
     let began = Instant::now();
     let mut stakker = Stakker::new(began);
     let s = &mut stakker;
-    let host = Host {
-        node,
-        driver,
-        mesh,
-        began,
-        drift: suspended(),
-        used: (began, clock(ClockId::ProcessCPUTime)),
-    };
+    let host = Host { node, driver, mesh, began, drift: suspended() };
     let actor: ActorOwn<Host> = actor!(s, Host::start(host), ret_nop!());
     loop {
         call!([actor], wake());
