--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -1,12 +1,12 @@
 //! The tool against a real daemon on the stand-in of the platform.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use standin::platform::Platform;
+use standin::platform::{Platform, free_ports};
 
 /// Loopback address of the daemon; other tests use others.
 const HOST: u8 = 81;
@@ -36,18 +36,13 @@
     folder
 }
 
-fn free_ports() -> [u16; 3] {
-    let address = Ipv4Addr::new(127, 0, 0, HOST);
-    let listeners = [0; 3].map(|port| TcpListener::bind((address, port)).expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound").port())
-}
-
 impl Cell {
     fn start() -> Self {
         let platform = Platform::start(2, 4000).expect("ports can be had");
         let folder = scratch();
         let settings = folder.join("settings.toml");
-        std::fs::write(&settings, platform.settings("pool", HOST, free_ports())).expect("written");
+        let ports = free_ports(HOST).expect("ports are free");
+        std::fs::write(&settings, platform.settings("pool", HOST, ports)).expect("written");
         let own = Path::new(env!("CARGO_BIN_EXE_bronzerail"));
         let program = own.with_file_name("bronzerail-platform");
         assert!(program.exists(), "bronzerail-platform is not built; run with --workspace");
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -75,8 +75,8 @@
 
     /// Name and address of each follower, and how long it has been silent.
     pub fn list(&self, now: Duration) -> impl Iterator<Item = (&str, &str, Duration)> {
-        let row = move |peer: &Peer| now.saturating_sub(peer.heard);
-        self.peers.values().map(move |peer| (&*peer.member, &*peer.address, row(peer)))
+        let peers = self.peers.values();
+        peers.map(move |peer| (&*peer.member, &*peer.address, now.saturating_sub(peer.heard)))
     }
 
     /// The follower whose timer is the least late, and how late it is.
--- a/crates/host/src/console.rs
+++ b/crates/host/src/console.rs
@@ -9,7 +9,6 @@
 use common::{Kind, Name};
 use control::{Answer, Call, Op, Target, View};
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Response, StatusCode};
 use scheduler::{Fault, Need, Step, Submission};
 use serde::Deserialize;
@@ -161,20 +160,20 @@
 
 /// The response for an answer of the node.
 fn write(answer: &Answer) -> Response<Full<Bytes>> {
-    let state = |word: &str| json(StatusCode::OK, &json!({ "state": word }));
+    let ok = |body: Value| server::json(StatusCode::OK, body.to_string());
+    let state = |word: &str| ok(json!({ "state": word }));
     match answer {
         Answer::Accepted => state("accepted"),
         Answer::Cancelled => state("cancelled"),
         Answer::State(shown) => state(shown.word()),
-        Answer::Pending(count) => json(StatusCode::OK, &json!({ "pending": count })),
-        Answer::View(text) => typed(StatusCode::OK, text.clone()),
+        Answer::Pending(count) => ok(json!({ "pending": count })),
+        Answer::View(text) => server::json(StatusCode::OK, text.clone()),
         Answer::NoQueue => failure(Kind::NotFound, "no such queue"),
         Answer::NoJob => failure(Kind::NotFound, "no such job, or it has ended otherwise"),
         Answer::Unknown => failure(Kind::Unknown, "the leader did not answer in time"),
         Answer::Refused { retry_after, .. } => {
             let mut response = failure(Kind::NoOwner, "no leader is reached");
-            let seconds = retry_after.as_secs().max(1);
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+            server::set_retry_after(&mut response, *retry_after);
             response
         }
     }
@@ -183,17 +182,6 @@
 fn failure(kind: Kind, text: &str) -> Response<Full<Bytes>> {
     let status = StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let ran = kind.ran().word();
-    json(status, &json!({ "error": kind.word(), "ran": ran, "text": text }))
-}
-
-fn json(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
-    typed(status, body.to_string())
-}
-
-fn typed(status: StatusCode, body: String) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::from(body));
-    *response.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
+    let body = json!({ "error": kind.word(), "ran": ran, "text": text });
+    server::json(status, body.to_string())
 }
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -155,6 +155,21 @@
     response
 }
 
+/// A response with a JSON body.
+pub fn json(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(body));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Tells the caller when to come back, in whole seconds.
+pub fn set_retry_after(response: &mut Response<Full<Bytes>>, pause: Duration) {
+    let seconds = pause.as_millis().div_ceil(1000).max(1);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds as u64));
+}
+
 /// Binds a listener.
 ///
 /// # Errors
--- a/crates/measure/src/pool_quickstart.rs
+++ b/crates/measure/src/pool_quickstart.rs
@@ -4,7 +4,7 @@
 //! is stopped gracefully, and the logs tell one job's story.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode};
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 use argh::FromArgs;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use standin::platform::Platform;
+use standin::platform::{Platform, free_ports};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -98,17 +98,6 @@
     }
 }
 
-fn free_ports(address: Ipv4Addr) -> Result<[u16; 3]> {
-    let mut ports = [0; 3];
-    let mut held = Vec::new();
-    for port in &mut ports {
-        let listener = TcpListener::bind((address, 0))?;
-        *port = listener.local_addr()?.port();
-        held.push(listener);
-    }
-    Ok(ports)
-}
-
 impl Cell {
     fn start(bin: &Path) -> Result<Self> {
         let platform = Platform::start(WORKERS, WORKER_CPU)?;
@@ -126,7 +115,7 @@
         let address = Ipv4Addr::new(127, 0, 0, host);
         let name = format!("entry-{host}");
         let settings = self.folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, self.platform.settings(&name, host, free_ports(address)?))?;
+        std::fs::write(&settings, self.platform.settings(&name, host, free_ports(host)?))?;
         let log = self.folder.join(format!("{name}.log"));
         let mut daemon = Command::new(self.bin.join("bronzerail-platform"));
         daemon.arg("--settings").arg(settings).stdout(File::create(&log)?);
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -7,7 +7,6 @@
 
 use crate::job::Job;
 use crate::record::{Need, Step};
-use crate::rules::Queue;
 use crate::scheduler::Scheduler;
 use crate::step::StepState;
 use crate::worker::Worker;
@@ -123,8 +122,8 @@
             return Wait::EarlierStep(*earlier);
         }
         let Some(queue) = self.queue(&job.queue) else { return Wait::NoQueue };
-        let candidates: Vec<&Worker> =
-            self.pool.iter().filter(|worker| is_candidate(worker, spec, queue, now)).collect();
+        let is_candidate = |worker: &&Worker| worker.is_usable(now) && worker.suits(queue, spec);
+        let candidates: Vec<&Worker> = self.pool.iter().filter(is_candidate).collect();
         if candidates.is_empty() {
             return Wait::NoWorker;
         }
@@ -155,9 +154,3 @@
     let most_free = free.iter().map(|room| room.cpu).max().unwrap_or(0);
     Wait::NoRoom { cpu: spec.need.cpu, most_free }
 }
-
-fn is_candidate(worker: &Worker, spec: &Step, queue: &Queue, now: Duration) -> bool {
-    worker.is_usable(now)
-        && worker.report.service == queue.service
-        && (spec.requirement.is_empty() || worker.has_label(&spec.requirement))
-}
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -345,9 +345,6 @@
         let step = &job.steps[wanted.key.1 as usize];
         let count = wanted.waiting.len() as u32;
         let (mut known, mut room) = (Vec::new(), 0);
-        let has_choice = wanted.spec.is_gang && self.has_choice(wanted);
-        // A gang collects room over time, so workers that are full now count too.
-        let takes_full = wanted.spec.is_gang && !has_choice;
         let mut unknown = Vec::new();
         for slot in 0..self.slots.len() {
             let takes = self.takes(wanted, slot);
@@ -357,22 +354,25 @@
                     room += takes;
                     known.push(id.clone());
                 }
-            } else if (takes > 0 || takes_full)
+            } else if (takes > 0 || wanted.spec.is_gang)
                 && !step.fit.contains_key(id)
                 && self.is_candidate(wanted, slot)
             {
+                // A gang collects room over time, so workers that are full now count too.
                 unknown.push((takes, id.clone()));
             }
         }
         if room >= count {
             return known;
         }
-        let is_patient = has_choice && self.now < step.answered + CHOICE_PATIENCE;
-        if wanted.spec.is_gang && (unknown.is_empty() || is_patient) {
-            return Vec::new();
+        if wanted.spec.is_gang && self.has_choice(wanted) {
+            if self.now < step.answered + CHOICE_PATIENCE {
+                return Vec::new();
+            }
+            unknown.retain(|(takes, _)| *takes > 0);
         }
         if unknown.is_empty() {
-            return known;
+            return if wanted.spec.is_gang { Vec::new() } else { known };
         }
         unknown.sort_by_key(|(takes, _)| Reverse(*takes));
         let left = f64::from(count - room);
@@ -403,11 +403,7 @@
     /// Whether a slot's worker is of the right service and has the label that the step asks for.
     fn is_candidate(&self, wanted: &Wanted<'_>, slot: usize) -> bool {
         let worker = self.scheduler.pool.get(&self.slots[slot].id);
-        worker.is_some_and(|worker| {
-            worker.report.service == wanted.queue.service
-                && (wanted.spec.requirement.is_empty()
-                    || worker.has_label(&wanted.spec.requirement))
-        })
+        worker.is_some_and(|worker| worker.suits(wanted.queue, wanted.spec))
     }
 }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -6,7 +6,8 @@
 use common::Name;
 
 use crate::job::TaskKey;
-use crate::record::Need;
+use crate::record::{Need, Step};
+use crate::rules::Queue;
 
 /// Failed runs in a row, without a success, after which a worker is avoided.
 const FAILURES_TO_QUARANTINE: u32 = 3;
@@ -165,6 +166,12 @@
         true
     }
 
+    /// Whether it is of a queue's service and has the label that a step asks for.
+    pub fn suits(&self, queue: &Queue, step: &Step) -> bool {
+        self.report.service == queue.service
+            && (step.requirement.is_empty() || self.has_label(&step.requirement))
+    }
+
     /// Whether it carries a label.
     pub fn has_label(&self, label: &str) -> bool {
         self.report.labels.iter().any(|own| &**own == label)
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,7 +8,7 @@
 mod store;
 mod worker;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 
 use serde_json::json;
@@ -25,6 +25,25 @@
 /// Host and path prefix of the queue whose starts need a ticket.
 pub const ADVISED: (&str, &str) = ("advised.example", "/advised/");
 
+/// Free ports of a loopback address, for a daemon's callers, readiness check and peers.
+///
+/// # Errors
+///
+/// The system's error where none can be had.
+pub fn free_ports(host: u8) -> std::io::Result<[u16; 3]> {
+    let address = Ipv4Addr::new(127, 0, 0, host);
+    let listeners = [
+        TcpListener::bind((address, 0))?,
+        TcpListener::bind((address, 0))?,
+        TcpListener::bind((address, 0))?,
+    ];
+    let mut ports = [0; 3];
+    for (port, listener) in ports.iter_mut().zip(&listeners) {
+        *port = listener.local_addr()?.port();
+    }
+    Ok(ports)
+}
+
 /// A running stand-in.
 #[derive(Debug)]
 pub struct Platform {
