Answer all requests of a stopping daemon before it exits

Cause: a stopping daemon held unsent requests for a leader until their deadline and dropped what was left at the end of its grace period.

Change: a stopping daemon refuses unsent requests as soon as it has no leader that accepts requests, with the advice to try another daemon, and answers all that is left before it exits; the outcome of submissions and cancels that a leader may have received stays unknown.

Tests: stopping_daemon_answers_all_requests_before_exit and stopping_daemon_refuses_at_once_without_leader fail on the code before (request 18 has no answer; no answer at once).

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -416,6 +416,9 @@
             RoleState::Leader(_) => (None, false),
         };
         self.pending_requests.expire(&mut self.ctx, without_leader, is_cut_off);
+        if self.stop_requested_at.is_some() && self.role() != Role::Following {
+            self.pending_requests.refuse_unsent(&mut self.ctx);
+        }
         self.report_readiness();
         self.exit_if_stopped();
         self.report_gauges();
@@ -465,6 +468,7 @@
         if !self.has_exited && ((is_idle && elapsed >= READINESS_DRAIN) || is_grace_over) {
             self.has_exited = true;
             log_event!(self.ctx, ShutdownCompleted, "requests" => self.pending_requests.len());
+            self.pending_requests.answer_all(&mut self.ctx);
             self.ctx.actions.push(Action::Exit);
         }
     }
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -145,12 +145,7 @@
             let waited = now.saturating_sub(pending.arrived).as_millis() as u64;
             log_event!(ctx, RequestTimedOut, "path" => %pending.call.target, "waited_ms" => waited,
                 "sent" => pending.was_sent, "cut_off" => is_cut_off);
-            let is_change = matches!(pending.call.op, Operation::Submit(_) | Operation::Cancel(_));
-            let answer = if pending.was_sent && is_change {
-                Answer::OutcomeUnknown
-            } else {
-                refusal(without_leader.is_some())
-            };
+            let answer = pending.unanswered(without_leader.is_some());
             ctx.answer_caller(pending.token, answer);
         }
     }
@@ -256,6 +251,36 @@
     }
 }
 
+impl PendingRequests {
+    /// Refuses the requests that no leader has received, as another daemon may serve them.
+    pub fn refuse_unsent(&mut self, ctx: &mut Context) {
+        for (_, pending) in self.requests.extract_if(.., |_, pending| !pending.was_sent) {
+            log_event!(ctx, RequestRefused, "path" => %pending.call.target,
+                "reason" => "stopping without a leader");
+            ctx.answer_caller(pending.token, refusal(true));
+        }
+    }
+
+    /// Answers all remaining requests of a daemon that exits.
+    pub fn answer_all(&mut self, ctx: &mut Context) {
+        for (_, pending) in std::mem::take(&mut self.requests) {
+            log_event!(ctx, RequestTimedOut, "path" => %pending.call.target,
+                "sent" => pending.was_sent, "reason" => "exit");
+            ctx.answer_caller(pending.token, pending.unanswered(true));
+        }
+    }
+}
+
+impl PendingRequest {
+    /// The answer to a request that no leader has answered.
+    fn unanswered(&self, try_other_daemon: bool) -> Answer {
+        match self.call.op {
+            Operation::Submit(_) | Operation::Cancel(_) if self.was_sent => Answer::OutcomeUnknown,
+            _ => refusal(try_other_daemon),
+        }
+    }
+}
+
 impl Context {
     /// Counts an answer and passes it to the caller.
     fn answer_caller(&mut self, token: u64, answer: Answer) {
