control: report the event loop's load by kind of work

What callers saw: leaders of the grown deployments were replaced although they lived, and no log line or metric told what kept them busy.

Change: each leader logs event 5008 every 2 s (a follower only when an input was queued for 250 ms or more): busy time by kind of work, inputs by kind, the longest time that an input was queued, the longest queue, placement passes and steps visited, and what came too late (requests after their caller's timeout, answers to requests no longer pending, advice answers after their call was given up, advice for a step whose earlier tickets expired before any task was placed, replies to orders and renewals that were given up). The same figures are metrics. Inputs carry the time at which they were queued. The clock is the host's, through Meter; it stands still in simulations. No decision depends on it.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -14,6 +14,7 @@
 use crate::event::{log_event, log_job_event};
 use crate::input::RenewReply;
 use crate::lead::{Leader, journal::Effect};
+use crate::load::Late;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
 
@@ -289,7 +290,10 @@
 
     /// Applies the reply to a renewal: the worker's lists, or a failure.
     pub(super) fn apply_renewal_reply(&mut self, ctx: &mut Context, call: u64, reply: RenewReply) {
-        let Some(id) = self.leases.renewals.remove(&call) else { return };
+        let Some(id) = self.leases.renewals.remove(&call) else {
+            ctx.load.count_late(Late::Renewal);
+            return;
+        };
         let Some(lease) = self.leases.workers.get_mut(&id) else { return };
         let Some((_, sent)) = lease.renewal.take_if(|(own, _)| *own == call) else { return };
         match reply {
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -28,6 +28,7 @@
 use crate::frame::Resignation;
 use crate::head::Head;
 use crate::input::{AdviceResult, Input, OrderReply, PeerEvent, RenewReply};
+use crate::load::{Late, Work};
 use crate::meter::Counter;
 use crate::node::Context;
 use crate::store::{CommitResult, Page};
@@ -315,11 +316,18 @@
         call: u64,
         result: Option<AdviceResult>,
     ) {
-        let Some((job, step)) = self.advice_calls.finish(ctx, call) else { return };
+        let Some((job, step)) = self.advice_calls.finish(ctx, call) else {
+            ctx.load.count_late(Late::Advice);
+            return;
+        };
         ctx.meter.add(Counter::Advice, if result.is_some() { "answered" } else { "failed" }, 1);
         if result.is_none() {
             log_event!(ctx, AdviceFailed, "job" => %job, "step" => step);
         }
+        let asked = self.scheduler.jobs.get(&*job).and_then(|job| job.steps.get(step as usize));
+        if asked.is_some_and(|step| step.has_unused_tickets(ctx.now)) {
+            ctx.load.count_late(Late::Tickets);
+        }
         let allowed = result.map(|answer| (answer.allowed, answer.validity));
         self.scheduler.apply_advice(&job, step, allowed, ctx.now);
         self.needs_placement = true;
@@ -366,10 +374,13 @@
         if self.recovery.is_none() {
             self.run_scheduler(ctx);
         }
+        ctx.load.attribute(Work::Rest);
         self.check_peers(ctx);
         let store_age = self.journal.commit_age(ctx.now);
         self.peers.send_heartbeat(ctx, self.epoch, store_age, self.is_serving());
+        ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
+        ctx.load.attribute(Work::Journal);
         self.status
     }
 
@@ -419,7 +430,9 @@
 
     /// Runs placement when it is due, and carries out what the scheduler requests.
     fn run_scheduler(&mut self, ctx: &mut Context) {
+        ctx.load.attribute(Work::Rest);
         self.renew_leases(ctx);
+        ctx.load.attribute(Work::LeaseScan);
         self.remove_ended_jobs(ctx);
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
@@ -429,8 +442,13 @@
         if is_due && !self.is_resigning {
             self.last_placement = ctx.now;
             self.needs_placement = false;
+            ctx.load.attribute(Work::Rest);
+            let visited_before = self.scheduler.steps_visited;
             self.scheduler.plan(ctx.now, self.journal.expected_latency());
+            ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
+            ctx.load.attribute(Work::Placement);
         }
+        ctx.load.attribute(Work::Rest);
         for (job, step) in self.advice_calls.expire(ctx.now) {
             log_event!(ctx, AdviceFailed, "job" => %job, "step" => step, "reason" => "no answer");
             self.scheduler.apply_advice(&job, step, None, ctx.now);
@@ -439,6 +457,7 @@
             self.advice_calls.enqueue(advice_call);
         }
         self.advice_calls.dispatch(ctx, &self.peers, &self.scheduler);
+        ctx.load.attribute(Work::AdviceDispatch);
         self.log_waits(ctx);
         for stop in std::mem::take(&mut self.scheduler.stops) {
             self.send_stop(ctx, stop);
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -14,6 +14,7 @@
 use crate::event::{log_event, log_job_event};
 use crate::input::OrderReply;
 use crate::lead::Leader;
+use crate::load::Late;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
 
@@ -174,7 +175,7 @@
         match self.orders.pending.remove(&call) {
             Some(Pending::Start { start, sends }) => self.on_start_reply(ctx, start, sends, reply),
             Some(Pending::Stop { stop }) => self.on_stop_reply(ctx, stop, &reply),
-            None => {}
+            None => ctx.load.count_late(Late::Order),
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod input;
 mod lag;
 mod lead;
+mod load;
 mod meter;
 mod node;
 mod pending;
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -26,6 +26,14 @@
         Advice,
         /// Log lines dropped by sampling.
         LinesDropped,
+        /// Time that the event loop spent, in µs, by kind of work.
+        LoopBusy,
+        /// Inputs that the event loop handled.
+        LoopInputs,
+        /// Results and requests that came too late to be used.
+        Late,
+        /// Placement passes, and the steps that they visited.
+        Placement,
     }
 
     /// Duration that is measured.
@@ -68,6 +76,10 @@
         CommitAge,
         /// Mean lag of the daemon's timer, in ms.
         TimerLag,
+        /// Longest time that an input was queued since the last report, in ms.
+        InputAge,
+        /// Most inputs that were queued at a time since the last report.
+        InputQueue,
     }
 }
 
@@ -79,6 +91,11 @@
     fn record_duration(&self, timing: Timing, duration: Duration);
     /// Sets a gauge to a value.
     fn set_gauge(&self, gauge: Gauge, value: u64);
+
+    /// Reading of the clock that measures work; it stands still if work is not measured.
+    fn work_clock(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// A meter that discards all measurements.
@@ -93,7 +110,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 14] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
@@ -104,6 +121,10 @@
         Self::Commits,
         Self::Advice,
         Self::LinesDropped,
+        Self::LoopBusy,
+        Self::LoopInputs,
+        Self::Late,
+        Self::Placement,
     ];
 
     /// The metric's name.
@@ -119,6 +140,10 @@
             Self::Commits => "bronzerail.store.commits",
             Self::Advice => "bronzerail.advice.calls",
             Self::LinesDropped => "bronzerail.log.dropped",
+            Self::LoopBusy => "bronzerail.loop.busy_us",
+            Self::LoopInputs => "bronzerail.loop.inputs",
+            Self::Late => "bronzerail.late",
+            Self::Placement => "bronzerail.placement",
         }
     }
 }
@@ -153,7 +178,7 @@
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::IsLeader,
         Self::Requests,
         Self::OpenJobs,
@@ -163,6 +188,8 @@
         Self::Followers,
         Self::CommitAge,
         Self::TimerLag,
+        Self::InputAge,
+        Self::InputQueue,
     ];
 
     /// The metric's name.
@@ -177,6 +204,8 @@
             Self::Followers => "bronzerail.followers",
             Self::CommitAge => "bronzerail.store.age",
             Self::TimerLag => "bronzerail.loop.lag",
+            Self::InputAge => "bronzerail.loop.oldest_input",
+            Self::InputQueue => "bronzerail.loop.queue",
         }
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -18,6 +18,7 @@
 use crate::input::{AdviceResult, Input, PeerEvent};
 use crate::lag::TimerLag;
 use crate::lead::{Caller, Leader, LeaderStatus};
+use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
 use crate::pending::{self, PendingRequests};
 use crate::sampler::Sampler;
@@ -70,6 +71,7 @@
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
     pub lag: TimerLag,
+    pub load: Load,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -130,6 +132,7 @@
         let actions = Vec::new();
         let sampler = Sampler::new();
         let lag = TimerLag::default();
+        let load = Load::new(Rc::clone(&meter), now);
         let (last_call_id, last_link_id) = (0, 0);
         let ctx = Context {
             config,
@@ -139,6 +142,7 @@
             meter,
             sampler,
             lag,
+            load,
             last_call_id,
             last_link_id,
             rng,
@@ -181,9 +185,21 @@
         }
     }
 
+    /// Records how long the next input was queued, and how many inputs were queued with it.
+    pub fn record_queue(&mut self, age: Duration, queued: usize) {
+        self.ctx.load.record_queue(age, queued);
+    }
+
+    /// Records that the host has started the actions of the last input.
+    pub fn record_actions_started(&mut self) {
+        self.ctx.load.attribute(Work::Actions);
+    }
+
     /// Processes an input at the time `now` and returns the actions to perform.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.ctx.now = now;
+        let work = Work::of(&input);
+        self.ctx.load.begin(work);
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
@@ -223,11 +239,16 @@
                 }
             }
         }
+        self.ctx.load.attribute(work);
         self.run_due_work();
+        self.ctx.load.attribute(Work::Pending);
         std::mem::take(&mut self.ctx.actions)
     }
 
     fn handle_call(&mut self, token: u64, call: crate::CallerRequest) {
+        if self.ctx.load.input_age() > call.timeout {
+            self.ctx.load.count_late(Late::Request);
+        }
         let Some(_) = self.pending_requests.admit(&mut self.ctx, token, call) else { return };
         if let RoleState::Follower(follower) = &self.role_state
             && let Some(link) = follower.serving_link()
@@ -391,6 +412,7 @@
         let status = match &mut self.role_state {
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
+                self.ctx.load.attribute(Work::Followers);
                 LeaderStatus::Leading
             }
             RoleState::Leader(leader) => {
@@ -399,6 +421,7 @@
                         leader.handle_request(&mut self.ctx, Caller::Local(id), call);
                     }
                 }
+                self.ctx.load.attribute(Work::Pending);
                 let status = leader.run_due_work(&mut self.ctx);
                 for (id, answer) in leader.take_local_answers() {
                     self.pending_requests.answer(&mut self.ctx, id, answer);
@@ -437,6 +460,14 @@
         if let Some(leader) = leader {
             leader.report_gauges(&self.ctx);
         }
+        let is_logged = leader.is_some() || self.ctx.load.is_late();
+        let load = self.ctx.load.report(self.ctx.now);
+        if is_logged {
+            log_event!(self.ctx, LoopLoad, "leads" => leader.is_some(),
+                "lag_us" => self.ctx.lag.mean().as_micros() as u64,
+                "requests_open" => self.pending_requests.len(),
+                "jobs_open" => leader.map(|leader| leader.scheduler().open_jobs()), load);
+        }
         let dropped_lines = self.ctx.sampler.take_dropped_lines();
         if dropped_lines > 0 {
             self.ctx.meter.add(Counter::LinesDropped, "sampled", dropped_lines);
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -11,6 +11,7 @@
 use crate::answer::{Answer, CallerRequest, Operation, Target, View};
 use crate::event::log_event;
 use crate::frame::{Body, Reply, Request};
+use crate::load::Late;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
 
@@ -117,6 +118,8 @@
         if let Some(pending) = self.requests.remove(&id) {
             ctx.meter.record_duration(Timing::Answer, ctx.now.saturating_sub(pending.arrived));
             ctx.answer_caller(pending.token, answer);
+        } else {
+            ctx.load.count_late(Late::Answer);
         }
     }
 
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -18,10 +18,17 @@
 /// Shortest suspension of the machine that is reported to the node.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 
+/// An input and the time at which it was queued.
+#[derive(Debug)]
+struct QueuedInput {
+    queued_at: Instant,
+    input: Input,
+}
+
 /// Queued inputs and the signal that wakes the event loop.
 #[derive(Debug, Default)]
 struct QueueState {
-    inputs: RefCell<VecDeque<Input>>,
+    inputs: RefCell<VecDeque<QueuedInput>>,
     wakeup: Notify,
 }
 
@@ -34,12 +41,12 @@
 impl InputQueue {
     /// Adds an input and wakes the event loop.
     pub fn push(&self, input: Input) {
-        self.state.inputs.borrow_mut().push_back(input);
+        self.state.inputs.borrow_mut().push_back(QueuedInput { queued_at: Instant::now(), input });
         self.state.wakeup.notify_one();
     }
 
     /// Removes and returns all queued inputs, oldest first.
-    fn take_all(&self) -> VecDeque<Input> {
+    fn take_all(&self) -> VecDeque<QueuedInput> {
         std::mem::take(&mut *self.state.inputs.borrow_mut())
     }
 }
@@ -79,6 +86,13 @@
                 other => self.driver.perform(other),
             }
         }
+        self.node.record_actions_started();
+    }
+
+    /// Passes an input of the queue to the node.
+    fn handle_queued(&mut self, cx: CX![], queued: QueuedInput, length: usize) {
+        self.node.record_queue(queued.queued_at.elapsed(), length);
+        self.handle_input(cx, queued.input);
     }
 
     /// Reports a suspension to the node before any input that arrived during it.
@@ -117,8 +131,10 @@
     let actor: ActorOwn<NodeActor> = actor!(s, NodeActor::start(initial), ret_nop!());
     loop {
         call!([actor], check_suspension());
-        for input in inputs.take_all() {
-            call!([actor], handle_input(input));
+        let queued_inputs = inputs.take_all();
+        let length = queued_inputs.len();
+        for queued in queued_inputs {
+            call!([actor], handle_queued(queued, length));
         }
         let now = Instant::now();
         s.run(now, false);
--- a/crates/host/src/telemetry.rs
+++ b/crates/host/src/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics collected with OpenTelemetry and exported as Prometheus text.
 
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use control::{Counter, Gauge, Meter, Timing};
 use opentelemetry::KeyValue;
@@ -17,6 +17,8 @@
 /// Metrics of a daemon.
 pub struct Telemetry {
     registry: Registry,
+    /// Time zero of the clock that measures work.
+    started: Instant,
     /// Held because dropping the provider shuts it down.
     _provider: SdkMeterProvider,
     counters: Vec<metrics::Counter<u64>>,
@@ -55,6 +57,7 @@
             histograms: Timing::ALL.map(histogram).into(),
             gauges: Gauge::ALL.map(gauge).into(),
             registry,
+            started: Instant::now(),
             _provider: provider,
         })
     }
@@ -84,4 +87,8 @@
     fn set_gauge(&self, gauge: Gauge, value: u64) {
         self.gauges[gauge as usize].record(value, &[]);
     }
+
+    fn work_clock(&self) -> Duration {
+        self.started.elapsed()
+    }
 }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -151,6 +151,7 @@
             return;
         }
         self.steps_visited += 1;
+        self.scheduler.steps_visited += 1;
         let spec = spec.clone();
         let state = &job.steps[step_index];
         if spec.is_gang && !state.all_waiting() {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -106,6 +106,8 @@
     pub ended_runs: Vec<EndedRun>,
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
+    /// Steps that placement passes have visited so far.
+    pub steps_visited: u64,
     /// Observed run times and advice results.
     pub(crate) estimator: Estimator,
     /// Open jobs by rank: priority, due time, id.
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -75,6 +75,17 @@
         }
     }
 
+    /// Whether it received tickets that have all expired before any task was placed.
+    pub fn has_unused_tickets(&self, now: Duration) -> bool {
+        let mut expiries = self.eligibility.values().filter_map(|eligibility| match eligibility {
+            Eligibility::Allowed { expires, .. } => Some(*expires),
+            Eligibility::Denied => None,
+        });
+        self.tasks.iter().all(|task| task.run == 0)
+            && expiries.next().is_some_and(|first| first <= now)
+            && expiries.all(|expires| expires <= now)
+    }
+
     /// Whether a worker may run the step, with or without a valid ticket.
     pub fn is_allowed(&self, worker: &str) -> bool {
         matches!(self.eligibility.get(worker), Some(Eligibility::Allowed { .. }))
