control tests: handling time of inputs and bandwidth of links in the simulation

The simulated cell handled every input in no time, so that a daemon whose processor is full could not be simulated: queues of inputs, late heartbeats and replies, slipping ticks.

CostModel gives the time for each kind of input and for each resulting action; `speeds` scales it by node. A node handles its inputs one after the other in order of arrival, and the actions leave at the end. The next tick is due one interval after the handling of the last one began, as in the host's loop. Network limits the bandwidth of a node's link for frames, reads and commits. Renewals and watches take no bandwidth.

--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -6,10 +6,11 @@
 
 #![allow(dead_code, reason = "each test file uses only some items")]
 
+pub mod cost;
 pub mod fakes;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use common::Name;
@@ -22,6 +23,7 @@
     AdvicePolicy, JobState, Limits, Queue, Resources, Rules, Step, Submission, TaskKey,
 };
 
+use cost::{CostModel, Direction, Network};
 use fakes::{FakeStore, FakeWorker};
 
 /// Host and path prefix that are routed to the queue.
@@ -40,6 +42,12 @@
         node: usize,
         incarnation: u64,
     },
+    /// A node has finished handling an input.
+    Handled {
+        node: usize,
+        incarnation: u64,
+        actions: Vec<Action>,
+    },
     Commit {
         node: usize,
         incarnation: u64,
@@ -69,6 +77,22 @@
     pub incarnation: u64,
     pub is_suspended: bool,
     held_events: Vec<Event>,
+    /// Inputs that are not handled yet, in order of arrival, with their arrival times.
+    inbox: VecDeque<(Duration, Input)>,
+    /// Whether an input is being handled.
+    is_busy: bool,
+}
+
+impl NodeSlot {
+    /// Number of inputs that are not handled yet.
+    pub fn backlog(&self) -> usize {
+        self.inbox.len()
+    }
+
+    /// Age of the oldest input that is not handled yet; zero if there is none.
+    pub fn oldest_input_age(&self, now: Duration) -> Duration {
+        self.inbox.front().map_or(Duration::ZERO, |(arrived, _)| now.saturating_sub(*arrived))
+    }
 }
 
 /// Faults of the store and the network; none by default.
@@ -104,7 +128,15 @@
     pub cut_from_store: HashSet<usize>,
     /// Nodes that cannot reach other nodes.
     pub cut_from_peers: HashSet<usize>,
+    /// Time that nodes need to handle their inputs; none by default.
+    pub costs: CostModel,
+    /// Speed of nodes relative to the cost model; 1 for others.
+    pub speeds: HashMap<usize, f64>,
+    /// Bandwidth of the nodes' links; unlimited by default.
+    pub network: Network,
     pub answers: HashMap<u64, Answer>,
+    /// When each request was answered.
+    pub answered_at: HashMap<u64, Duration>,
     pub violations: Vec<String>,
     pub exited_nodes: HashSet<usize>,
     pub readiness: HashMap<usize, bool>,
@@ -141,7 +173,11 @@
             faults: FaultConfig::default(),
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
+            costs: CostModel::default(),
+            speeds: HashMap::new(),
+            network: Network::default(),
             answers: HashMap::new(),
+            answered_at: HashMap::new(),
             violations: Vec::new(),
             exited_nodes: HashSet::new(),
             readiness: HashMap::new(),
@@ -170,6 +206,8 @@
                 incarnation: 0,
                 is_suspended: false,
                 held_events: Vec::new(),
+                inbox: VecDeque::new(),
+                is_busy: false,
             });
             sim.start(number);
         }
@@ -207,6 +245,8 @@
         self.slots[number].node = None;
         self.slots[number].incarnation += 1;
         self.slots[number].held_events.clear();
+        self.slots[number].inbox.clear();
+        self.slots[number].is_busy = false;
         let dead: Vec<_> = self.links.keys().filter(|(node, _)| *node == number).copied().collect();
         for key in dead {
             self.drop_link(key);
@@ -297,16 +337,10 @@
 
     fn process_event(&mut self, event: Event) {
         match event {
-            Event::Tick { node, incarnation } => {
-                if self.deliver(node, incarnation, Input::Tick) {
-                    let running_node = self.slots[node].node.as_ref();
-                    let late = self.timer_lags.get(&node).copied().unwrap_or_default();
-                    let pause = running_node.map_or(ms(50), Node::tick_interval) + late;
-                    self.schedule(self.now + pause, Event::Tick { node, incarnation });
-                }
-            }
-            Event::Input { node, incarnation, input } => {
-                self.deliver(node, incarnation, input);
+            Event::Tick { node, incarnation } => self.receive(node, incarnation, Input::Tick),
+            Event::Input { node, incarnation, input } => self.receive(node, incarnation, input),
+            Event::Handled { node, incarnation, actions } => {
+                self.finish_input(node, incarnation, actions);
             }
             Event::Commit { node, incarnation, call, transaction, is_lost } => {
                 let commit = self.store.commit(&transaction, self.now);
@@ -339,11 +373,12 @@
         }
     }
 
-    fn deliver(&mut self, node: usize, incarnation: u64, input: Input) -> bool {
+    /// Adds an input to a node's inbox.
+    fn receive(&mut self, node: usize, incarnation: u64, input: Input) {
         let now = self.now;
         let slot = &mut self.slots[node];
         if slot.incarnation != incarnation {
-            return false;
+            return;
         }
         if slot.is_suspended {
             let event = match input {
@@ -351,20 +386,74 @@
                 input => Event::Input { node, incarnation, input },
             };
             slot.held_events.push(event);
-            return false;
+            return;
+        }
+        // The host reports a suspension before all other inputs.
+        if matches!(input, Input::Resumed { .. }) {
+            slot.inbox.push_front((now, input));
+        } else {
+            slot.inbox.push_back((now, input));
+        }
+        self.handle_next(node);
+    }
+
+    /// Handles the inputs of an idle node until one takes time.
+    fn handle_next(&mut self, node: usize) {
+        let now = self.now;
+        loop {
+            let slot = &mut self.slots[node];
+            if slot.is_busy || slot.is_suspended {
+                return;
+            }
+            let incarnation = slot.incarnation;
+            let Some(running) = slot.node.as_mut() else { return };
+            let Some((_, input)) = slot.inbox.pop_front() else { return };
+            let is_tick = matches!(input, Input::Tick);
+            let input_cost = self.costs.input_cost(&input);
+            let actions = running.handle(now, input);
+            if is_tick {
+                let lag = self.timer_lags.get(&node).copied().unwrap_or_default();
+                let next_tick = now + running.tick_interval() + lag;
+                self.schedule(next_tick, Event::Tick { node, incarnation });
+            }
+            let speed = self.speeds.get(&node).copied().unwrap_or(1.0);
+            let cost = input_cost + self.costs.action * actions.len() as u32;
+            if cost.is_zero() {
+                self.perform_all(node, incarnation, actions);
+            } else {
+                self.slots[node].is_busy = true;
+                let end = now + cost.div_f64(speed);
+                self.schedule(end, Event::Handled { node, incarnation, actions });
+            }
+        }
+    }
+
+    /// Performs the actions of an input that was handled, and handles the next one.
+    fn finish_input(&mut self, node: usize, incarnation: u64, actions: Vec<Action>) {
+        let slot = &mut self.slots[node];
+        if slot.incarnation != incarnation {
+            return;
+        }
+        if slot.is_suspended {
+            slot.held_events.push(Event::Handled { node, incarnation, actions });
+            return;
         }
-        let Some(running) = slot.node.as_mut() else { return false };
-        let actions = running.handle(now, input);
+        slot.is_busy = false;
+        self.perform_all(node, incarnation, actions);
+        self.handle_next(node);
+    }
+
+    fn perform_all(&mut self, node: usize, incarnation: u64, actions: Vec<Action>) {
         for action in actions {
             self.perform(node, incarnation, action);
         }
-        true
     }
 
     fn perform(&mut self, node: usize, incarnation: u64, action: Action) {
         match action {
             Action::Answer { token, answer } => {
                 self.answers.insert(token, answer);
+                self.answered_at.insert(token, self.now);
             }
             Action::SetReady(is_ready) => {
                 self.readiness.insert(node, is_ready);
@@ -375,15 +464,7 @@
                 self.kill(node);
             }
             Action::Connect { link, address } => self.connect(node, incarnation, link, &address),
-            Action::Send { link, frame } => {
-                let Some((other, number)) = self.links.get(&(node, link)).copied() else { return };
-                if self.is_link_cut(node, other) {
-                    return;
-                }
-                let incarnation = self.slots[other].incarnation;
-                let input = Input::Peer { link: number, event: PeerEvent::Frame(frame) };
-                self.schedule(self.now + ms(1), Event::Input { node: other, incarnation, input });
-            }
+            Action::Send { link, frame } => self.send(node, link, frame),
             Action::Close { link } => self.drop_link((node, link)),
             Action::Read { call, from, to, timeout, .. } => {
                 let page = self.is_store_up(node).then(|| self.store.read(&from, &to, self.now));
@@ -391,28 +472,17 @@
                 let extra_rows = page.as_ref().map_or(0, |page| page.rows.len().saturating_sub(1));
                 let read_delay = base_delay + self.faults.read_delay_per_row * extra_rows as u32;
                 let wait = if page.is_some() { read_delay } else { timeout };
+                let bytes = page.as_ref().map_or(0, cost::page_bytes);
+                let at = self.network.transfer(node, Direction::In, bytes, self.now + wait);
                 let input = Input::Read { call, page };
-                self.schedule(self.now + wait, Event::Input { node, incarnation, input });
+                self.schedule(at, Event::Input { node, incarnation, input });
             }
             Action::Commit { call, .. } if self.faults.is_store_busy => {
                 let input = Input::Commit { call, commit: control::CommitResult::Refused };
                 self.schedule(self.now + ms(4), Event::Input { node, incarnation, input });
             }
             Action::Commit { call, transaction, timeout } => {
-                let is_lost = !self.is_store_up(node) || self.chance(self.faults.lost_commit_share);
-                if is_lost {
-                    let input = Input::Commit { call, commit: control::CommitResult::Unknown };
-                    self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
-                }
-                if self.is_store_up(node) {
-                    let is_late = is_lost && self.faults.delay_lost_commits;
-                    let late = if is_late { ms(self.random(3000)) } else { Duration::ZERO };
-                    let event = Event::Commit { node, incarnation, call, transaction, is_lost };
-                    // The store serializes the transactions of a pool.
-                    let start = self.store_free_at.max(self.now);
-                    self.store_free_at = start + ms(8) * self.faults.store_slowdown.max(1);
-                    self.schedule(self.store_free_at + late, event);
-                }
+                self.commit(node, incarnation, call, transaction, timeout);
             }
             Action::Watch { call, target, cursor, max_wait } => {
                 let result = if self.is_store_up(node) {
@@ -465,6 +535,45 @@
         }
     }
 
+    fn send(&mut self, node: usize, link: u64, frame: control::Frame) {
+        let Some((other, number)) = self.links.get(&(node, link)).copied() else { return };
+        if self.is_link_cut(node, other) {
+            return;
+        }
+        let incarnation = self.slots[other].incarnation;
+        let bytes = prost::Message::encoded_len(&frame);
+        let sent = self.network.transfer(node, Direction::Out, bytes, self.now);
+        let received = self.network.transfer(other, Direction::In, bytes, sent + ms(1));
+        let input = Input::Peer { link: number, event: PeerEvent::Frame(frame) };
+        self.schedule(received, Event::Input { node: other, incarnation, input });
+    }
+
+    fn commit(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        call: u64,
+        transaction: control::Transaction,
+        timeout: Duration,
+    ) {
+        let is_lost = !self.is_store_up(node) || self.chance(self.faults.lost_commit_share);
+        if is_lost {
+            let input = Input::Commit { call, commit: control::CommitResult::Unknown };
+            self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
+        }
+        if self.is_store_up(node) {
+            let is_late = is_lost && self.faults.delay_lost_commits;
+            let late = if is_late { ms(self.random(3000)) } else { Duration::ZERO };
+            let bytes = cost::transaction_bytes(&transaction);
+            let sent = self.network.transfer(node, Direction::Out, bytes, self.now);
+            let event = Event::Commit { node, incarnation, call, transaction, is_lost };
+            // The store serializes the transactions of a pool.
+            let start = self.store_free_at.max(sent);
+            self.store_free_at = start + ms(8) * self.faults.store_slowdown.max(1);
+            self.schedule(self.store_free_at + late, event);
+        }
+    }
+
     fn worker_incarnation(&self, order: &Action) -> u64 {
         let id = match order {
             Action::Start { start, .. } => &start.worker,
