--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -6,6 +6,7 @@
 use common::Name;
 
 use crate::action::Action;
+use crate::config::Capacity;
 use crate::frame::{Advice, Announcement, Body, Heartbeat, Hello, Members, RequestLimits, Welcome};
 use crate::input::AdviceResult;
 use crate::lead::{Leader, requests::Caller};
@@ -37,6 +38,7 @@
     member: Name,
     /// Address at which peers reach it.
     address: Name,
+    capacity: Capacity,
     /// When its latest heartbeat or hello arrived.
     last_received: Duration,
     /// Mean lag of its timer; none before its first heartbeat.
@@ -89,17 +91,28 @@
         })
     }
 
-    /// The follower whose timer has the least mean lag, and that lag.
-    pub fn least_lagged(&self) -> Option<(&Name, Duration)> {
-        let lagged =
-            self.followers.values().filter_map(|peer| Some((&peer.member, peer.timer_lag?)));
-        lagged.min_by_key(|(_, lag)| *lag)
+    /// The follower to lead instead of a daemon of the given capacity, and its timer's lag.
+    ///
+    /// It has at least that capacity, and its timer lags by `max_lag` at most.
+    pub fn quick_successor(
+        &self,
+        capacity: Capacity,
+        max_lag: Duration,
+    ) -> Option<(&Name, Duration)> {
+        let suited = self.followers.values().filter(|peer| !capacity.outranks(peer.capacity));
+        let peer =
+            best_suited(suited.filter(|peer| peer.timer_lag.is_some_and(|lag| lag <= max_lag)))?;
+        Some((&peer.member, peer.timer_lag?))
     }
 
-    /// The follower that should lead next: the least lagged one, or else any.
-    pub fn successor(&self) -> Option<Name> {
-        let any = self.followers.values().next().map(|peer| &peer.member);
-        self.least_lagged().map(|(member, _)| member).or(any).cloned()
+    /// The follower that should lead next.
+    pub fn successor(&self) -> Option<&Name> {
+        best_suited(self.followers.values()).map(|peer| &peer.member)
+    }
+
+    /// Whether a member is connected as a follower.
+    pub fn has(&self, member: &Name) -> bool {
+        self.followers.values().any(|peer| peer.member == *member)
     }
 
     /// Removes the follower of a closed link.
@@ -175,6 +188,14 @@
     }
 }
 
+/// The least lagged of the largest daemons.
+fn best_suited<'a>(peers: impl Iterator<Item = &'a Peer> + Clone) -> Option<&'a Peer> {
+    let is_outranked =
+        |peer: &&Peer| peers.clone().any(|other| other.capacity.outranks(peer.capacity));
+    let largest = peers.clone().filter(|peer| !is_outranked(peer));
+    largest.min_by_key(|peer| peer.timer_lag.unwrap_or(Duration::MAX))
+}
+
 impl Leader {
     /// Handles a follower's frame.
     pub(super) fn handle_frame(&mut self, ctx: &mut Context, link: u64, body: Body) {
@@ -211,21 +232,25 @@
         let (member, address) = (Name::new(&hello.member), Name::new(&hello.address));
         self.peers.lost.remove(&address);
         self.peers.followers.retain(|_, peer| peer.member != member);
-        self.peers
-            .followers
-            .insert(link, Peer { member, address, last_received: ctx.now, timer_lag: None });
+        let capacity = hello.capacity();
+        let last_received = ctx.now;
+        let peer = Peer { member, address, capacity, last_received, timer_lag: None };
+        self.peers.followers.insert(link, peer);
         let (epoch, is_serving) = (self.epoch, self.is_serving());
         let welcome = Welcome { epoch, is_serving, ..Welcome::default() };
         ctx.send(link, Body::Welcome(welcome));
         self.broadcast_members(ctx);
     }
 
-    /// Sends all followers the addresses of the daemons and the limits on requests.
+    /// Sends all followers the addresses and capacities of the daemons and the limits on requests.
     pub(super) fn broadcast_members(&self, ctx: &mut Context) {
-        let mut addresses = vec![ctx.config.peer_address.to_string()];
-        addresses.extend(self.peers.followers.values().map(|peer| peer.address.to_string()));
         let bounds = self.scheduler.rules.as_ref().map(|rules| RequestLimits::from(&rules.limits));
-        self.peers.broadcast(ctx, &Body::Members(Members { addresses, bounds }));
+        let mut members = Members { bounds, ..Members::default() };
+        members.push(&ctx.config.peer_address, ctx.config.capacity);
+        for peer in self.peers.followers.values() {
+            members.push(&peer.address, peer.capacity);
+        }
+        self.peers.broadcast(ctx, &Body::Members(members));
     }
 
     /// Applies the answer of an advice call that a follower made.
