A leader whose event loop stalls is neither deposed nor releases leadership

Before any traffic, a leader released leadership for lost contact with most followers, although their heartbeats waited in its own queue; under load, followers replaced leaders that lived, as the reply to their last commit waited there (age over 600 ms) or their heartbeat was late.

Cause: silence and ages were measured by the wall clock, and all limits are fixed. Now - silence of followers, of the leader, of a welcome and the age of the last commit are measured by a clock that stands still in stalls: a gap of more than 100 ms between two inputs counts as 100 ms. Of the commit's age, 1.4 s are forgiven at the most; - a leader whose heartbeats have been late gets twice their interval, 1.3 s at the most; - a follower whose suspicion proved wrong, as the head row moved, waits twice and then three times as long before it suspects that leader again, for 10 s. Nothing changes for a leader that was never late; the tests of takeover.rs are unchanged and pass.

The three tests fail on the former code.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -25,9 +25,24 @@
 /// Time without a heartbeat after which the leader is suspected to have failed.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// Longest such time; it applies to a leader whose heartbeats have been late.
+const MAX_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1300);
+
+/// Multiple of the time between late heartbeats after which the leader is suspected.
+const HEARTBEAT_TIMEOUT_FACTOR: u32 = 2;
+
+/// Share that the longest time between heartbeats keeps with each further one.
+const HEARTBEAT_INTERVAL_DECAY: f64 = 0.8;
+
 /// Timeout for the leader's welcome on a new connection.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most wrong suspicions of a leader that make followers more patient with it.
+const MAX_COUNTED_SUSPICIONS: u32 = 2;
+
+/// Time without a wrong suspicion after which earlier ones are forgotten.
+const SUSPICION_MEMORY: Duration = Duration::from_secs(10);
+
 /// Age of the leader's last commit above which it is suspected, in ms.
 const MAX_STORE_AGE_MS: u32 = 600;
 
@@ -73,9 +88,11 @@
 enum Stage {
     /// No leader is known.
     Searching,
-    /// A connection to the leader is opened, or its welcome is awaited.
+    /// A connection to the leader is opened, or its welcome is awaited since a time of the loop
+    /// clock.
     Joining { link: u64, since: Duration },
-    /// The leader has welcomed this daemon and sends heartbeats.
+    /// The leader has welcomed this daemon and sends heartbeats; the time of the latest one is
+    /// by the loop clock.
     Joined { link: u64, last_heartbeat: Duration, store_age_ms: u32, is_serving: bool },
     /// A claim has been sent and not answered.
     Claiming { call: u64, head: Head, since: Duration },
@@ -91,6 +108,14 @@
     delay: Duration,
 }
 
+/// Recent suspicions of a leader that proved to be alive.
+#[derive(Debug, Default)]
+struct WrongSuspicions {
+    epoch: u64,
+    count: u32,
+    latest: Duration,
+}
+
 /// Change of role that results from an input.
 #[derive(Debug)]
 pub(crate) enum Transition {
@@ -120,6 +145,9 @@
     store_latency: Duration,
     /// Whether the head row has changed since its leader was suspected.
     is_leader_alive: bool,
+    /// Longest recent time between two heartbeats; it decays with each heartbeat.
+    heartbeat_interval: Duration,
+    wrong_suspicions: WrongSuspicions,
     /// Whether the leader is alive but unreachable from here.
     is_cut_off: bool,
     /// Peer addresses, as last sent by a leader.
@@ -146,6 +174,8 @@
             leaderless_since: now,
             store_latency: Duration::ZERO,
             is_leader_alive: false,
+            heartbeat_interval: Duration::ZERO,
+            wrong_suspicions: WrongSuspicions::default(),
             is_cut_off: false,
             peer_addresses: Vec::new(),
             peer_capacities: Vec::new(),
@@ -200,17 +230,20 @@
 
     /// Runs work that is due: timeouts of the leader and reads of the head row.
     pub fn tick(&mut self, ctx: &mut Context) {
+        let loop_now = ctx.loop_clock.now();
         match self.stage {
             Stage::Searching => self.read_head_if_due(ctx),
-            Stage::Joining { link, since } if ctx.now > since + JOIN_TIMEOUT => {
+            Stage::Joining { link, since }
+                if loop_now > since + JOIN_TIMEOUT * self.patience(ctx.now) =>
+            {
                 ctx.actions.push(Action::Close { link });
-                self.lose_leader(ctx, SILENT_DELAY, "no welcome");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "no welcome");
             }
             Stage::Joined { link, last_heartbeat, .. }
-                if ctx.now > last_heartbeat + HEARTBEAT_TIMEOUT =>
+                if loop_now > last_heartbeat + self.heartbeat_timeout() =>
             {
                 ctx.actions.push(Action::Close { link });
-                self.lose_leader(ctx, SILENT_DELAY, "no heartbeat");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "no heartbeat");
             }
             Stage::Joined { store_age_ms, .. } if store_age_ms > MAX_STORE_AGE_MS => {
                 self.read_head_if_due(ctx);
@@ -222,6 +255,32 @@
         }
     }
 
+    /// Time without a heartbeat after which the leader is suspected.
+    fn heartbeat_timeout(&self) -> Duration {
+        let timeout = self.heartbeat_interval * HEARTBEAT_TIMEOUT_FACTOR;
+        timeout.clamp(HEARTBEAT_TIMEOUT, MAX_HEARTBEAT_TIMEOUT)
+    }
+
+    /// Factor on delays; it grows if the leader was suspected wrongly and is late again.
+    fn patience(&self, now: Duration) -> u32 {
+        let wrong = &self.wrong_suspicions;
+        let is_current =
+            self.known_head.as_ref().is_some_and(|(head, _)| head.epoch == wrong.epoch);
+        let is_recent = now < wrong.latest + SUSPICION_MEMORY;
+        if is_current && is_recent { 1 + wrong.count.min(MAX_COUNTED_SUSPICIONS) } else { 1 }
+    }
+
+    /// Delay before the second read of the head row if the leader is silent.
+    fn silent_delay(&self, now: Duration) -> Duration {
+        SILENT_DELAY * self.patience(now)
+    }
+
+    /// Records that a suspected leader has changed the head row.
+    fn record_wrong_suspicion(&mut self, now: Duration, epoch: u64) {
+        let count = if self.patience(now) > 1 { self.wrong_suspicions.count } else { 0 };
+        self.wrong_suspicions = WrongSuspicions { epoch, count: count + 1, latest: now };
+    }
+
     /// Reads the head row if that is due and no read is in progress.
     fn read_head_if_due(&mut self, ctx: &mut Context) {
         if self.pending_read.is_some() || ctx.now < self.next_read_at {
@@ -314,10 +373,10 @@
         let is_joined = matches!(self.stage, Stage::Joined { .. });
         // A leader that still sends heartbeats has itself reported that it lost the store, so the
         // shorter delay suffices.
-        let min_delay = if is_joined {
+        let min_delay = if is_joined && self.patience(ctx.now) == 1 {
             REFUSED_DELAY + self.store_latency * STORE_LATENCY_FACTOR
         } else {
-            SILENT_DELAY
+            self.silent_delay(ctx.now)
         };
         let delay = self.suspicion.as_ref().map_or(min_delay, |suspicion| suspicion.delay);
         match &self.suspicion {
@@ -331,6 +390,7 @@
             Some(suspicion) if suspicion.version != 0 => {
                 log_event!(ctx, ClaimAbandoned, "epoch" => epoch, "version" => version);
                 self.suspicion = None;
+                self.record_wrong_suspicion(ctx.now, epoch);
                 if !is_joined {
                     self.is_leader_alive = true;
                     self.connect_to_leader(ctx);
@@ -375,7 +435,7 @@
         let link = ctx.next_link_id();
         let address = Name::new(&head.address);
         ctx.actions.push(Action::Connect { link, address });
-        self.stage = Stage::Joining { link, since: ctx.now };
+        self.stage = Stage::Joining { link, since: ctx.loop_clock.now() };
     }
 
     /// Claims leadership in the next epoch, conditional on the head row's version.
@@ -456,7 +516,7 @@
             PeerEvent::Closed => {
                 // A dead process refuses the next connection; a live one may just have closed
                 // this one.
-                self.lose_leader(ctx, SILENT_DELAY, "connection closed");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "connection closed");
                 self.connect_to_leader(ctx);
             }
             PeerEvent::Accepted => {}
@@ -477,10 +537,16 @@
             }
             Some(Body::Welcome(welcome)) => {
                 log_event!(ctx, LeaderFound, "epoch" => welcome.epoch);
+                self.heartbeat_interval = Duration::ZERO;
                 self.mark_joined(ctx, from, welcome.is_serving, 0);
                 return welcome.is_serving;
             }
             Some(Body::Beat(heartbeat)) => {
+                if let Stage::Joined { last_heartbeat, .. } = self.stage {
+                    let interval = ctx.loop_clock.now().saturating_sub(last_heartbeat);
+                    let decayed = self.heartbeat_interval.mul_f64(HEARTBEAT_INTERVAL_DECAY);
+                    self.heartbeat_interval = interval.max(decayed);
+                }
                 self.mark_joined(ctx, from, heartbeat.is_serving, heartbeat.store_age_ms);
                 let lag_us = ctx.lag.mean().as_micros() as u32;
                 let reply = Heartbeat { epoch: heartbeat.epoch, lag_us, ..Heartbeat::default() };
@@ -517,7 +583,8 @@
         }
         self.is_leader_alive = false;
         self.is_cut_off = false;
-        self.stage = Stage::Joined { link, last_heartbeat: ctx.now, store_age_ms, is_serving };
+        let last_heartbeat = ctx.loop_clock.now();
+        self.stage = Stage::Joined { link, last_heartbeat, store_age_ms, is_serving };
     }
 }
 
--- a/crates/control/src/lag.rs
+++ b/crates/control/src/lag.rs
@@ -1,10 +1,41 @@
-//! Lag of the daemon's timer, which grows when the process gets too little CPU time.
+//! Lag of the daemon's timer and stalls of its event loop, from too little CPU time.
 
 use std::time::Duration;
 
 /// Time constant of the exponential moving average.
 const AVERAGING_TIME: Duration = Duration::from_millis(800);
 
+/// Longest time between two inputs that is not a stall; some ticks of a follower.
+const MAX_INPUT_GAP: Duration = Duration::from_millis(100);
+
+/// Clock that stands still while the event loop is stalled.
+///
+/// Messages that arrive during a stall are handled after it. The silence of a peer is measured
+/// by this clock, so that they are handled before the peer counts as silent.
+#[derive(Debug, Default)]
+pub(crate) struct LoopClock {
+    last_input: Duration,
+    elapsed: Duration,
+}
+
+impl LoopClock {
+    /// Creates a clock that counts from the time of the first input on.
+    pub fn new(now: Duration) -> Self {
+        Self { last_input: now, elapsed: Duration::ZERO }
+    }
+
+    /// Records that an input is handled.
+    pub fn record_input(&mut self, now: Duration) {
+        self.elapsed += now.saturating_sub(self.last_input).min(MAX_INPUT_GAP);
+        self.last_input = now;
+    }
+
+    /// Time that has passed without the stalls.
+    pub fn now(&self) -> Duration {
+        self.elapsed
+    }
+}
+
 /// Exponential moving average of the delay between due and actual ticks.
 #[derive(Debug, Default)]
 pub(crate) struct TimerLag {
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -76,6 +76,9 @@
 /// change of leader adds to it.
 const SLOW_RESIGN_COOLDOWN: Duration = Duration::from_mins(1);
 
+/// Longest stall of the event loop that does not count as time without a commit.
+const MAX_IGNORED_STALL: Duration = Duration::from_millis(1400);
+
 /// How long a larger follower must have been joined before leadership is released to it.
 const PROMOTION_DELAY: Duration = Duration::from_secs(3);
 
@@ -148,6 +151,8 @@
     successor: Option<common::Name>,
     /// When leadership became uncertain; none while it is confirmed.
     unconfirmed_since: Option<Duration>,
+    /// When the latest commit was confirmed, by the loop clock.
+    last_durable: Duration,
     /// When it became leader.
     elected_at: Duration,
     /// Since when its timer lags behind a follower's; none while it does not.
@@ -190,6 +195,7 @@
             is_resigning: false,
             successor: None,
             unconfirmed_since: None,
+            last_durable: ctx.loop_clock.now(),
             elected_at: now,
             slow_since: None,
             logged_waits: HashMap::new(),
@@ -275,6 +281,7 @@
         match outcome {
             CommitOutcome::NoChange => {}
             CommitOutcome::Durable { jobs, effects, first_sent } => {
+                self.last_durable = ctx.loop_clock.now();
                 self.unconfirmed_since = self.unconfirmed_since.filter(|since| first_sent < *since);
                 for (id, phase) in jobs {
                     self.record_durable_phase(ctx, &id, phase);
@@ -380,15 +387,22 @@
             self.run_scheduler(ctx);
         }
         self.check_peers(ctx);
-        let store_age = self.journal.commit_age(ctx.now);
+        let store_age = self.store_age(ctx);
         self.peers.send_heartbeat(ctx, self.epoch, store_age, self.is_serving());
         self.journal.commit_if_due(ctx, &self.scheduler);
         self.status
     }
 
+    /// Time since the latest commit, without stalls, after which its reply may still be queued.
+    fn store_age(&self, ctx: &Context) -> Duration {
+        let without_stalls = ctx.loop_clock.now().saturating_sub(self.last_durable);
+        let total = self.journal.commit_age(ctx.now);
+        without_stalls.max(total.saturating_sub(MAX_IGNORED_STALL))
+    }
+
     /// Drops silent followers; resigns if most of them are lost.
     fn check_peers(&mut self, ctx: &mut Context) {
-        for link in self.peers.drop_silent(ctx.now) {
+        for link in self.peers.drop_silent(ctx.now, ctx.loop_clock.now()) {
             ctx.actions.push(Action::Close { link });
             for (job, step) in self.advice_calls.drop_link(link) {
                 self.scheduler.apply_advice(&job, step, None, ctx.now);
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -43,6 +43,8 @@
     joined_at: Duration,
     /// When its latest heartbeat or hello arrived.
     last_received: Duration,
+    /// The same time by the leader's loop clock.
+    last_handled: Duration,
     /// Mean lag of its timer; none before its first heartbeat.
     timer_lag: Option<Duration>,
 }
@@ -139,8 +141,10 @@
     }
 
     /// Removes silent followers, which are then lost; returns their links.
-    pub fn drop_silent(&mut self, now: Duration) -> Vec<u64> {
-        let is_silent = |peer: &Peer| peer.last_received + PEER_TIMEOUT < now;
+    ///
+    /// Stalls of the leader do not count as silence, as heartbeats may wait in its queue.
+    pub fn drop_silent(&mut self, now: Duration, loop_now: Duration) -> Vec<u64> {
+        let is_silent = |peer: &Peer| peer.last_handled + PEER_TIMEOUT < loop_now;
         let silent: Vec<_> = self.followers.extract_if(.., |_, peer| is_silent(peer)).collect();
         for (_, peer) in &silent {
             self.lost.insert(peer.address.clone(), now);
@@ -222,6 +226,7 @@
             Body::Beat(heartbeat) => {
                 if let Some(peer) = self.peers.followers.get_mut(&link) {
                     peer.last_received = ctx.now;
+                    peer.last_handled = ctx.loop_clock.now();
                     peer.timer_lag = Some(Duration::from_micros(heartbeat.lag_us.into()));
                 }
             }
@@ -251,8 +256,15 @@
         self.peers.lost.remove(&address);
         self.peers.followers.retain(|_, peer| peer.member != member);
         let capacity = hello.capacity();
-        let (joined_at, last_received) = (ctx.now, ctx.now);
-        let peer = Peer { member, address, capacity, joined_at, last_received, timer_lag: None };
+        let peer = Peer {
+            member,
+            address,
+            capacity,
+            joined_at: ctx.now,
+            last_received: ctx.now,
+            last_handled: ctx.loop_clock.now(),
+            timer_lag: None,
+        };
         self.peers.followers.insert(link, peer);
         let (epoch, is_serving) = (self.epoch, self.is_serving());
         let welcome = Welcome { epoch, is_serving, ..Welcome::default() };
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -16,7 +16,7 @@
 use crate::follow::{Follower, Transition};
 use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
 use crate::input::{AdviceResult, Input, PeerEvent};
-use crate::lag::TimerLag;
+use crate::lag::{LoopClock, TimerLag};
 use crate::lead::{Caller, Leader, LeaderStatus};
 use crate::meter::{Counter, Gauge, Meter};
 use crate::pending::{self, PendingRequests};
@@ -70,6 +70,7 @@
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
     pub lag: TimerLag,
+    pub loop_clock: LoopClock,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -130,6 +131,7 @@
         let actions = Vec::new();
         let sampler = Sampler::new();
         let lag = TimerLag::default();
+        let loop_clock = LoopClock::new(now);
         let (last_call_id, last_link_id) = (0, 0);
         let ctx = Context {
             config,
@@ -139,6 +141,7 @@
             meter,
             sampler,
             lag,
+            loop_clock,
             last_call_id,
             last_link_id,
             rng,
@@ -184,6 +187,7 @@
     /// Processes an input at the time `now` and returns the actions to perform.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.ctx.now = now;
+        self.ctx.loop_clock.record_input(now);
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -217,7 +217,6 @@
 
 /// Guards against followers that depose a leader that is late, but still commits.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn stalling_leader_with_moving_head_stays() {
     for seed in 250..260 {
         let mut sim = start_cell(seed, 1, 8);
@@ -229,7 +228,6 @@
 
 /// Guards against a leader that releases because replies waited in its own queue.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn stalled_leader_does_not_take_itself_for_cut_off() {
     for seed in 260..270 {
         let mut sim = start_cell(seed, 1, 8);
@@ -240,6 +238,25 @@
     }
 }
 
+/// Guards against followers that take the stall of a leader for a store that it cannot reach.
+#[test]
+fn stalled_leader_with_slow_commit_stays() {
+    for seed in 290..310 {
+        let mut sim = start_cell(seed, 1, 8);
+        sim.run(ms(seed * 13 % 200));
+        let (leader, epoch) = (sim.leader().expect("a node leads"), sim.store.epoch());
+        sim.suspend(leader);
+        sim.run(ms(440));
+        sim.resume(leader, Duration::ZERO);
+        // Only the leader's commit is slow, as a large one over a slow link.
+        sim.faults.store_slowdown = 30;
+        sim.run(Duration::ZERO);
+        sim.faults.store_slowdown = 1;
+        sim.run(ms(2000));
+        assert_eq!((sim.leader(), sim.store.epoch()), (Some(leader), epoch), "seed {seed}");
+    }
+}
+
 /// Guards against daemons of an older version that are never succeeded or never lead.
 #[test]
 fn unknown_capacity_takes_over_as_before() {
