test: backlog of advice calls after a burst, and steps that cannot run (known red)

The second test shows that MAX_STEPS_PER_PASS counts gangs that have no worker: 150 of them end the pass.

--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -252,7 +252,12 @@
     ) -> OrderReply {
         let now = self.now;
         let clock_ms = now.as_millis() as u64;
-        let length = Self::run_duration(&start.key);
+        let length = self.run_time.unwrap_or_else(|| Self::run_duration(&start.key));
+        let key = (start.key.job.clone(), start.key.step, start.worker.clone());
+        let has_ticket = self
+            .advice_service
+            .as_ref()
+            .is_none_or(|service| service.ticket_ends.get(&key).is_some_and(|end| *end > now));
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return OrderReply::OutcomeUnknown;
         };
@@ -272,6 +277,9 @@
         {
             return OrderReply::Refused { clock_ms, reason: Refusal::StaleRun };
         }
+        if !has_ticket {
+            return OrderReply::Refused { clock_ms, reason: Refusal::Ticket };
+        }
         worker.highest_runs.insert(start.key.clone(), start.run);
         let run = FakeRun { run: start.run, started_at: now, length, cpu: 1000, fails: false };
         worker.running.insert(start.key.clone(), run);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -92,6 +92,59 @@
     pub is_store_down: bool,
 }
 
+/// An advice service that handles the calls of each node one after the other.
+#[derive(Debug)]
+pub struct AdviceService {
+    /// Duration of a call without workers.
+    pub base_duration: Duration,
+    /// Additional duration for each worker named.
+    pub duration_per_worker: Duration,
+    /// Validity of a ticket.
+    pub validity: Duration,
+    /// Average number of workers in ten that it allows; others for each step.
+    pub allowed_of_ten: u64,
+    /// When the last call of each node ends.
+    free_at: HashMap<usize, Duration>,
+    /// When the tickets expire, by job, step and worker.
+    ticket_ends: HashMap<(Name, u32, Name), Duration>,
+}
+
+impl AdviceService {
+    pub fn new(policy: &AdvicePolicy, allowed_of_ten: u64) -> Self {
+        Self {
+            base_duration: policy.base_duration,
+            duration_per_worker: policy.duration_per_worker,
+            validity: policy.validity,
+            allowed_of_ten,
+            free_at: HashMap::new(),
+            ticket_ends: HashMap::new(),
+        }
+    }
+
+    /// Handles a call; returns when it ends and the workers that it allows.
+    fn answer(
+        &mut self,
+        node: usize,
+        now: Duration,
+        (job, step): (&Name, u32),
+        workers: Vec<Name>,
+    ) -> (Duration, Vec<(Name, Name)>) {
+        let free_at = self.free_at.entry(node).or_default();
+        let duration = self.base_duration + self.duration_per_worker * workers.len() as u32;
+        *free_at = now.max(*free_at) + duration;
+        let mut allowed = Vec::new();
+        for worker in workers {
+            let key = format!("{job}.{step}.{worker}");
+            if common::stable_hash(key.as_bytes()) % 10 < self.allowed_of_ten {
+                let key = (job.clone(), step, worker.clone());
+                self.ticket_ends.insert(key, *free_at + self.validity);
+                allowed.push((worker, Name::new("ticket")));
+            }
+        }
+        (*free_at, allowed)
+    }
+}
+
 /// A simulated cell.
 pub struct Simulation {
     pub now: Duration,
@@ -111,6 +164,10 @@
     pub advice_calls: u64,
     /// Share of workers that the advice service allows.
     pub allowed_share: f64,
+    /// The advice service; if none, calls take 10 ms, however many there are.
+    pub advice_service: Option<AdviceService>,
+    /// Run time of all tasks; if none, it is derived from the job's id.
+    pub run_time: Option<Duration>,
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
@@ -147,6 +204,8 @@
             readiness: HashMap::new(),
             advice_calls: 0,
             allowed_share: 1.0,
+            advice_service: None,
+            run_time: None,
             timer_lags: HashMap::new(),
             started_runs: 0,
             store_free_at: Duration::ZERO,
@@ -424,15 +483,11 @@
                 let wait = if cursor.is_none() { ms(5) } else { max_wait.max(ms(20)) };
                 self.schedule(self.now + wait, Event::Input { node, incarnation, input });
             }
-            Action::RequestAdvice { call, workers, .. } => {
+            Action::RequestAdvice { call, job, step, workers, .. } => {
                 self.advice_calls += 1;
-                let share = (self.allowed_share * 1000.0) as u64;
-                let is_allowed = |id: &Name| common::stable_hash(id.as_bytes()) % 1000 < share;
-                let allowed = workers.into_iter().filter(is_allowed);
-                let allowed = allowed.map(|id| (id, Name::new("ticket"))).collect();
-                let answer = control::AdviceResult { allowed, validity: ms(1500) };
+                let (at, answer) = self.advise(node, (&job, step), workers);
                 let input = Input::Advice { call, result: Some(answer) };
-                self.schedule(self.now + ms(10), Event::Input { node, incarnation, input });
+                self.schedule(at, Event::Input { node, incarnation, input });
             }
             order @ (Action::Start { .. } | Action::Stop { .. }) => {
                 let is_late = self.chance(self.faults.late_order_share);
@@ -465,6 +520,24 @@
         }
     }
 
+    /// When the advice service answers a call, and its answer.
+    fn advise(
+        &mut self,
+        node: usize,
+        step: (&Name, u32),
+        workers: Vec<Name>,
+    ) -> (Duration, control::AdviceResult) {
+        if let Some(service) = &mut self.advice_service {
+            let (at, allowed) = service.answer(node, self.now, step, workers);
+            return (at, control::AdviceResult { allowed, validity: service.validity });
+        }
+        let share = (self.allowed_share * 1000.0) as u64;
+        let is_allowed = |id: &Name| common::stable_hash(id.as_bytes()) % 1000 < share;
+        let allowed = workers.into_iter().filter(is_allowed);
+        let allowed = allowed.map(|id| (id, Name::new("ticket"))).collect();
+        (self.now + ms(10), control::AdviceResult { allowed, validity: ms(1500) })
+    }
+
     fn worker_incarnation(&self, order: &Action) -> u64 {
         let id = match order {
             Action::Start { start, .. } => &start.worker,
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -358,6 +358,21 @@
     assert_eq!(&*scheduler.advice_calls[0].job, "j000", "the highest rank is visited first");
 }
 
+// Guards against steps that cannot run using up a pass, so that lower ranks never run.
+#[test]
+#[ignore = "known red: see KNOWN-RED.txt"]
+fn plan_places_step_behind_many_that_cannot_run() {
+    let mut scheduler = pool(&["w1"], None);
+    for number in 0..200 {
+        let gang = Step { is_gang: true, requirement: "none".to_owned(), ..step(2) };
+        submit(&mut scheduler, &format!("a{number:03}"), vec![gang]);
+        let single = Step { requirement: "none".to_owned(), ..step(1) };
+        submit(&mut scheduler, &format!("b{number:03}"), vec![single]);
+    }
+    submit(&mut scheduler, "c", vec![step(1)]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 1);
+}
+
 #[test]
 fn gang_with_busy_candidates_requests_advice_after_delay() {
     let ids: Vec<String> = (0..28).map(|number| format!("w{number:02}")).collect();
