measure: time of a leader for each kind of input

`measure leader` drives one node as the leader of a simulated pool and prints the time of the node for each kind of input.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod environment;
 pub mod faults;
 pub mod fit;
+pub mod leader;
 pub mod load;
 pub mod path;
 pub mod plot;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use measure::bench::Result;
 use measure::environment::Environment;
-use measure::{capacity, decide, faults, path};
+use measure::{capacity, decide, faults, leader, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -33,6 +33,8 @@
     Decide(Decide),
     /// Cost of the control plane at the target size.
     Capacity(Capacity),
+    /// Time of a leader for each kind of input.
+    Leader(Leader),
 }
 
 /// Measure nine daemons under quick and study load together.
@@ -67,6 +69,21 @@
     plots: Option<PathBuf>,
 }
 
+/// Measure the time that a leader takes for each kind of input.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "leader")]
+struct Leader {
+    /// workers of the pool
+    #[argh(option, default = "350")]
+    workers: usize,
+    /// open jobs of one task each
+    #[argh(option, default = "3000")]
+    jobs: usize,
+    /// followers
+    #[argh(option, default = "40")]
+    followers: usize,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args.measure) {
@@ -86,6 +103,11 @@
         Measure::Path(args) => path::run(&Environment::find()?, args.rate),
         Measure::Capacity(args) => capacity::run(&Environment::find()?, args.plots.as_deref()),
         Measure::Decide(_) => decide::run(),
+        Measure::Leader(args) => leader::run(leader::PoolSize {
+            workers: args.workers,
+            jobs: args.jobs,
+            followers: args.followers,
+        }),
         Measure::Faults(args) => faults::run(&Environment::find()?, args.stops),
     }
 }
