control tests: known red, overload_leader_stays

What callers see: 2 to 7 s of silence of a leader that lives; callers wait meanwhile.

The cell: nine daemons of equal speed, 40 workers, costs of 3 ms for a forwarded request, 1 ms for an order or commit reply and 0.1 to 0.5 ms for other inputs. Callers wait 3 s, retry up to four times, and half of them ask about an earlier job or cancel it. Two tests of the calm cell pass: nothing is refused at half the bearable rate, nor in a burst of a third of a second's work.

--- a/crates/control/tests/overload.rs
+++ b/crates/control/tests/overload.rs
@@ -2,12 +2,45 @@
 
 mod support;
 
+use std::collections::HashSet;
 use std::time::Duration;
 
+use common::Name;
 use control::{Answer, Operation};
+use scheduler::{JobState, Phase};
 use support::cost::CostModel;
 use support::{Simulation, job, step};
 
+/// Number of daemons.
+const NODES: usize = 9;
+
+/// Jobs per second that the leader's core can just bear.
+const BEARABLE_RATE: u64 = 100;
+
+/// Jobs per second in overload.
+const OVERLOAD_RATE: u64 = 2 * BEARABLE_RATE;
+
+/// How long jobs are offered.
+const OFFER_SPAN: Duration = Duration::from_secs(20);
+
+/// Time after the offer within which accepted jobs complete.
+const FINISH_SPAN: Duration = Duration::from_secs(14);
+
+/// Time for which callers wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Attempts after the first that a caller makes.
+const MAX_RETRIES: usize = 4;
+
+/// Delay before a caller without an answer tries another daemon.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Interval at which callers look for answers and act.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Jobs between a submission and the job whose state its caller also requests.
+const QUERY_DISTANCE: usize = 100;
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -47,3 +80,219 @@
     sim.run(ms(200));
     assert_eq!(sim.answers.get(&token), Some(&Answer::Accepted));
 }
+
+/// An attempt to submit a job, or a query.
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    token: u64,
+    sent: Duration,
+}
+
+impl Attempt {
+    fn send(sim: &mut Simulation, node: usize, op: Operation) -> Self {
+        Self { token: sim.call(node % NODES, op), sent: sim.now }
+    }
+
+    /// The answer; none unless it came before the deadline.
+    fn answer<'a>(&self, sim: &'a Simulation) -> Option<&'a Answer> {
+        let at = sim.answered_at.get(&self.token)?;
+        sim.answers.get(&self.token).filter(|_| *at <= self.sent + TIMEOUT)
+    }
+}
+
+/// A caller that submits one job, with retries.
+#[derive(Debug)]
+struct Caller {
+    id: String,
+    attempts: Vec<Attempt>,
+    /// When the next attempt is due; none once the job is accepted.
+    next_attempt: Option<Duration>,
+    is_accepted: bool,
+    completed_at: Option<Duration>,
+}
+
+/// A state or cancel request for a job that was submitted earlier.
+#[derive(Debug)]
+struct Query {
+    job: usize,
+    attempt: Attempt,
+    /// Whether the job was known to be accepted when the query was sent.
+    is_known: bool,
+    is_cancel: bool,
+}
+
+/// Callers that offer jobs, and what became of them.
+#[derive(Debug, Default)]
+struct Load {
+    callers: Vec<Caller>,
+    queries: Vec<Query>,
+    epochs: HashSet<u64>,
+}
+
+/// Starts a cell whose leader has led for a while; its inputs take time from now on.
+fn start_cell(seed: u64) -> Simulation {
+    let us = Duration::from_micros;
+    let mut sim = Simulation::new(seed, NODES, 40);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(7000));
+    sim.costs = CostModel {
+        tick: us(100),
+        call: us(500),
+        request: us(3000),
+        peer_event: us(200),
+        commit: us(1000),
+        order: us(1000),
+        renewal: us(500),
+        listed_run: us(200),
+        row: us(200),
+        result: us(500),
+        action: us(100),
+    };
+    sim
+}
+
+/// Offers jobs to a new cell and returns it at the end of the offer.
+fn offer(seed: u64, per_second: u64) -> (Simulation, Load) {
+    let mut sim = start_cell(seed);
+    let mut load = Load::default();
+    load.offer(&mut sim, per_second, OFFER_SPAN);
+    (sim, load)
+}
+
+impl Load {
+    /// Offers jobs at a constant rate.
+    fn offer(&mut self, sim: &mut Simulation, per_second: u64, span: Duration) {
+        let start = sim.now;
+        let first = self.callers.len() as u64;
+        while sim.now < start + span {
+            let due = sim.now.saturating_sub(start).as_millis() as u64 * per_second / 1000;
+            while (self.callers.len() as u64) < first + due {
+                self.submit(sim);
+            }
+            self.step(sim);
+        }
+    }
+
+    /// Lets the callers wait for the ends of their jobs.
+    fn finish(&mut self, sim: &mut Simulation, span: Duration) {
+        let end = sim.now + span;
+        while sim.now < end {
+            self.step(sim);
+        }
+    }
+
+    /// Submits a job; half of the callers also ask about an earlier one, or cancel it.
+    fn submit(&mut self, sim: &mut Simulation) {
+        let number = self.callers.len();
+        self.callers.push(Caller {
+            id: format!("j{number}"),
+            attempts: Vec::new(),
+            next_attempt: Some(sim.now),
+            is_accepted: false,
+            completed_at: None,
+        });
+        if number < QUERY_DISTANCE || !number.is_multiple_of(2) {
+            return;
+        }
+        let earlier = number - QUERY_DISTANCE;
+        let id = Name::from(self.callers[earlier].id.as_str());
+        let is_cancel = number.is_multiple_of(20);
+        let op = if is_cancel { Operation::Cancel(id) } else { Operation::GetState(id) };
+        let attempt = Attempt::send(sim, number * 5, op);
+        let is_known = self.callers[earlier].is_accepted;
+        self.queries.push(Query { job: earlier, attempt, is_known, is_cancel });
+    }
+
+    fn step(&mut self, sim: &mut Simulation) {
+        for (number, caller) in self.callers.iter_mut().enumerate() {
+            let is_due = caller.next_attempt.is_some_and(|at| sim.now >= at);
+            if is_due && caller.attempts.len() <= MAX_RETRIES {
+                let node = number * 7 + caller.attempts.len() * 4;
+                let op = Operation::Submit(job(&caller.id, vec![step(2, 550)]));
+                caller.attempts.push(Attempt::send(sim, node, op));
+                caller.next_attempt = Some(sim.now + TIMEOUT + RETRY_DELAY);
+            }
+        }
+        sim.run(STEP);
+        self.epochs.insert(sim.store.epoch());
+        let leader = sim.leader().and_then(|node| sim.slots[node].node.as_ref());
+        let jobs = leader.and_then(control::Node::scheduler).map(|scheduler| &scheduler.jobs);
+        for caller in &mut self.callers {
+            let job = jobs.and_then(|jobs| jobs.get(&*caller.id));
+            if caller.completed_at.is_none()
+                && job.is_some_and(|job| job.durable_phase == Some(Phase::Completed))
+            {
+                caller.completed_at = Some(sim.now);
+            }
+            let Some(attempt) = caller.attempts.last().filter(|_| !caller.is_accepted) else {
+                continue;
+            };
+            let Some(at) = sim.answered_at.get(&attempt.token) else { continue };
+            match attempt.answer(sim) {
+                Some(Answer::Accepted) => {
+                    caller.is_accepted = true;
+                    caller.next_attempt = None;
+                }
+                Some(Answer::Refused { retry_after, .. }) => {
+                    caller.next_attempt = Some(*at + *retry_after);
+                }
+                Some(_) => caller.next_attempt = Some(*at + RETRY_DELAY),
+                None => {}
+            }
+        }
+    }
+
+    /// Number of jobs that are completed.
+    fn completed(&self) -> usize {
+        self.callers.iter().filter(|caller| caller.completed_at.is_some()).count()
+    }
+
+    /// Submissions without a definite answer before their deadline.
+    fn unanswered(&self, sim: &Simulation) -> Vec<(&str, Option<Answer>)> {
+        let mut unanswered = Vec::new();
+        for caller in &self.callers {
+            for attempt in &caller.attempts {
+                let answer = attempt.answer(sim);
+                if !matches!(answer, Some(Answer::Accepted | Answer::Refused { .. })) {
+                    unanswered.push((caller.id.as_str(), answer.cloned()));
+                }
+            }
+        }
+        unanswered
+    }
+
+    /// Jobs of which every attempt was refused.
+    fn refused<'a>(&'a self, sim: &'a Simulation) -> impl Iterator<Item = &'a Caller> {
+        let is_refused =
+            |attempt: &Attempt| matches!(attempt.answer(sim), Some(Answer::Refused { .. }));
+        self.callers.iter().filter(move |caller| caller.attempts.iter().all(is_refused))
+    }
+}
+
+#[test]
+fn calm_cell_refuses_nothing() {
+    let (mut sim, mut load) = offer(1, BEARABLE_RATE / 2);
+    load.finish(&mut sim, ms(3000));
+    let accepted = load.callers.iter().filter(|caller| caller.is_accepted).count();
+    assert_eq!(accepted, load.callers.len());
+    assert!(load.callers.iter().all(|caller| caller.attempts.len() == 1));
+}
+
+#[test]
+fn burst_within_objective_is_accepted() {
+    let (mut sim, mut load) = offer(2, BEARABLE_RATE / 4);
+    for _ in 0..BEARABLE_RATE / 3 {
+        load.submit(&mut sim);
+    }
+    load.offer(&mut sim, BEARABLE_RATE / 4, ms(3000));
+    load.finish(&mut sim, ms(3000));
+    assert!(load.callers.iter().all(|caller| caller.is_accepted && caller.attempts.len() == 1));
+}
+
+// Guards against changes of leader in a cell in which nothing failed.
+#[test]
+#[ignore = "known red: see KNOWN-RED.txt"]
+fn overload_leader_stays() {
+    let (_, load) = offer(3, OVERLOAD_RATE);
+    assert_eq!(load.epochs.len(), 1, "{:?}", load.epochs);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -574,6 +574,11 @@
         }
     }
 
+    /// Whether any task of a job was ever started.
+    pub fn has_run(&self, job: &str) -> bool {
+        self.last_start.keys().any(|key| *key.job == *job)
+    }
+
     fn worker_incarnation(&self, order: &Action) -> u64 {
         let id = match order {
             Action::Start { start, .. } => &start.worker,
