--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -28,6 +28,7 @@
 use crate::frame::Resignation;
 use crate::head::Head;
 use crate::input::{AdviceResult, Input, OrderReply, PeerEvent, RenewReply};
+use crate::load::{Late, Work};
 use crate::meter::Counter;
 use crate::node::Context;
 use crate::store::{CommitResult, Page};
@@ -61,7 +62,7 @@
 /// The usual lag is the timer's resolution, 1 ms.
 const SLOW_LAG_THRESHOLD: Duration = Duration::from_millis(5);
 
-/// Least ratio of the leader's timer lag to the least lagged follower's.
+/// Least ratio of the leader's timer lag to that of the follower that replaces it.
 const SLOW_LAG_RATIO: u32 = 3;
 
 /// How long a leader must be too slow continuously before it resigns.
@@ -136,6 +137,8 @@
     status: LeaderStatus,
     /// Whether it is releasing leadership; it accepts no requests and places no tasks.
     is_resigning: bool,
+    /// The follower for which it releases leadership; none if any may follow.
+    successor: Option<common::Name>,
     /// When leadership became uncertain; none while it is confirmed.
     unconfirmed_since: Option<Duration>,
     /// When it became leader.
@@ -178,6 +181,7 @@
             last_removal: now,
             status: LeaderStatus::Leading,
             is_resigning: false,
+            successor: None,
             unconfirmed_since: None,
             elected_at: now,
             slow_since: None,
@@ -274,7 +278,9 @@
                 self.needs_placement = true;
             }
             CommitOutcome::Released => {
-                let successor = self.peers.successor().unwrap_or_default();
+                let chosen = self.successor.take().filter(|member| self.peers.has(member));
+                let successor =
+                    chosen.or_else(|| self.peers.successor().cloned()).unwrap_or_default();
                 log_event!(ctx, LeadershipReleased, "epoch" => self.epoch,
                     "successor" => %successor);
                 let resignation =
@@ -315,11 +321,18 @@
         call: u64,
         result: Option<AdviceResult>,
     ) {
-        let Some((job, step)) = self.advice_calls.finish(ctx, call) else { return };
+        let Some((job, step)) = self.advice_calls.finish(ctx, call) else {
+            ctx.load.count_late(Late::Advice);
+            return;
+        };
         ctx.meter.add(Counter::Advice, if result.is_some() { "answered" } else { "failed" }, 1);
         if result.is_none() {
             log_event!(ctx, AdviceFailed, "job" => %job, "step" => step);
         }
+        let asked = self.scheduler.jobs.get(&*job).and_then(|job| job.steps.get(step as usize));
+        if asked.is_some_and(|step| step.has_unused_tickets(ctx.now)) {
+            ctx.load.count_late(Late::Tickets);
+        }
         let allowed = result.map(|answer| (answer.allowed, answer.validity));
         self.scheduler.apply_advice(&job, step, allowed, ctx.now);
         self.needs_placement = true;
@@ -366,10 +379,13 @@
         if self.recovery.is_none() {
             self.run_scheduler(ctx);
         }
+        ctx.load.attribute(Work::Rest);
         self.check_peers(ctx);
         let store_age = self.journal.commit_age(ctx.now);
         self.peers.send_heartbeat(ctx, self.epoch, store_age, self.is_serving());
+        ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
+        ctx.load.attribute(Work::Journal);
         self.status
     }
 
@@ -389,28 +405,27 @@
         }
     }
 
-    /// Resigns if its timer lags and a follower's does not.
+    /// Resigns if its timer lags and that of a follower of at least its capacity does not.
     fn check_lag(&mut self, ctx: &Context) {
         let lag = ctx.lag.mean();
-        let least_lagged = self.peers.least_lagged();
-        let is_slow = lag >= SLOW_LAG_THRESHOLD
-            && least_lagged.is_some_and(|(_, follower)| lag >= follower * SLOW_LAG_RATIO);
+        let successor = (lag >= SLOW_LAG_THRESHOLD)
+            .then(|| self.peers.quick_successor(ctx.config.capacity, lag / SLOW_LAG_RATIO))
+            .flatten();
         let cooldown_until =
             self.journal.last_slow_resignation_ms() + SLOW_RESIGN_COOLDOWN.as_millis() as u64;
         let is_cooling_down = self.journal.last_slow_resignation_ms() > 0
             && self.store_time_ms(ctx.now) < cooldown_until;
-        if !is_slow
-            || is_cooling_down
-            || self.is_resigning
-            || ctx.now < self.elected_at + SLOW_CHECK_GRACE
-        {
+        let is_early = ctx.now < self.elected_at + SLOW_CHECK_GRACE;
+        let may_resign = !is_cooling_down && !is_early && !self.is_resigning;
+        let Some((member, successor_lag)) = successor.filter(|_| may_resign) else {
             self.slow_since = None;
             return;
-        }
+        };
         let since = *self.slow_since.get_or_insert(ctx.now);
         if ctx.now >= since + SLOW_RESIGN_DELAY {
             log_event!(ctx, TimerLagHigh, "epoch" => self.epoch, "lag_us" => lag.as_micros() as u64,
-                "quickest_us" => least_lagged.map_or(0, |(_, lag)| lag.as_micros() as u64));
+                "quickest_us" => successor_lag.as_micros() as u64);
+            self.successor = Some(member.clone());
             let store_clock_ms = self.store_time_ms(ctx.now);
             self.journal.record_slow_resignation(store_clock_ms);
             self.resign();
@@ -419,7 +434,9 @@
 
     /// Runs placement when it is due, and carries out what the scheduler requests.
     fn run_scheduler(&mut self, ctx: &mut Context) {
+        ctx.load.attribute(Work::Rest);
         self.renew_leases(ctx);
+        ctx.load.attribute(Work::LeaseScan);
         self.remove_ended_jobs(ctx);
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
@@ -429,8 +446,13 @@
         if is_due && !self.is_resigning {
             self.last_placement = ctx.now;
             self.needs_placement = false;
+            ctx.load.attribute(Work::Rest);
+            let visited_before = self.scheduler.steps_visited;
             self.scheduler.plan(ctx.now, self.journal.expected_latency());
+            ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
+            ctx.load.attribute(Work::Placement);
         }
+        ctx.load.attribute(Work::Rest);
         for (job, step) in self.advice_calls.expire(ctx.now) {
             log_event!(ctx, AdviceFailed, "job" => %job, "step" => step, "reason" => "no answer");
             self.scheduler.apply_advice(&job, step, None, ctx.now);
@@ -439,6 +461,7 @@
             self.advice_calls.enqueue(advice_call);
         }
         self.advice_calls.dispatch(ctx, &self.peers, &self.scheduler);
+        ctx.load.attribute(Work::AdviceDispatch);
         self.log_waits(ctx);
         for stop in std::mem::take(&mut self.scheduler.stops) {
             self.send_stop(ctx, stop);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod input;
 mod lag;
 mod lead;
+mod load;
 mod meter;
 mod node;
 mod pending;
@@ -26,7 +27,7 @@
 
 pub use action::{Action, WatchTarget};
 pub use answer::{Answer, CallerRequest, Operation, Target, View};
-pub use config::Config;
+pub use config::{Capacity, Config};
 pub use event::Event;
 pub use frame::{
     Advice, AdviceRequest, Body, Frame, Heartbeat, Hello, Members, Reply, Request, RequestLimits,
