Each daemon has a bounded number of requests in flight to the leader

Cause: a daemon forwarded every request at once. The requests queued at the leader, before replies of its store, workers and followers, and behind requests whose callers had given up. After a change of leader, all waiting requests of all daemons reached the new leader at once, and its heartbeats came too late.

Change: at most 8 submissions and 8 queries of a daemon are unanswered at the leader; cancellations have no limit. Others wait at the daemon, which has not sent them and can refuse them truthfully: at once if the expected wait (requests ahead times response time over the limit) exceeds a quarter of the caller's timeout, or when it has waited that long. A request that was sent to any leader is never refused. Retry-After follows the expected wait, with jitter. A new leader gets the waiting requests at the rate of its answers. A slot whose request is not answered for 5 s is free again.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -249,12 +249,7 @@
         if self.ctx.load.input_age() > call.timeout {
             self.ctx.load.count_late(Late::Request);
         }
-        let Some(_) = self.pending_requests.admit(&mut self.ctx, token, call) else { return };
-        if let RoleState::Follower(follower) = &self.role_state
-            && let Some(link) = follower.serving_link()
-        {
-            self.pending_requests.forward_unsent(&mut self.ctx, link);
-        }
+        self.pending_requests.admit(&mut self.ctx, token, call);
     }
 
     fn handle_peer_event(&mut self, link: u64, event: PeerEvent) {
@@ -266,19 +261,13 @@
         }
         match &mut self.role_state {
             RoleState::Follower(follower) if follower.is_leader_link(link) => {
-                let may_send = follower.handle_leader_event(&mut self.ctx, link, &event);
+                follower.handle_leader_event(&mut self.ctx, link, &event);
                 if follower.serving_link() != Some(link) {
                     self.proxied_advice.retain(|(_, requester, _)| *requester != link);
                 }
-                if may_send {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) if follower.is_probe_link(link) => {
                 follower.handle_probe_event(&mut self.ctx, link, &event);
-                if follower.serving_link() == Some(link) {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) => {
                 if let PeerEvent::Frame(frame) = &event
@@ -413,11 +402,15 @@
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
                 self.ctx.load.attribute(Work::Followers);
+                match follower.serving_link() {
+                    Some(link) => self.pending_requests.forward_unsent(&mut self.ctx, link),
+                    None => self.pending_requests.hold(),
+                }
                 LeaderStatus::Leading
             }
             RoleState::Leader(leader) => {
                 if leader.is_serving() {
-                    for (id, call) in self.pending_requests.take_for_local_leader() {
+                    for (id, call) in self.pending_requests.take_for_local_leader(self.ctx.now) {
                         leader.handle_request(&mut self.ctx, Caller::Local(id), call);
                     }
                 }
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -1,7 +1,7 @@
 //! Requests of local callers: admission, forwarding to the leader, timeouts, and their encoding
 //! in frames.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use common::Name;
@@ -9,7 +9,7 @@
 
 use crate::action::Action;
 use crate::answer::{Answer, CallerRequest, Operation, Target, View};
-use crate::event::log_event;
+use crate::event::{log_event, log_job_event};
 use crate::frame::{Body, Reply, Request};
 use crate::load::Late;
 use crate::meter::{Counter, Timing};
@@ -24,6 +24,20 @@
 /// Same as [`LEADER_WAIT_TIMEOUT`], if the leader is known to be alive but unreachable.
 const CUT_OFF_WAIT_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Most requests of a class that were sent to the leader and not answered.
+///
+/// Others wait here, where they can be refused truthfully, and the leader's queue stays short.
+const MAX_IN_FLIGHT: usize = 8;
+
+/// Time after which an unanswered request no longer counts as in flight.
+const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Divisor of the caller's timeout that gives the longest time that a submission waits to be sent.
+const MAX_QUEUE_SHARE: u32 = 4;
+
+/// Weight of a new sample in the mean response time.
+const RESPONSE_TIME_SMOOTHING: f64 = 0.2;
+
 /// Time after which refused callers are to retry.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -46,10 +60,98 @@
     was_sent: bool,
 }
 
+impl PendingRequest {
+    /// Whether it waits to be sent on a link.
+    fn is_unsent(&self, link: u64) -> bool {
+        self.sent_on != Some(link)
+    }
+
+    /// Longest time that it waits to be sent while there is a leader.
+    fn max_queue_time(&self) -> Duration {
+        match self.call.op {
+            Operation::Submit(_) => self.call.timeout / MAX_QUEUE_SHARE,
+            _ => Duration::MAX,
+        }
+    }
+}
+
+/// Class of requests with a limit of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Class {
+    Submission,
+    Query,
+    /// Has no limit, as callers rely on the time of a cancellation.
+    Cancellation,
+}
+
+impl Class {
+    fn of(op: &Operation) -> Self {
+        match op {
+            Operation::Submit(_) => Self::Submission,
+            Operation::Cancel(_) => Self::Cancellation,
+            _ => Self::Query,
+        }
+    }
+}
+
+/// Requests that were sent to the current leader and not answered.
+#[derive(Debug, Default)]
+struct InFlight {
+    /// Link on which they were sent; none while no leader accepts requests.
+    link: Option<u64>,
+    /// Class of each request and when it was sent, by request id.
+    sent: BTreeMap<u64, (Class, Duration)>,
+    /// Mean time from sending to the answer of a submission.
+    response_time: Duration,
+}
+
+impl InFlight {
+    /// Forgets the requests that were sent on another link.
+    fn select_link(&mut self, link: u64) {
+        if self.link != Some(link) {
+            *self = Self { link: Some(link), ..Self::default() };
+        }
+    }
+
+    /// Number of requests that may be sent, by class.
+    fn free_slots(&mut self, now: Duration) -> HashMap<Class, usize> {
+        self.sent.retain(|_, (_, sent_at)| *sent_at + IN_FLIGHT_TIMEOUT > now);
+        let mut free = HashMap::from([
+            (Class::Submission, MAX_IN_FLIGHT),
+            (Class::Query, MAX_IN_FLIGHT),
+            (Class::Cancellation, usize::MAX),
+        ]);
+        for (class, _) in self.sent.values() {
+            if let Some(slots) = free.get_mut(class) {
+                *slots = slots.saturating_sub(1);
+            }
+        }
+        free
+    }
+
+    /// Records the answer to a request.
+    fn record_answer(&mut self, id: u64, now: Duration) {
+        if let Some((Class::Submission, sent_at)) = self.sent.remove(&id) {
+            let sample = now.saturating_sub(sent_at);
+            let decayed = self.response_time.mul_f64(1.0 - RESPONSE_TIME_SMOOTHING);
+            self.response_time = decayed + sample.mul_f64(RESPONSE_TIME_SMOOTHING);
+        }
+    }
+
+    /// Expected time until a submission behind `ahead` others is sent.
+    fn expected_wait(&self, ahead: usize, now: Duration) -> Duration {
+        let submissions = self.sent.values().filter(|(class, _)| *class == Class::Submission);
+        let oldest = submissions.map(|(_, sent_at)| now.saturating_sub(*sent_at)).max();
+        let response_time = self.response_time.max(oldest.unwrap_or_default());
+        response_time * ahead as u32 / MAX_IN_FLIGHT as u32
+    }
+}
+
 /// Local callers' requests that wait for the leader's answer, by request id.
 #[derive(Debug, Default)]
 pub(crate) struct PendingRequests {
     requests: BTreeMap<u64, PendingRequest>,
+    in_flight: InFlight,
     last_id: u64,
 }
 
@@ -62,15 +164,38 @@
             ctx.answer_caller(token, refusal(false));
             return None;
         }
-        self.last_id += 1;
         let deadline = ctx.now + call.timeout.saturating_sub(ANSWER_MARGIN);
         let arrived = ctx.now;
         let pending =
             PendingRequest { token, call, arrived, deadline, sent_on: None, was_sent: false };
+        let wait = self.expected_wait(ctx.now);
+        if wait > pending.max_queue_time() {
+            Self::refuse_overloaded(ctx, &pending, wait);
+            return None;
+        }
+        self.last_id += 1;
         self.requests.insert(self.last_id, pending);
         Some(self.last_id)
     }
 
+    /// Expected time until a new submission is sent; zero without a leader.
+    fn expected_wait(&self, now: Duration) -> Duration {
+        let Some(link) = self.in_flight.link else { return Duration::ZERO };
+        let unsent = self.requests.values().filter(|pending| pending.is_unsent(link));
+        let ahead = unsent.filter(|pending| Class::of(&pending.call.op) == Class::Submission);
+        self.in_flight.expected_wait(ahead.count(), now)
+    }
+
+    /// Refuses a submission that was not sent because the leader is overloaded.
+    fn refuse_overloaded(ctx: &mut Context, pending: &PendingRequest, wait: Duration) {
+        if let Operation::Submit(submission) = &pending.call.op {
+            log_job_event!(ctx, &submission.id, RequestRefused, "path" => %pending.call.target,
+                "reason" => "leader is overloaded", "wait_ms" => wait.as_millis() as u64);
+        }
+        let answer = spread_refusal(ctx, wait);
+        ctx.answer_caller(pending.token, answer);
+    }
+
     /// Number of pending requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -81,29 +206,41 @@
         self.requests.retain(|_, pending| pending.token != token);
     }
 
-    /// Forwards all requests that have not been sent on this link.
+    /// Forwards the oldest requests that have not been sent on this link, within the limits.
     pub fn forward_unsent(&mut self, ctx: &mut Context, link: u64) {
+        for (id, call) in self.take_unsent(ctx.now, link) {
+            ctx.send(link, Body::Request(encode_request(id, &call)));
+        }
+    }
+
+    /// Returns requests that the leader in this process has not received, within the limits.
+    pub fn take_for_local_leader(&mut self, now: Duration) -> Vec<(u64, CallerRequest)> {
+        self.take_unsent(now, LOCAL_LEADER)
+    }
+
+    /// Marks the oldest unsent requests as sent, within the limits, and returns them.
+    fn take_unsent(&mut self, now: Duration, link: u64) -> Vec<(u64, CallerRequest)> {
+        self.in_flight.select_link(link);
+        let mut taken = Vec::new();
+        if !self.requests.values().any(|pending| pending.is_unsent(link)) {
+            return taken;
+        }
+        let mut free_slots = self.in_flight.free_slots(now);
         for (id, pending) in &mut self.requests {
-            if pending.sent_on == Some(link) {
+            let class = Class::of(&pending.call.op);
+            let Some(slots) = free_slots.get_mut(&class).filter(|slots| **slots > 0) else {
+                continue;
+            };
+            if !pending.is_unsent(link) {
                 continue;
             }
+            *slots -= 1;
             pending.sent_on = Some(link);
             pending.was_sent = true;
-            ctx.send(link, Body::Request(encode_request(*id, &pending.call)));
+            self.in_flight.sent.insert(*id, (class, now));
+            taken.push((*id, pending.call.clone()));
         }
-    }
-
-    /// Returns the requests that the leader in this process has not received.
-    pub fn take_for_local_leader(&mut self) -> Vec<(u64, CallerRequest)> {
-        let unseen =
-            self.requests.iter_mut().filter(|(_, pending)| pending.sent_on != Some(LOCAL_LEADER));
-        unseen
-            .map(|(id, pending)| {
-                pending.sent_on = Some(LOCAL_LEADER);
-                pending.was_sent = true;
-                (*id, pending.call.clone())
-            })
-            .collect()
+        taken
     }
 
     /// Marks all requests as not sent, so that the next leader receives them all.
@@ -111,10 +248,17 @@
         for pending in self.requests.values_mut() {
             pending.sent_on = None;
         }
+        self.hold();
+    }
+
+    /// Holds all requests, as no leader accepts any.
+    pub fn hold(&mut self) {
+        self.in_flight.link = None;
     }
 
     /// Passes the leader's answer to the caller; ignored if the request is no longer pending.
     pub fn answer(&mut self, ctx: &mut Context, id: u64, answer: Answer) {
+        self.in_flight.record_answer(id, ctx.now);
         if let Some(pending) = self.requests.remove(&id) {
             ctx.meter.record_duration(Timing::Answer, ctx.now.saturating_sub(pending.arrived));
             ctx.answer_caller(pending.token, answer);
@@ -123,6 +267,26 @@
         }
     }
 
+    /// Refuses submissions that waited too long to be sent to a leader that is reached.
+    fn refuse_waiting(&mut self, ctx: &mut Context) {
+        let Some(link) = self.in_flight.link else { return };
+        let now = ctx.now;
+        let is_overdue = |pending: &PendingRequest| {
+            !pending.was_sent
+                && pending.is_unsent(link)
+                && now.saturating_sub(pending.arrived) > pending.max_queue_time()
+        };
+        let overdue: Vec<_> =
+            self.requests.extract_if(.., |_, pending| is_overdue(pending)).collect();
+        if overdue.is_empty() {
+            return;
+        }
+        let wait = self.expected_wait(now);
+        for (_, pending) in overdue {
+            Self::refuse_overloaded(ctx, &pending, wait);
+        }
+    }
+
     /// Answers requests whose deadline has passed or that waited too long for a leader.
     ///
     /// `without_leader` is the time since a leader was last reached, or none while one is reached;
@@ -133,6 +297,9 @@
         without_leader: Option<Duration>,
         is_cut_off: bool,
     ) {
+        if without_leader.is_none() {
+            self.refuse_waiting(ctx);
+        }
         let now = ctx.now;
         let wait_timeout = if is_cut_off { CUT_OFF_WAIT_TIMEOUT } else { LEADER_WAIT_TIMEOUT };
         let is_expired = |pending: &PendingRequest| {
@@ -159,6 +326,13 @@
     Answer::Refused { retry_after: RETRY_AFTER, try_other_daemon }
 }
 
+/// Returns a refusal that spreads the callers' return over time, beginning after `wait`.
+pub(crate) fn spread_refusal(ctx: &mut Context, wait: Duration) -> Answer {
+    let base = wait.max(RETRY_AFTER);
+    let spread = Duration::from_millis(ctx.random_below(base.as_millis() as u64 * 2));
+    Answer::Refused { retry_after: base + spread, try_other_daemon: false }
+}
+
 /// Link number that denotes a leader in the same process.
 const LOCAL_LEADER: u64 = u64::MAX;
 
--- a/crates/control/tests/overload.rs
+++ b/crates/control/tests/overload.rs
@@ -289,6 +289,20 @@
     assert!(load.callers.iter().all(|caller| caller.is_accepted && caller.attempts.len() == 1));
 }
 
+// Guards against a flood of waiting requests that makes followers lose a new leader.
+#[test]
+fn takeover_waiting_requests_are_paced() {
+    let mut sim = start_cell(8);
+    let leader = sim.leader().expect("a node leads");
+    sim.kill(leader);
+    let mut load = Load::default();
+    for _ in 0..6 * BEARABLE_RATE {
+        load.submit(&mut sim);
+    }
+    load.finish(&mut sim, FINISH_SPAN);
+    assert_eq!(load.epochs.len(), 2, "{:?}", load.epochs);
+}
+
 // Guards against changes of leader in a cell in which nothing failed.
 #[test]
 #[ignore = "known red: see KNOWN-RED.txt"]
@@ -299,7 +313,6 @@
 
 // Guards against submissions that end without an answer, and jobs that run though refused.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn overload_submissions_are_answered() {
     let (mut sim, mut load) = offer(4, OVERLOAD_RATE);
     load.finish(&mut sim, FINISH_SPAN);
@@ -329,7 +342,6 @@
 
 // Guards against states and cancellations that get no answer.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn overload_queries_are_answered() {
     let (mut sim, mut load) = offer(6, OVERLOAD_RATE);
     load.finish(&mut sim, TIMEOUT);
