--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -666,6 +666,11 @@
         (self.now + ms(10), control::AdviceResult { allowed, validity: ms(1500) })
     }
 
+    /// Whether any task of a job was ever started.
+    pub fn has_run(&self, job: &str) -> bool {
+        self.last_start.keys().any(|key| *key.job == *job)
+    }
+
     fn worker_incarnation(&self, order: &Action) -> u64 {
         let id = match order {
             Action::Start { start, .. } => &start.worker,
