--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -6,9 +6,9 @@
 
 use common::Name;
 use control::{
-    Action, AdviceResult, Body, CallerRequest, Change, CommitResult, Config, Frame, Heartbeat,
-    Hello, Input, Node, NoopMeter, Operation, OrderReply, Page, PeerEvent, RenewReply, Request,
-    Role, Target, WatchResult, WatchTarget,
+    Action, AdviceResult, Body, CallerRequest, Capacity, Change, CommitResult, Config, Frame,
+    Heartbeat, Hello, Input, Node, NoopMeter, Operation, OrderReply, Page, PeerEvent, RenewReply,
+    Request, Role, Target, WatchResult, WatchTarget,
 };
 use hdrhistogram::Histogram;
 use scheduler::{
@@ -83,6 +83,7 @@
             max_row_bytes: 48_000,
             compaction_row_limit: 200,
             initial_commit_latency: Duration::from_millis(8),
+            capacity: Capacity::UNKNOWN,
         };
         let log = Logger::root(slog::Discard, o!());
         Self {
@@ -210,6 +211,7 @@
                 member: format!("f{follower}"),
                 epoch: 0,
                 address: format!("f{follower}:1"),
+                ..Hello::default()
             };
             self.handle(frame(follower, Body::Hello(hello)));
         }
