--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -71,8 +71,8 @@
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
     pub lag: TimerLag,
-    pub loop_clock: LoopClock,
     pub load: Load,
+    pub loop_clock: LoopClock,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -134,8 +134,8 @@
         let actions = Vec::new();
         let sampler = Sampler::new();
         let lag = TimerLag::default();
-        let loop_clock = LoopClock::new(now);
         let load = Load::new(Rc::clone(&meter), now);
+        let loop_clock = LoopClock::new(now);
         let (last_call_id, last_link_id) = (0, 0);
         let ctx = Context {
             config,
@@ -145,8 +145,8 @@
             meter,
             sampler,
             lag,
-            loop_clock,
             load,
+            loop_clock,
             last_call_id,
             last_link_id,
             rng,
@@ -202,9 +202,9 @@
     /// Processes an input at the time `now` and returns the actions to perform.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.ctx.now = now;
-        self.ctx.loop_clock.record_input(now);
         let work = Work::of(&input);
         self.ctx.load.begin(work);
+        self.ctx.loop_clock.record_input(now);
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
@@ -254,12 +254,7 @@
         if self.ctx.load.input_age() > call.timeout {
             self.ctx.load.count_late(Late::Request);
         }
-        let Some(_) = self.pending_requests.admit(&mut self.ctx, token, call) else { return };
-        if let RoleState::Follower(follower) = &self.role_state
-            && let Some(link) = follower.serving_link()
-        {
-            self.pending_requests.forward_unsent(&mut self.ctx, link);
-        }
+        self.pending_requests.admit(&mut self.ctx, token, call);
     }
 
     fn handle_peer_event(&mut self, link: u64, event: PeerEvent) {
@@ -271,19 +266,13 @@
         }
         match &mut self.role_state {
             RoleState::Follower(follower) if follower.is_leader_link(link) => {
-                let may_send = follower.handle_leader_event(&mut self.ctx, link, &event);
+                follower.handle_leader_event(&mut self.ctx, link, &event);
                 if follower.serving_link() != Some(link) {
                     self.proxied_advice.retain(|(_, requester, _)| *requester != link);
                 }
-                if may_send {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) if follower.is_probe_link(link) => {
                 follower.handle_probe_event(&mut self.ctx, link, &event);
-                if follower.serving_link() == Some(link) {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) => {
                 if let PeerEvent::Frame(frame) = &event
@@ -418,11 +407,15 @@
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
                 self.ctx.load.attribute(Work::Followers);
+                match follower.serving_link() {
+                    Some(link) => self.pending_requests.forward_unsent(&mut self.ctx, link),
+                    None => self.pending_requests.hold(),
+                }
                 LeaderStatus::Leading
             }
             RoleState::Leader(leader) => {
                 if leader.is_serving() {
-                    for (id, call) in self.pending_requests.take_for_local_leader() {
+                    for (id, call) in self.pending_requests.take_for_local_leader(self.ctx.now) {
                         leader.handle_request(&mut self.ctx, Caller::Local(id), call);
                     }
                 }
