scheduler: a pass rejects gangs that wait for room at once

Cause: for each gang that waits for room on workers that advice allows, a pass looked up all of these in the pool, then all slots in the step's advice, though most gangs may not ask about more. The number of tasks that fit on the allowed workers is now kept with the advice, and decides before the slots are searched.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -189,6 +189,10 @@
             if state.advice_not_before > self.now {
                 return;
             }
+            // A gang with enough candidates waits for room on them.
+            if has_enough_candidates(spec, state) && !spec.need.fits_in(&self.largest_free) {
+                return;
+            }
         }
         let spec = spec.clone();
         let waiting_tasks = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
@@ -494,6 +498,12 @@
                 return known;
             }
         }
+        let has_candidates = has_enough_candidates(pending.spec, step);
+        let may_widen = self.now >= step.last_advice_at + GANG_ADVICE_DELAY
+            && self.reserving_gangs < MAX_RESERVING_GANGS;
+        if has_candidates && !may_widen {
+            return Vec::new();
+        }
         let mut unknown = Vec::new();
         for slot in pending.candidates.slots.iter().copied() {
             let free_places = self.fitting_tasks(pending, slot);
@@ -505,12 +515,7 @@
         }
         let share = self.scheduler.estimator.allowed_share(&pending.queue.name);
         let remaining = f64::from(count - known_places);
-        if pending.spec.is_gang && self.has_enough_candidates(pending) {
-            if self.now < step.last_advice_at + GANG_ADVICE_DELAY
-                || self.reserving_gangs >= MAX_RESERVING_GANGS
-            {
-                return Vec::new();
-            }
+        if has_candidates {
             unknown.retain(|(free_places, _)| *free_places > 0);
             let places: u32 = unknown.iter().map(|(free_places, _)| free_places.min(&count)).sum();
             if known_places + places < count {
@@ -531,18 +536,11 @@
         known.extend(unknown.into_iter().take(new_workers.min(max_new)).map(|(_, id)| id));
         known
     }
+}
 
-    /// Whether enough workers are allowed for a gang, so that only capacity is missing.
-    fn has_enough_candidates(&self, pending: &PendingStep<'_>) -> bool {
-        let Some(step) = self.step_state(pending) else { return false };
-        let count = pending.waiting_tasks.len() as u32;
-        let mut places = 0;
-        for id in step.eligibility.keys().filter(|id| step.is_allowed(id)) {
-            let Some(worker) = self.scheduler.pool.get(id) else { continue };
-            places += pending.spec.need.max_copies_in(&worker.registration.capacity).min(count);
-        }
-        places >= count * GANG_CANDIDATE_FACTOR
-    }
+/// Whether enough workers are allowed for a gang, so that only capacity is missing.
+fn has_enough_candidates(spec: &Step, state: &StepState) -> bool {
+    spec.is_gang && state.allowed_places >= spec.count * GANG_CANDIDATE_FACTOR
 }
 
 impl Job {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -365,12 +365,12 @@
     pub fn apply_advice(
         &mut self,
         job: &str,
-        step: u32,
+        step_index: u32,
         allowed: Option<(Vec<(Name, Name)>, Duration)>,
         now: Duration,
     ) {
         let Some(job) = self.jobs.get_mut(job) else { return };
-        let Some(step) = job.steps.get_mut(step as usize) else { return };
+        let Some(step) = job.steps.get_mut(step_index as usize) else { return };
         let named_workers = step.pending_advice.take().unwrap_or_default();
         let Some((allowed, validity)) = allowed else {
             let doublings = step.advice_failures.min(MAX_ADVICE_RETRY_DOUBLINGS);
@@ -394,6 +394,12 @@
             });
             step.eligibility.insert(worker, eligibility);
         }
+        let spec = &job.submission.steps[step_index as usize];
+        let allowed = step.eligibility.keys().filter(|worker| step.is_allowed(worker));
+        let workers = allowed.filter_map(|worker| self.pool.get(worker));
+        let places = workers
+            .map(|worker| spec.need.max_copies_in(&worker.registration.capacity).min(spec.count));
+        step.allowed_places = places.fold(0, u32::saturating_add);
         self.estimator.observe_advice(&job.queue, newly_named, newly_allowed);
     }
 
