Inputs are handled in batches by class, and due work runs once a batch

Cause: the work that is due after an input ran after each one, in order of arrival. After a placement pass of 20 to 270 ms the first input in the queue, or the timer, found followers silent (and a follower its leader) whose heartbeats had arrived and were queued or unread; the store's replies waited behind requests; and each input paid for a visit of all workers and followers.

Change: the backlog has four classes (control; replies; advice; requests); a batch takes a bounded number of each, control first. The due work runs once a batch, so what has arrived counts before silence does. Between batches, and before a timer that is due, the loop yields, so that sockets are read and written.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -77,16 +77,6 @@
 /// change of leader adds to it.
 const SLOW_RESIGN_COOLDOWN: Duration = Duration::from_mins(1);
 
-common::key! {
-    /// Whether a daemon remains leader.
-    pub(crate) enum LeaderStatus {
-        /// It remains leader.
-        Leading,
-        /// It becomes a follower: another daemon leads, or leadership was released.
-        SteppedDown,
-    }
-}
-
 /// Latest known reading of the store's clock.
 #[derive(Debug, Clone, Copy)]
 struct StoreClock {
@@ -133,8 +123,8 @@
     needs_placement: bool,
     /// When ended jobs were last removed.
     last_removal: Duration,
-    /// Whether the daemon remains leader.
-    status: LeaderStatus,
+    /// Whether another daemon leads, or leadership was released.
+    has_stepped_down: bool,
     /// Whether it is releasing leadership; it accepts no requests and places no tasks.
     is_resigning: bool,
     /// When leadership became uncertain; none while it is confirmed.
@@ -177,7 +167,7 @@
             last_placement: Duration::ZERO,
             needs_placement: true,
             last_removal: now,
-            status: LeaderStatus::Leading,
+            has_stepped_down: false,
             is_resigning: false,
             unconfirmed_since: None,
             elected_at: now,
@@ -196,6 +186,11 @@
         self.recovery.is_none() && !self.is_resigning && self.scheduler.rules.is_some()
     }
 
+    /// Whether another daemon leads, or leadership was released.
+    pub fn has_stepped_down(&self) -> bool {
+        self.has_stepped_down
+    }
+
     /// The scheduler's state.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
@@ -281,12 +276,12 @@
                 let resignation =
                     Resignation { epoch: self.epoch, successor: successor.to_string() };
                 self.peers.broadcast(ctx, &Body::Resign(resignation));
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
             CommitOutcome::Superseded { epoch } => {
                 log_event!(ctx, LeaderReplaced, "epoch" => self.epoch, "by_epoch" => epoch);
                 ctx.meter.add(Counter::Leadership, "deposed", 1);
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
         }
     }
@@ -357,11 +352,8 @@
         self.epoch < epoch
     }
 
-    /// Performs all work that is due; returns whether the daemon remains leader.
-    pub fn run_due_work(&mut self, ctx: &mut Context) -> LeaderStatus {
-        if self.status == LeaderStatus::SteppedDown {
-            return self.status;
-        }
+    /// Performs all work that is due.
+    pub fn run_due_work(&mut self, ctx: &mut Context) {
         self.start_due_watches(ctx);
         if let Some(recovery) = &mut self.recovery {
             recovery.read_if_due(ctx);
@@ -381,7 +373,6 @@
         ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
         ctx.load.attribute(Work::Journal);
-        self.status
     }
 
     /// Drops silent followers; resigns if most of them are lost.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod action;
 mod answer;
+mod backlog;
 mod config;
 mod event;
 mod follow;
@@ -27,6 +28,7 @@
 
 pub use action::{Action, WatchTarget};
 pub use answer::{Answer, CallerRequest, Operation, Target, View};
+pub use backlog::{Backlog, QueuedInput};
 pub use config::Config;
 pub use event::Event;
 pub use frame::{
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -160,10 +160,17 @@
         }
     }
 
-    /// Begins an input; the time since the last work is not attributed.
-    pub fn begin(&mut self, work: Work) {
+    /// Begins a batch of inputs; the time since the last work is not attributed.
+    pub fn begin_batch(&mut self, queued: usize) {
         self.attributed_until = self.meter.work_clock();
+        self.max_queued = self.max_queued.max(queued);
+    }
+
+    /// Begins an input that was queued for a time.
+    pub fn begin_input(&mut self, work: Work, age: Duration) {
         self.inputs[work as usize] += 1;
+        self.input_age = age;
+        self.max_input_age = self.max_input_age.max(age);
     }
 
     /// Attributes the time since the last call to a kind of work.
@@ -173,13 +180,6 @@
         self.attributed_until = now;
     }
 
-    /// Records how long the next input was queued, and how many inputs were queued with it.
-    pub fn record_queue(&mut self, age: Duration, queued: usize) {
-        self.input_age = age;
-        self.max_input_age = self.max_input_age.max(age);
-        self.max_queued = self.max_queued.max(queued);
-    }
-
     /// Time for which the input in progress was queued.
     pub fn input_age(&self) -> Duration {
         self.input_age
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,13 +11,14 @@
 use slog::Logger;
 
 use crate::action::Action;
+use crate::backlog::QueuedInput;
 use crate::config::Config;
 use crate::event::log_event;
 use crate::follow::{Follower, Transition};
 use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
 use crate::input::{AdviceResult, Input, PeerEvent};
 use crate::lag::TimerLag;
-use crate::lead::{Caller, Leader, LeaderStatus};
+use crate::lead::{Caller, Leader};
 use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
 use crate::pending::{self, PendingRequests};
@@ -185,21 +186,42 @@
         }
     }
 
-    /// Records how long the next input was queued, and how many inputs were queued with it.
-    pub fn record_queue(&mut self, age: Duration, queued: usize) {
-        self.ctx.load.record_queue(age, queued);
-    }
-
-    /// Records that the host has started the actions of the last input.
+    /// Records that the host has started the actions of the last batch.
     pub fn record_actions_started(&mut self) {
         self.ctx.load.attribute(Work::Actions);
     }
 
     /// Processes an input at the time `now` and returns the actions to perform.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
+        self.handle_batch(now, [QueuedInput { input, queued_at: now }], 0)
+    }
+
+    /// Processes inputs at the time `now` and returns the actions to perform.
+    ///
+    /// `queued` is the number of inputs that were queued when the batch was taken.
+    pub fn handle_batch(
+        &mut self,
+        now: Duration,
+        batch: impl IntoIterator<Item = QueuedInput>,
+        queued: usize,
+    ) -> Vec<Action> {
         self.ctx.now = now;
-        let work = Work::of(&input);
-        self.ctx.load.begin(work);
+        self.ctx.load.begin_batch(queued);
+        for QueuedInput { input, queued_at } in batch {
+            let work = Work::of(&input);
+            self.ctx.load.begin_input(work, now.saturating_sub(queued_at));
+            self.apply_input(input);
+            self.ctx.load.attribute(work);
+            self.step_down_if_replaced();
+        }
+        self.run_due_work();
+        self.ctx.load.attribute(Work::Pending);
+        std::mem::take(&mut self.ctx.actions)
+    }
+
+    /// Applies an input without the work that is due after it.
+    fn apply_input(&mut self, input: Input) {
+        let now = self.ctx.now;
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
@@ -239,10 +261,18 @@
                 }
             }
         }
-        self.ctx.load.attribute(work);
-        self.run_due_work();
-        self.ctx.load.attribute(Work::Pending);
-        std::mem::take(&mut self.ctx.actions)
+    }
+
+    /// Becomes a follower if this daemon is no longer the leader.
+    fn step_down_if_replaced(&mut self) {
+        if let RoleState::Leader(leader) = &mut self.role_state
+            && leader.has_stepped_down()
+        {
+            for (id, answer) in leader.take_local_answers() {
+                self.pending_requests.answer(&mut self.ctx, id, answer);
+            }
+            self.role_state = RoleState::Follower(Box::new(self.step_down()));
+        }
     }
 
     fn handle_call(&mut self, token: u64, call: crate::CallerRequest) {
@@ -407,13 +437,12 @@
         }
     }
 
-    /// Runs the work that is due after each input.
+    /// Runs the work that is due after a batch of inputs.
     fn run_due_work(&mut self) {
-        let status = match &mut self.role_state {
+        match &mut self.role_state {
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
                 self.ctx.load.attribute(Work::Followers);
-                LeaderStatus::Leading
             }
             RoleState::Leader(leader) => {
                 if leader.is_serving() {
@@ -422,16 +451,13 @@
                     }
                 }
                 self.ctx.load.attribute(Work::Pending);
-                let status = leader.run_due_work(&mut self.ctx);
+                leader.run_due_work(&mut self.ctx);
                 for (id, answer) in leader.take_local_answers() {
                     self.pending_requests.answer(&mut self.ctx, id, answer);
                 }
-                status
             }
-        };
-        if status == LeaderStatus::SteppedDown {
-            self.role_state = RoleState::Follower(Box::new(self.step_down()));
         }
+        self.step_down_if_replaced();
         let (without_leader, is_cut_off) = match &self.role_state {
             RoleState::Follower(follower) => {
                 (follower.time_without_leader(self.ctx.now), follower.is_cut_off())
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -1,14 +1,13 @@
 //! Event loop: a `stakker` actor that owns the node, resumed by inputs and timers.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
-use control::{Action, Input, Node};
+use control::{Action, Backlog, Input, Node, QueuedInput};
 use rustix::time::{ClockId, clock_gettime};
 use stakker::{ActorOwn, CX, Stakker, actor, after, call, ret_nop};
-use tokio::sync::Notify;
 
 use crate::mesh::Mesh;
 
@@ -18,36 +17,64 @@
 /// Shortest suspension of the machine that is reported to the node.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 
-/// An input and the time at which it was queued.
+/// Queued inputs and the waker of the event loop.
 #[derive(Debug)]
-struct QueuedInput {
-    queued_at: Instant,
-    input: Input,
-}
-
-/// Queued inputs and the signal that wakes the event loop.
-#[derive(Debug, Default)]
 struct QueueState {
-    inputs: RefCell<VecDeque<QueuedInput>>,
-    wakeup: Notify,
+    /// Time zero of the node's clock.
+    started: Instant,
+    backlog: RefCell<Backlog>,
+    /// Set while the event loop waits for an input.
+    waker: RefCell<Option<Waker>>,
 }
 
 /// Queue of inputs to the node; clones share it.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct InputQueue {
     state: Rc<QueueState>,
 }
 
+impl Default for InputQueue {
+    fn default() -> Self {
+        let state = QueueState {
+            started: Instant::now(),
+            backlog: RefCell::default(),
+            waker: RefCell::default(),
+        };
+        Self { state: Rc::new(state) }
+    }
+}
+
 impl InputQueue {
     /// Adds an input and wakes the event loop.
     pub fn push(&self, input: Input) {
-        self.state.inputs.borrow_mut().push_back(QueuedInput { queued_at: Instant::now(), input });
-        self.state.wakeup.notify_one();
+        self.state.backlog.borrow_mut().push(self.state.started.elapsed(), input);
+        if let Some(waker) = self.state.waker.take() {
+            waker.wake();
+        }
     }
 
-    /// Removes and returns all queued inputs, oldest first.
-    fn take_all(&self) -> VecDeque<QueuedInput> {
-        std::mem::take(&mut *self.state.inputs.borrow_mut())
+    /// Removes and returns the inputs to handle next, and the number of inputs queued before.
+    fn take_batch(&self) -> (Vec<QueuedInput>, usize) {
+        let mut backlog = self.state.backlog.borrow_mut();
+        let queued = backlog.len();
+        (backlog.take_batch(), queued)
+    }
+
+    /// Whether any input is queued.
+    fn has_input(&self) -> bool {
+        !self.state.backlog.borrow().is_empty()
+    }
+
+    /// Waits until an input is queued.
+    async fn wait(&self) {
+        std::future::poll_fn(|context| {
+            if self.has_input() {
+                return Poll::Ready(());
+            }
+            self.state.waker.replace(Some(context.waker().clone()));
+            Poll::Pending
+        })
+        .await;
     }
 }
 
@@ -78,7 +105,20 @@
     /// Passes an input to the node and performs the resulting actions.
     fn handle_input(&mut self, cx: CX![], input: Input) {
         let now = cx.now().saturating_duration_since(self.started);
-        for action in self.node.handle(now, input) {
+        let actions = self.node.handle(now, input);
+        self.perform(actions);
+    }
+
+    /// Passes inputs of the queue to the node and performs the resulting actions.
+    fn handle_batch(&mut self, cx: CX![], batch: Vec<QueuedInput>, queued: usize) {
+        let now = cx.now().saturating_duration_since(self.started);
+        let actions = self.node.handle_batch(now, batch, queued);
+        self.perform(actions);
+    }
+
+    /// Starts actions.
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
             match action {
                 Action::Connect { link, address } => self.mesh.connect(link, address),
                 Action::Send { link, frame } => self.mesh.send(link, frame),
@@ -89,12 +129,6 @@
         self.node.record_actions_started();
     }
 
-    /// Passes an input of the queue to the node.
-    fn handle_queued(&mut self, cx: CX![], queued: QueuedInput, length: usize) {
-        self.node.record_queue(queued.queued_at.elapsed(), length);
-        self.handle_input(cx, queued.input);
-    }
-
     /// Reports a suspension to the node before any input that arrived during it.
     fn check_suspension(&mut self, cx: CX![]) {
         let suspended_total = total_suspension();
@@ -124,23 +158,27 @@
 
 /// Runs a node's event loop until the task is dropped.
 pub async fn run(node: Node, driver: Rc<dyn Driver>, mesh: Mesh, inputs: InputQueue) {
-    let started = Instant::now();
+    let started = inputs.state.started;
     let mut stakker = Stakker::new(started);
     let s = &mut stakker;
     let initial = NodeActor { node, driver, mesh, started, suspended_total: total_suspension() };
     let actor: ActorOwn<NodeActor> = actor!(s, NodeActor::start(initial), ret_nop!());
     loop {
         call!([actor], check_suspension());
-        let queued_inputs = inputs.take_all();
-        let length = queued_inputs.len();
-        for queued in queued_inputs {
-            call!([actor], handle_queued(queued, length));
+        let (batch, queued) = inputs.take_batch();
+        if !batch.is_empty() {
+            call!([actor], handle_batch(batch, queued));
         }
-        let now = Instant::now();
-        s.run(now, false);
+        s.run(Instant::now(), false);
         let sleep = s.next_wait_max(Instant::now(), MAX_SLEEP, false);
+        if sleep.is_zero() || inputs.has_input() {
+            // Sockets are read and written between batches, and before a timer that is due:
+            // what a peer has sent counts before its silence does.
+            tokio::task::yield_now().await;
+            continue;
+        }
         tokio::select! {
-            () = inputs.state.wakeup.notified() => {}
+            () = inputs.wait() => {}
             () = tokio::time::sleep(sleep) => {}
         }
     }
