--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -10,6 +10,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::Name;
@@ -114,6 +115,8 @@
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
+    /// Meter of nodes that are started from now on.
+    pub meter: Rc<dyn control::Meter>,
     store_free_at: Duration,
     rng: SmallRng,
     event_times: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -149,6 +152,7 @@
             allowed_share: 1.0,
             timer_lags: HashMap::new(),
             started_runs: 0,
+            meter: Rc::new(control::NoopMeter),
             store_free_at: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             event_times: BinaryHeap::new(),
@@ -195,7 +199,7 @@
             initial_commit_latency: ms(8),
         };
         let log = test_log(&config.member);
-        slot.node = Some(Node::new(config, log, std::rc::Rc::new(control::NoopMeter), self.now));
+        slot.node = Some(Node::new(config, log, Rc::clone(&self.meter), self.now));
         slot.is_suspended = false;
         let incarnation = slot.incarnation;
         self.exited_nodes.remove(&number);
