Placement passes take half of a leader's loop at most

What callers saw: late answers, and gangs that waited although there was room, while the leader ran one placement pass after another.

Cause: the interval between passes counts from the start of a pass and not the time that it takes, so that a pass of 10 ms or more was due again when it ended, as long as anything had changed.

Change: the next pass begins at the earliest when the loop has had as much time as the pass took. In simulations, where work takes no time, nothing changes.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -48,6 +48,9 @@
 /// Added to the interval per open job, as a pass visits all of them.
 const PLACEMENT_INTERVAL_PER_JOB: Duration = Duration::from_micros(50);
 
+/// Least time from a pass to the next one, as a multiple of the time that the pass took.
+const PLACEMENT_REST_FACTOR: u32 = 1;
+
 /// Interval between placement passes while nothing changes, as tickets and quarantines expire.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -119,6 +122,8 @@
     workers_cursor: Option<u64>,
     /// When the latest placement pass ran.
     last_placement: Duration,
+    /// Time that it took.
+    placement_cost: Duration,
     /// Whether something changed since the latest placement pass.
     needs_placement: bool,
     /// When ended jobs were last removed.
@@ -165,6 +170,7 @@
             workers_watch_at: Some(now),
             workers_cursor: None,
             last_placement: Duration::ZERO,
+            placement_cost: Duration::ZERO,
             needs_placement: true,
             last_removal: now,
             has_stepped_down: false,
@@ -428,6 +434,7 @@
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
             MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_JOB * self.scheduler.open_jobs() as u32;
+        let interval = interval.max(self.placement_cost * (1 + PLACEMENT_REST_FACTOR));
         let is_due = (self.needs_placement && elapsed >= interval)
             || elapsed >= IDLE_PLACEMENT_INTERVAL.max(interval);
         if is_due && !self.is_resigning {
@@ -437,7 +444,7 @@
             let visited_before = self.scheduler.steps_visited;
             self.scheduler.plan(ctx.now, self.journal.expected_latency());
             ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
-            ctx.load.attribute(Work::Placement);
+            self.placement_cost = ctx.load.attribute(Work::Placement);
         }
         ctx.load.attribute(Work::Rest);
         for (job, step) in self.advice_calls.expire(ctx.now) {
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -173,11 +173,13 @@
         self.max_input_age = self.max_input_age.max(age);
     }
 
-    /// Attributes the time since the last call to a kind of work.
-    pub fn attribute(&mut self, work: Work) {
+    /// Attributes the time since the last call to a kind of work, and returns it.
+    pub fn attribute(&mut self, work: Work) -> Duration {
         let now = self.meter.work_clock();
-        self.times[work as usize] += now.saturating_sub(self.attributed_until);
+        let spent = now.saturating_sub(self.attributed_until);
+        self.times[work as usize] += spent;
         self.attributed_until = now;
+        spent
     }
 
     /// Time for which the input in progress was queued.
--- a/crates/control/tests/load.rs
+++ b/crates/control/tests/load.rs
@@ -38,7 +38,6 @@
 
 // Guards against a leader that only runs placement passes: its commits and heartbeats are late,
 // and its followers replace it.
-#[ignore = "known red: see KNOWN-RED.txt"]
 #[test]
 fn placement_leaves_time_for_other_work() {
     let meter = Rc::new(SlowMeter::default());
@@ -54,7 +53,7 @@
         sim.run(Duration::from_millis(10));
     }
     let placement_time = WORK_TIME * (meter.passes.get() - passes_before) as u32;
-    let share = placement_time.as_secs_f64() / (sim.now - began).as_secs_f64();
+    let share = placement_time.as_secs_f64() / sim.now.saturating_sub(began).as_secs_f64();
     assert!(share > 0.1, "placement runs: {share}");
     assert!(share < 0.6, "placement takes {share} of the time");
 }
