--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -48,6 +48,9 @@
 /// Added to the interval per open job, as a pass visits all of them.
 const PLACEMENT_INTERVAL_PER_JOB: Duration = Duration::from_micros(50);
 
+/// Least time from a pass to the next one, as a multiple of the time that the pass took.
+const PLACEMENT_REST_FACTOR: u32 = 1;
+
 /// Interval between placement passes while nothing changes, as tickets and quarantines expire.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -88,16 +91,6 @@
 /// It limits changes of leader if the larger daemon fails again and again.
 const PROMOTION_COOLDOWN: Duration = Duration::from_secs(20);
 
-common::key! {
-    /// Whether a daemon remains leader.
-    pub(crate) enum LeaderStatus {
-        /// It remains leader.
-        Leading,
-        /// It becomes a follower: another daemon leads, or leadership was released.
-        SteppedDown,
-    }
-}
-
 /// Latest known reading of the store's clock.
 #[derive(Debug, Clone, Copy)]
 struct StoreClock {
@@ -140,12 +133,14 @@
     workers_cursor: Option<u64>,
     /// When the latest placement pass ran.
     last_placement: Duration,
+    /// Time that it took.
+    placement_cost: Duration,
     /// Whether something changed since the latest placement pass.
     needs_placement: bool,
     /// When ended jobs were last removed.
     last_removal: Duration,
-    /// Whether the daemon remains leader.
-    status: LeaderStatus,
+    /// Whether another daemon leads, or leadership was released.
+    has_stepped_down: bool,
     /// Whether it is releasing leadership; it accepts no requests and places no tasks.
     is_resigning: bool,
     /// The follower for which it releases leadership; none if any may follow.
@@ -190,9 +185,10 @@
             workers_watch_at: Some(now),
             workers_cursor: None,
             last_placement: Duration::ZERO,
+            placement_cost: Duration::ZERO,
             needs_placement: true,
             last_removal: now,
-            status: LeaderStatus::Leading,
+            has_stepped_down: false,
             is_resigning: false,
             successor: None,
             unconfirmed_since: None,
@@ -213,6 +209,11 @@
         self.recovery.is_none() && !self.is_resigning && self.scheduler.rules.is_some()
     }
 
+    /// Whether another daemon leads, or leadership was released.
+    pub fn has_stepped_down(&self) -> bool {
+        self.has_stepped_down
+    }
+
     /// The scheduler's state.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
@@ -301,12 +302,12 @@
                 let resignation =
                     Resignation { epoch: self.epoch, successor: successor.to_string() };
                 self.peers.broadcast(ctx, &Body::Resign(resignation));
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
             CommitOutcome::Superseded { epoch } => {
                 log_event!(ctx, LeaderReplaced, "epoch" => self.epoch, "by_epoch" => epoch);
                 ctx.meter.add(Counter::Leadership, "deposed", 1);
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
         }
     }
@@ -377,11 +378,8 @@
         self.epoch < epoch
     }
 
-    /// Performs all work that is due; returns whether the daemon remains leader.
-    pub fn run_due_work(&mut self, ctx: &mut Context) -> LeaderStatus {
-        if self.status == LeaderStatus::SteppedDown {
-            return self.status;
-        }
+    /// Performs all work that is due.
+    pub fn run_due_work(&mut self, ctx: &mut Context) {
         self.start_due_watches(ctx);
         if let Some(recovery) = &mut self.recovery {
             recovery.read_if_due(ctx);
@@ -401,7 +399,6 @@
         ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
         ctx.load.attribute(Work::Journal);
-        self.status
     }
 
     /// Time since the latest commit, without stalls, after which its reply may still be queued.
@@ -490,6 +487,7 @@
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
             MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_JOB * self.scheduler.open_jobs() as u32;
+        let interval = interval.max(self.placement_cost * (1 + PLACEMENT_REST_FACTOR));
         let is_due = (self.needs_placement && elapsed >= interval)
             || elapsed >= IDLE_PLACEMENT_INTERVAL.max(interval);
         if is_due && !self.is_resigning {
@@ -500,7 +498,7 @@
             let advice_capacity = self.advice_calls.capacity(&self.peers, ctx.now);
             self.scheduler.plan(ctx.now, self.journal.expected_latency(), advice_capacity);
             ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
-            ctx.load.attribute(Work::Placement);
+            self.placement_cost = ctx.load.attribute(Work::Placement);
         }
         ctx.load.attribute(Work::Rest);
         for (job, step) in self.advice_calls.expire(ctx.now) {
