--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -38,6 +38,12 @@
         (is_larger(cpu) && !is_smaller(link)) || (is_larger(link) && !is_smaller(cpu))
     }
 
+    /// Time that bytes take on the network link; zero if its bandwidth is unknown.
+    pub(crate) fn transfer_time(self, bytes: usize) -> Duration {
+        let micros = (bytes as u64 * 8 * 1000).checked_div(self.link_kbps.into());
+        Duration::from_micros(micros.unwrap_or(0))
+    }
+
     /// Number of bytes that the network link carries in a time; none if unknown.
     fn bytes_within(self, time: Duration) -> Option<usize> {
         let bytes = u64::from(self.link_kbps) * time.as_millis() as u64 / 8;
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -508,7 +508,8 @@
         let call = ctx.next_call_id();
         self.open_calls.push(call);
         self.last_sent = ctx.now;
-        self.next_check = ctx.now + self.check_delay;
+        let transfer_time = ctx.config.capacity.transfer_time(self.transaction.size());
+        self.next_check = ctx.now + self.check_delay + transfer_time;
         let transaction = self.transaction.clone();
         ctx.actions.push(Action::Commit { call, transaction, timeout: COMMIT_TIMEOUT });
     }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -71,3 +71,10 @@
         pub store_clock_ms: u64,
     }
 }
+
+impl Transaction {
+    /// Size of the rows written, in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.writes.iter().map(|write| write.key.key.len() + write.value.len()).sum()
+    }
+}
