Leadership is not released to a follower that is stopping

A small leader released to a stopping large daemon, which had joined it after handing over 3 s before.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -549,7 +549,8 @@
                 }
                 self.mark_joined(ctx, from, heartbeat.is_serving, heartbeat.store_age_ms);
                 let lag_us = ctx.lag.mean().as_micros() as u32;
-                let reply = Heartbeat { epoch: heartbeat.epoch, lag_us, ..Heartbeat::default() };
+                let (epoch, is_stopping) = (heartbeat.epoch, self.is_stopping);
+                let reply = Heartbeat { epoch, lag_us, is_stopping, ..Heartbeat::default() };
                 ctx.send(from, Body::Beat(reply));
                 return heartbeat.is_serving;
             }
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -139,6 +139,9 @@
     /// Mean lag of the follower's timer, in us; 0 from the leader.
     #[prost(uint32, tag = "4")]
     pub lag_us: u32,
+    /// Whether the follower is stopping and makes no claim; false from the leader.
+    #[prost(bool, tag = "5")]
+    pub is_stopping: bool,
 }
 
 /// A caller's request, forwarded to the leader.
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -53,6 +53,8 @@
     last_handled: Duration,
     /// Mean lag of its timer; none before its first heartbeat.
     timer_lag: Option<Duration>,
+    /// Whether it is stopping and makes no claim.
+    is_stopping: bool,
 }
 
 /// Connected followers, and those that are lost.
@@ -247,11 +249,12 @@
     }
 }
 
-/// The least lagged of the largest daemons.
+/// The least lagged of the largest daemons that are not stopping.
 fn best_suited<'a>(peers: impl Iterator<Item = &'a Peer> + Clone) -> Option<&'a Peer> {
+    let staying = peers.filter(|peer| !peer.is_stopping);
     let is_outranked =
-        |peer: &&Peer| peers.clone().any(|other| other.capacity.outranks(peer.capacity));
-    let largest = peers.clone().filter(|peer| !is_outranked(peer));
+        |peer: &&Peer| staying.clone().any(|other| other.capacity.outranks(peer.capacity));
+    let largest = staying.clone().filter(|peer| !is_outranked(peer));
     largest.min_by_key(|peer| peer.timer_lag.unwrap_or(Duration::MAX))
 }
 
@@ -265,6 +268,7 @@
                     peer.last_received = ctx.now;
                     peer.last_handled = ctx.loop_clock.now();
                     peer.timer_lag = Some(Duration::from_micros(heartbeat.lag_us.into()));
+                    peer.is_stopping = heartbeat.is_stopping;
                 }
             }
             Body::Request(request) if self.is_serving() => {
@@ -301,6 +305,7 @@
             last_received: ctx.now,
             last_handled: ctx.loop_clock.now(),
             timer_lag: None,
+            is_stopping: false,
         };
         self.peers.followers.insert(link, peer);
         let (epoch, is_serving) = (self.epoch, self.is_serving());
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -112,6 +112,39 @@
     }
 }
 
+/// Guards against a release to a follower that is stopping and makes no claim.
+#[test]
+fn leader_stopped_successor_is_not_stopping() {
+    for seed in 340..350 {
+        let mut sim = start_cell(seed, 3, 8);
+        let leader = sim.leader().expect("a node leads");
+        let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+        sim.timer_lags.insert(others[1], ms(3));
+        sim.run(ms(3000));
+        sim.stop(others[0]);
+        sim.run(ms(500));
+        sim.stop(leader);
+        let (next, took) = next_leader(&mut sim, ms(2000)).expect("another node leads");
+        assert_eq!(next, others[1], "seed {seed}");
+        assert!(took <= ms(200), "seed {seed}: {took:?}");
+    }
+}
+
+/// Guards against a small leader that releases to a large follower which is stopping.
+#[test]
+fn small_leader_keeps_leadership_from_stopping_follower() {
+    let mut sim = start_cell(350, 2, 8);
+    let leader = sim.leader().expect("a node leads");
+    sim.kill(1 - leader);
+    sim.run(ms(1000));
+    sim.stop(leader);
+    let (small, _) = next_leader(&mut sim, ms(1000)).expect("another node leads");
+    assert_eq!(capacity_of(&sim, small), SMALL);
+    let epoch = sim.store.epoch();
+    sim.run(ms(10_000));
+    assert_eq!((sim.leader(), sim.store.epoch()), (Some(small), epoch));
+}
+
 /// Guards against a small daemon that claims first when all daemons restart.
 #[test]
 fn all_killed_large_daemon_leads_again() {
