--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::Name;
@@ -208,6 +209,8 @@
     pub capacities: Vec<Capacity>,
     /// Number of member lists that nodes sent.
     pub member_lists: u64,
+    /// Meter of nodes that are started from now on.
+    pub meter: Rc<dyn control::Meter>,
     store_free_at: Duration,
     rng: SmallRng,
     event_times: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -256,6 +259,7 @@
             started_runs: 0,
             capacities: capacities.to_vec(),
             member_lists: 0,
+            meter: Rc::new(control::NoopMeter),
             store_free_at: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             event_times: BinaryHeap::new(),
@@ -305,7 +309,7 @@
             initial_commit_latency: ms(8),
         };
         let log = test_log(&config.member);
-        slot.node = Some(Node::new(config, log, std::rc::Rc::new(control::NoopMeter), self.now));
+        slot.node = Some(Node::new(config, log, Rc::clone(&self.meter), self.now));
         slot.is_suspended = false;
         let incarnation = slot.incarnation;
         self.exited_nodes.remove(&number);
