--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -95,14 +95,10 @@
 /// An advice service that handles the calls of each node one after the other.
 #[derive(Debug)]
 pub struct AdviceService {
-    /// Duration of a call without workers.
-    pub base_duration: Duration,
-    /// Additional duration for each worker named.
-    pub duration_per_worker: Duration,
-    /// Validity of a ticket.
-    pub validity: Duration,
+    /// Durations of calls and validity of tickets, by prefix of the job's id.
+    policies: Vec<(&'static str, AdvicePolicy)>,
     /// Average number of workers in ten that it allows; others for each step.
-    pub allowed_of_ten: u64,
+    allowed_of_ten: u64,
     /// When the last call of each node ends.
     free_at: HashMap<usize, Duration>,
     /// When the tickets expire, by job, step and worker.
@@ -110,38 +106,33 @@
 }
 
 impl AdviceService {
-    pub fn new(policy: &AdvicePolicy, allowed_of_ten: u64) -> Self {
-        Self {
-            base_duration: policy.base_duration,
-            duration_per_worker: policy.duration_per_worker,
-            validity: policy.validity,
-            allowed_of_ten,
-            free_at: HashMap::new(),
-            ticket_ends: HashMap::new(),
-        }
+    pub fn new(policies: Vec<(&'static str, AdvicePolicy)>, allowed_of_ten: u64) -> Self {
+        Self { policies, allowed_of_ten, free_at: HashMap::new(), ticket_ends: HashMap::new() }
     }
 
-    /// Handles a call; returns when it ends and the workers that it allows.
+    /// Handles a call; returns when it ends and its answer.
     fn answer(
         &mut self,
         node: usize,
         now: Duration,
         (job, step): (&Name, u32),
         workers: Vec<Name>,
-    ) -> (Duration, Vec<(Name, Name)>) {
+    ) -> (Duration, control::AdviceResult) {
+        let policy = self.policies.iter().find(|(prefix, _)| job.starts_with(prefix));
+        let (_, policy) = policy.expect("the job's queue needs advice");
         let free_at = self.free_at.entry(node).or_default();
-        let duration = self.base_duration + self.duration_per_worker * workers.len() as u32;
+        let duration = policy.base_duration + policy.duration_per_worker * workers.len() as u32;
         *free_at = now.max(*free_at) + duration;
         let mut allowed = Vec::new();
         for worker in workers {
             let key = format!("{job}.{step}.{worker}");
             if common::stable_hash(key.as_bytes()) % 10 < self.allowed_of_ten {
                 let key = (job.clone(), step, worker.clone());
-                self.ticket_ends.insert(key, *free_at + self.validity);
+                self.ticket_ends.insert(key, *free_at + policy.validity);
                 allowed.push((worker, Name::new("ticket")));
             }
         }
-        (*free_at, allowed)
+        (*free_at, control::AdviceResult { allowed, validity: policy.validity })
     }
 }
 
@@ -528,8 +519,7 @@
         workers: Vec<Name>,
     ) -> (Duration, control::AdviceResult) {
         if let Some(service) = &mut self.advice_service {
-            let (at, allowed) = service.answer(node, self.now, step, workers);
-            return (at, control::AdviceResult { allowed, validity: service.validity });
+            return service.answer(node, self.now, step, workers);
         }
         let share = (self.allowed_share * 1000.0) as u64;
         let is_allowed = |id: &Name| common::stable_hash(id.as_bytes()) % 1000 < share;
