control: the leader makes fast advice calls itself first

Cause: gave a call to the first of equally busy daemons in the order of links, in which the leader came last; before, the leader itself went first. A call by a follower takes a relay more.

--- a/crates/control/src/lead/advice.rs
+++ b/crates/control/src/lead/advice.rs
@@ -60,20 +60,23 @@
 }
 
 /// Daemons that make the calls of each class, as links; none is the leader itself.
+///
+/// Of equally busy daemons, the first gets the next call.
 struct DaemonGroups([Vec<Option<u64>>; CallClass::ALL.len()]);
 
 impl DaemonGroups {
     /// Given three daemons or more, reserves a third for fast calls, and a third of the others
     /// for slow ones.
     fn new(peers: &Peers, now: Duration) -> Self {
-        let mut all: Vec<Option<u64>> = peers.responsive_links(now).map(Some).collect();
-        all.push(None);
-        if all.len() < 3 {
-            return Self([all.clone(), all.clone(), all]);
+        // The leader comes first among the fast ones, as its own calls need no relay.
+        let mut fast = vec![None];
+        fast.extend(peers.responsive_links(now).map(Some));
+        if fast.len() < 3 {
+            return Self([fast.clone(), fast.clone(), fast]);
         }
-        let fast = all.split_off(all.len() - all.len() / 3);
-        let medium = all[all.len() / 3..].iter().rev().copied().collect();
-        Self([fast, medium, all])
+        let slow = fast.split_off(fast.len() / 3);
+        let medium = slow[slow.len() / 3..].iter().rev().copied().collect();
+        Self([fast, medium, slow])
     }
 
     fn of(&self, class: CallClass) -> &[Option<u64>] {
