--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use control::{Answer, Capacity, Head, Operation, Role};
+use control::{Answer, Capacity, Head, Hello, Members, Operation, Role};
 use prost::Message;
 use support::{NodeSlot, Simulation, job, step};
 
@@ -311,6 +311,41 @@
     }
 }
 
+/// Guards against messages of an older version that are refused or misread.
+#[test]
+fn messages_without_capacity_are_unknown() {
+    let hello = Hello { member: "n1".to_owned(), ..Hello::default() };
+    let hello = Hello::decode(&*hello.encode_to_vec()).expect("a hello");
+    assert_eq!(hello.capacity(), Capacity::UNKNOWN);
+    let members = Members { addresses: vec!["a1".to_owned()], ..Members::default() };
+    let members = Members::decode(&*members.encode_to_vec()).expect("a list of members");
+    assert_eq!(members.iter().collect::<Vec<_>>(), [("a1", Capacity::UNKNOWN)]);
+}
+
+/// Guards against daemons of which each waits for the other.
+#[test]
+fn outranks_is_a_strict_order() {
+    let values = [0, 100, 110, 125, 250, 500];
+    let mut all = Vec::new();
+    for cpu_millis in values {
+        all.extend(values.map(|link_kbps| Capacity { cpu_millis, link_kbps }));
+    }
+    for a in &all {
+        assert!(!a.outranks(*a) && !a.outranks(Capacity::UNKNOWN));
+        for b in &all {
+            assert!(!(a.outranks(*b) && b.outranks(*a)), "{a:?}, {b:?}");
+        }
+    }
+    let known = all.iter().filter(|one| one.cpu_millis > 0 && one.link_kbps > 0);
+    for a in known.clone() {
+        for b in known.clone().filter(|b| a.outranks(**b)) {
+            assert!(known.clone().all(|c| !b.outranks(*c) || a.outranks(*c)), "{a:?}, {b:?}");
+        }
+    }
+    assert!(LARGE.outranks(SMALL));
+    assert!(!Capacity { cpu_millis: 124, ..SMALL }.outranks(Capacity { cpu_millis: 100, ..SMALL }));
+}
+
 /// Guards against commits that take so long on a slow link that the leader is replaced.
 #[test]
 fn leader_with_slow_link_and_large_commits_stays() {
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -8,13 +8,16 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Answer, Operation};
+use control::{Answer, Capacity, Operation};
 use scheduler::{JobState, Step};
 use support::{Simulation, job, step};
 
 /// Default number of seeds, which CI runs.
 const DEFAULT_SEED_COUNT: u64 = 40;
 
+/// Default number of seeds with nodes of different capacity.
+const MIXED_SEED_COUNT: u64 = 20;
+
 /// Number of nodes in a cell.
 const NODES: usize = 4;
 /// Number of workers in a cell.
@@ -64,7 +67,11 @@
 
 impl Schedule {
     fn new(seed: u64) -> Self {
-        let mut sim = Simulation::new(seed, NODES, WORKERS);
+        Self::with_capacities(seed, [Capacity::UNKNOWN; NODES])
+    }
+
+    fn with_capacities(seed: u64, capacities: [Capacity; NODES]) -> Self {
+        let mut sim = Simulation::with_capacities(seed, &capacities, WORKERS);
         sim.rules = support::rules(seed.is_multiple_of(2));
         sim.allowed_share = 0.8;
         Self {
@@ -281,16 +288,29 @@
     }
 }
 
-#[test]
-fn schedules_keep_invariants() {
+/// Runs the schedules of consecutive seeds; none may violate an invariant.
+fn run_schedules(default_count: u64, create: impl Fn(u64) -> Schedule) {
     let first = env_number("BRONZERAIL_SEED", 1);
-    let count = env_number("BRONZERAIL_SCHEDULES", DEFAULT_SEED_COUNT);
+    let count = env_number("BRONZERAIL_SCHEDULES", default_count);
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let violations = Schedule::new(seed).run_schedule();
+        let violations = create(seed).run_schedule();
         if !violations.is_empty() {
             failed.push((seed, violations));
         }
     }
     assert!(failed.is_empty(), "{} of {count} seeds failed; first: {:#?}", failed.len(), failed[0]);
 }
+
+#[test]
+fn schedules_keep_invariants() {
+    run_schedules(DEFAULT_SEED_COUNT, Schedule::new);
+}
+
+#[test]
+fn schedules_of_mixed_capacities_keep_invariants() {
+    let large = Capacity { cpu_millis: 500, link_kbps: 200_000 };
+    let small = Capacity { cpu_millis: 120, link_kbps: 10_000 };
+    let capacities = [small, large, Capacity::UNKNOWN, small];
+    run_schedules(MIXED_SEED_COUNT, |seed| Schedule::with_capacities(seed, capacities));
+}
