--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -48,6 +48,9 @@
 /// Added to the interval per open job, as a pass visits all of them.
 const PLACEMENT_INTERVAL_PER_JOB: Duration = Duration::from_micros(50);
 
+/// Least time from a pass to the next one, as a multiple of the time that the pass took.
+const PLACEMENT_REST_FACTOR: u32 = 1;
+
 /// Interval between placement passes while nothing changes, as tickets and quarantines expire.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -77,15 +80,16 @@
 /// change of leader adds to it.
 const SLOW_RESIGN_COOLDOWN: Duration = Duration::from_mins(1);
 
-common::key! {
-    /// Whether a daemon remains leader.
-    pub(crate) enum LeaderStatus {
-        /// It remains leader.
-        Leading,
-        /// It becomes a follower: another daemon leads, or leadership was released.
-        SteppedDown,
-    }
-}
+/// Longest stall of the event loop that does not count as time without a commit.
+const MAX_IGNORED_STALL: Duration = Duration::from_millis(1400);
+
+/// How long a larger follower must have been joined before leadership is released to it.
+const PROMOTION_DELAY: Duration = Duration::from_secs(3);
+
+/// Shortest time between two releases to a larger follower.
+///
+/// It limits changes of leader if the larger daemon fails again and again.
+const PROMOTION_COOLDOWN: Duration = Duration::from_secs(20);
 
 /// Latest known reading of the store's clock.
 #[derive(Debug, Clone, Copy)]
@@ -129,18 +133,22 @@
     workers_cursor: Option<u64>,
     /// When the latest placement pass ran.
     last_placement: Duration,
+    /// Time that it took.
+    placement_cost: Duration,
     /// Whether something changed since the latest placement pass.
     needs_placement: bool,
     /// When ended jobs were last removed.
     last_removal: Duration,
-    /// Whether the daemon remains leader.
-    status: LeaderStatus,
+    /// Whether another daemon leads, or leadership was released.
+    has_stepped_down: bool,
     /// Whether it is releasing leadership; it accepts no requests and places no tasks.
     is_resigning: bool,
     /// The follower for which it releases leadership; none if any may follow.
     successor: Option<common::Name>,
     /// When leadership became uncertain; none while it is confirmed.
     unconfirmed_since: Option<Duration>,
+    /// When the latest commit was confirmed, by the loop clock.
+    last_durable: Duration,
     /// When it became leader.
     elected_at: Duration,
     /// Since when its timer lags behind a follower's; none while it does not.
@@ -177,12 +185,14 @@
             workers_watch_at: Some(now),
             workers_cursor: None,
             last_placement: Duration::ZERO,
+            placement_cost: Duration::ZERO,
             needs_placement: true,
             last_removal: now,
-            status: LeaderStatus::Leading,
+            has_stepped_down: false,
             is_resigning: false,
             successor: None,
             unconfirmed_since: None,
+            last_durable: ctx.loop_clock.now(),
             elected_at: now,
             slow_since: None,
             logged_waits: HashMap::new(),
@@ -199,6 +209,11 @@
         self.recovery.is_none() && !self.is_resigning && self.scheduler.rules.is_some()
     }
 
+    /// Whether another daemon leads, or leadership was released.
+    pub fn has_stepped_down(&self) -> bool {
+        self.has_stepped_down
+    }
+
     /// The scheduler's state.
     pub fn scheduler(&self) -> &Scheduler {
         &self.scheduler
@@ -268,6 +283,7 @@
         match outcome {
             CommitOutcome::NoChange => {}
             CommitOutcome::Durable { jobs, effects, first_sent } => {
+                self.last_durable = ctx.loop_clock.now();
                 self.unconfirmed_since = self.unconfirmed_since.filter(|since| first_sent < *since);
                 for (id, phase) in jobs {
                     self.record_durable_phase(ctx, &id, phase);
@@ -286,12 +302,12 @@
                 let resignation =
                     Resignation { epoch: self.epoch, successor: successor.to_string() };
                 self.peers.broadcast(ctx, &Body::Resign(resignation));
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
             CommitOutcome::Superseded { epoch } => {
                 log_event!(ctx, LeaderReplaced, "epoch" => self.epoch, "by_epoch" => epoch);
                 ctx.meter.add(Counter::Leadership, "deposed", 1);
-                self.status = LeaderStatus::SteppedDown;
+                self.has_stepped_down = true;
             }
         }
     }
@@ -362,11 +378,8 @@
         self.epoch < epoch
     }
 
-    /// Performs all work that is due; returns whether the daemon remains leader.
-    pub fn run_due_work(&mut self, ctx: &mut Context) -> LeaderStatus {
-        if self.status == LeaderStatus::SteppedDown {
-            return self.status;
-        }
+    /// Performs all work that is due.
+    pub fn run_due_work(&mut self, ctx: &mut Context) {
         self.start_due_watches(ctx);
         if let Some(recovery) = &mut self.recovery {
             recovery.read_if_due(ctx);
@@ -381,24 +394,34 @@
         }
         ctx.load.attribute(Work::Rest);
         self.check_peers(ctx);
-        let store_age = self.journal.commit_age(ctx.now);
+        let store_age = self.store_age(ctx);
         self.peers.send_heartbeat(ctx, self.epoch, store_age, self.is_serving());
         ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
         ctx.load.attribute(Work::Journal);
-        self.status
+    }
+
+    /// Time since the latest commit, without stalls, after which its reply may still be queued.
+    fn store_age(&self, ctx: &Context) -> Duration {
+        let without_stalls = ctx.loop_clock.now().saturating_sub(self.last_durable);
+        let total = self.journal.commit_age(ctx.now);
+        without_stalls.max(total.saturating_sub(MAX_IGNORED_STALL))
     }
 
     /// Drops silent followers; resigns if most of them are lost.
     fn check_peers(&mut self, ctx: &mut Context) {
-        for link in self.peers.drop_silent(ctx.now) {
+        for link in self.peers.drop_silent(ctx.now, ctx.loop_clock.now()) {
             ctx.actions.push(Action::Close { link });
             for (job, step) in self.advice_calls.drop_link(link) {
                 self.scheduler.apply_advice(&job, step, None, ctx.now);
             }
         }
         self.peers.announce(ctx);
-        self.check_lag(ctx);
+        self.broadcast_members(ctx);
+        if self.peers.take_due_successor_check(ctx.now) {
+            self.check_lag(ctx);
+            self.check_capacity(ctx);
+        }
         if self.peers.is_cut_off(ctx.now) && !self.is_resigning {
             log_event!(ctx, FollowersLost, "epoch" => self.epoch);
             self.resign();
@@ -411,10 +434,9 @@
         let successor = (lag >= SLOW_LAG_THRESHOLD)
             .then(|| self.peers.quick_successor(ctx.config.capacity, lag / SLOW_LAG_RATIO))
             .flatten();
-        let cooldown_until =
-            self.journal.last_slow_resignation_ms() + SLOW_RESIGN_COOLDOWN.as_millis() as u64;
-        let is_cooling_down = self.journal.last_slow_resignation_ms() > 0
-            && self.store_time_ms(ctx.now) < cooldown_until;
+        let last_resignation_ms = self.journal.last_slow_resignation_ms();
+        let is_cooling_down =
+            self.is_cooling_down(ctx.now, last_resignation_ms, SLOW_RESIGN_COOLDOWN);
         let is_early = ctx.now < self.elected_at + SLOW_CHECK_GRACE;
         let may_resign = !is_cooling_down && !is_early && !self.is_resigning;
         let Some((member, successor_lag)) = successor.filter(|_| may_resign) else {
@@ -432,6 +454,30 @@
         }
     }
 
+    /// Resigns if a larger daemon has followed for a while.
+    fn check_capacity(&mut self, ctx: &Context) {
+        let last_promotion_ms = self.journal.last_promotion_ms();
+        if self.is_resigning
+            || ctx.now < self.elected_at + PROMOTION_DELAY
+            || self.is_cooling_down(ctx.now, last_promotion_ms, PROMOTION_COOLDOWN)
+        {
+            return;
+        }
+        let (since, capacity) = (ctx.now.saturating_sub(PROMOTION_DELAY), ctx.config.capacity);
+        let larger = self.peers.larger_successor(capacity, since, SLOW_LAG_THRESHOLD);
+        let Some(member) = larger.cloned() else { return };
+        log_event!(ctx, LargerFollower, "epoch" => self.epoch, "successor" => %member);
+        self.successor = Some(member);
+        let store_clock_ms = self.store_time_ms(ctx.now);
+        self.journal.record_promotion(store_clock_ms);
+        self.resign();
+    }
+
+    /// Whether less than `cooldown` has passed since a store time in ms; 0 stands for never.
+    fn is_cooling_down(&self, now: Duration, since_ms: u64, cooldown: Duration) -> bool {
+        since_ms > 0 && self.store_time_ms(now) < since_ms + cooldown.as_millis() as u64
+    }
+
     /// Runs placement when it is due, and carries out what the scheduler requests.
     fn run_scheduler(&mut self, ctx: &mut Context) {
         ctx.load.attribute(Work::Rest);
@@ -441,6 +487,7 @@
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
             MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_JOB * self.scheduler.open_jobs() as u32;
+        let interval = interval.max(self.placement_cost * (1 + PLACEMENT_REST_FACTOR));
         let is_due = (self.needs_placement && elapsed >= interval)
             || elapsed >= IDLE_PLACEMENT_INTERVAL.max(interval);
         if is_due && !self.is_resigning {
@@ -448,9 +495,10 @@
             self.needs_placement = false;
             ctx.load.attribute(Work::Rest);
             let visited_before = self.scheduler.steps_visited;
-            self.scheduler.plan(ctx.now, self.journal.expected_latency());
+            let advice_capacity = self.advice_calls.capacity(&self.peers, ctx.now);
+            self.scheduler.plan(ctx.now, self.journal.expected_latency(), advice_capacity);
             ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
-            ctx.load.attribute(Work::Placement);
+            self.placement_cost = ctx.load.attribute(Work::Placement);
         }
         ctx.load.attribute(Work::Rest);
         for (job, step) in self.advice_calls.expire(ctx.now) {
--- a/crates/control/tests/support/cost.rs
+++ b/crates/control/tests/support/cost.rs
@@ -7,8 +7,8 @@
 
 /// Time that a node of speed 1 needs to handle an input, by kind; zero by default.
 ///
-/// A node handles its inputs one after the other. The actions that result from an input are
-/// performed at the end of its handling.
+/// A node handles its inputs in batches, as the host passes them. The actions that result from
+/// a batch are performed at the end of its handling.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct CostModel {
     /// Timer tick.
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -31,6 +31,15 @@
         pub eligibility: HashMap<Name, Eligibility>,
         /// Workers named in the pending advice call; `None` without one.
         pub pending_advice: Option<Vec<Name>>,
+        /// Steps that the advice service handles before this one; `None` if it needs no call.
+        pub steps_ahead: Option<usize>,
+        /// Time until which some ticket may be valid.
+        pub tickets_until: Duration,
+        /// Tasks that fit on the allowed workers when these are empty, as of the last advice;
+        /// of each worker at most as many as the step has.
+        pub allowed_places: u32,
+        /// Failed advice calls since the last advice received.
+        pub advice_failures: u32,
         /// Earliest time of the next advice call.
         pub advice_not_before: Duration,
         /// Time of the last advice received; zero before the first.
@@ -47,6 +56,10 @@
             failed_run: 0,
             eligibility: no_workers,
             pending_advice: None,
+            steps_ahead: None,
+            tickets_until: Duration::ZERO,
+            allowed_places: 0,
+            advice_failures: 0,
             advice_not_before: Duration::ZERO,
             last_advice_at: Duration::ZERO,
         }
