The retry time of a refusal follows a wait of 2 s at most

Cause: with one submission in flight, the expected wait is the number of requests ahead times the response time, and the jitter adds up to twice that.

Change: the expected wait counts as 2 s at most, so Retry-After is 6 s at most.

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -57,6 +57,9 @@
 /// Time after which refused callers are to retry.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest wait that the retry time of a refusal follows.
+const MAX_RETRY_WAIT: Duration = Duration::from_secs(2);
+
 /// Maximum number of pending requests per daemon.
 const MAX_PENDING_REQUESTS: usize = 1000;
 
@@ -409,7 +412,7 @@
 
 /// Returns a refusal that spreads the callers' return over time, beginning after `wait`.
 pub(crate) fn spread_refusal(ctx: &mut Context, wait: Duration) -> Answer {
-    let base = wait.max(RETRY_AFTER);
+    let base = wait.clamp(RETRY_AFTER, MAX_RETRY_WAIT);
     let spread = Duration::from_millis(ctx.random_below(base.as_millis() as u64 * 2));
     Answer::Refused { retry_after: base + spread, try_other_daemon: false }
 }
