--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -1,9 +1,10 @@
 //! Group commit of changed jobs to a journal in the store, one transaction at a time.
 //!
-//! A journal row holds the full records of jobs that changed together, so that many jobs fit
-//! into few rows of a slow store. The latest row that contains a job is valid. Rows are removed
-//! oldest first, once each of their jobs has been rewritten to a later row or removed. So no
-//! older record of a job is left when its latest row is removed.
+//! A journal row holds the records of jobs that changed together, so that many jobs fit into few
+//! rows of a slow store. A job's latest full record and the changes in later rows are valid.
+//! Rows are removed oldest first, once each job with its latest full record there has been
+//! rewritten in full to a later row or removed. So no older record of a job is left when its
+//! latest full record is removed, and no change that applies to a record is removed before it.
 //!
 //! Each transaction is conditional on the version of the head row and writes that row, so the
 //! transactions form a chain. A transaction whose reply was lost is resent unchanged: it either
@@ -15,7 +16,7 @@
 
 use common::Name;
 use prost::Message;
-use scheduler::{Phase, Scheduler, Segment};
+use scheduler::{JobDiff, Phase, Scheduler, SegmentBuilder, StoredState};
 
 use crate::action::Action;
 use crate::answer::Answer;
@@ -55,8 +56,11 @@
 /// Most jobs of the oldest rows that are rewritten with one commit.
 const MAX_COMPACTED_PER_COMMIT: usize = 64;
 
-/// Bytes added to each record's encoded length for its framing in a row.
-const RECORD_OVERHEAD_BYTES: usize = 8;
+/// Size of the journal, in bytes, up to which obsolete records are kept.
+const MIN_COMPACTED_BYTES: usize = 256 * 1024;
+
+/// Largest size of the journal beyond that, relative to its valid records.
+const MAX_SIZE_FACTOR: usize = 2;
 
 /// Weight of a new sample in the mean commit latency.
 const LATENCY_SMOOTHING: f64 = 0.2;
@@ -104,14 +108,24 @@
     Superseded { epoch: u64 },
 }
 
-/// A job that is written by a batch.
+/// A row of the journal.
+#[derive(Debug, Default)]
+struct JournalRow {
+    /// Jobs with their latest full record in the row.
+    jobs: BTreeSet<Name>,
+    /// Size of its value, in bytes.
+    size: usize,
+}
+
+/// Records of a job in the journal.
 #[derive(Debug)]
-struct WrittenJob {
-    id: Name,
-    /// Its phase as written.
-    phase: Phase,
-    /// Key of the row that holds its record.
+struct StoredJob {
+    /// Key of the row with the latest full record.
     row: Name,
+    /// Size of that record and the changes since, in bytes.
+    size: usize,
+    /// State that the records give.
+    state: StoredState,
 }
 
 /// The transaction under way.
@@ -122,7 +136,8 @@
     transaction: Transaction,
     /// Number of the commit in the epoch.
     commit: u64,
-    jobs: Vec<WrittenJob>,
+    /// Jobs that are durable with the batch, with their phases.
+    jobs: Vec<(Name, Phase)>,
     /// Actions that are due once the batch is durable.
     effects: Vec<Effect>,
     /// Whether the batch releases leadership.
@@ -138,6 +153,7 @@
 }
 
 /// Changes that are queued for the store or being written.
+#[expect(clippy::struct_excessive_bools, reason = "each is a separate condition")]
 #[derive(Debug)]
 pub(crate) struct Journal {
     /// The head row as of the latest commit.
@@ -152,10 +168,18 @@
     dequeued: u64,
     /// Deferred actions, each with the value of `dequeued` that it waits for.
     deferred: VecDeque<(u64, Effect)>,
-    /// Jobs whose latest record is in a row, by the row's key.
-    jobs_by_row: BTreeMap<Name, HashSet<Name>>,
-    /// Key of the row with each job's latest record.
-    row_by_job: HashMap<Name, Name>,
+    /// Queued jobs that are to be written in full although they have a record.
+    moved: HashSet<Name>,
+    /// The journal's rows by key, with those of the batch under way.
+    rows: BTreeMap<Name, JournalRow>,
+    /// Records of each job, with those of the batch under way.
+    stored: HashMap<Name, StoredJob>,
+    /// Size of all rows, in bytes.
+    total_size: usize,
+    /// Size of all valid records, in bytes.
+    valid_size: usize,
+    /// Whether the rows of previous leaders are known; none is removed before.
+    is_restored: bool,
     batch: Option<Batch>,
     /// When the latest commit was confirmed.
     last_commit: Duration,
@@ -184,8 +208,12 @@
             queued: HashSet::new(),
             dequeued: 0,
             deferred: VecDeque::new(),
-            jobs_by_row: BTreeMap::new(),
-            row_by_job: HashMap::new(),
+            moved: HashSet::new(),
+            rows: BTreeMap::new(),
+            stored: HashMap::new(),
+            total_size: 0,
+            valid_size: 0,
+            is_restored: false,
             batch: None,
             last_commit: now,
             mean_latency: initial_commit_latency,
@@ -219,49 +247,64 @@
         self.deferred.push_back((self.dequeued + self.write_queue.len() as u64, effect));
     }
 
-    /// Sets the row that holds a job's latest record.
-    pub fn set_row(&mut self, job: Name, row: Name) {
-        if let Some(former) = self.row_by_job.insert(job.clone(), row.clone())
-            && let Some(jobs) = self.jobs_by_row.get_mut(&former)
-        {
-            jobs.remove(&job);
-        }
-        self.jobs_by_row.entry(row).or_default().insert(job);
+    /// Adds a row with the size of its value.
+    pub fn add_row(&mut self, row: Name, size: usize) {
+        self.rows.entry(row).or_default().size = size;
+        self.total_size += size;
+    }
+
+    /// Adds a job that was read: the row with its latest full record, and its size there.
+    pub fn restore_job(&mut self, job: Name, row: Name, size: usize, state: StoredState) {
+        self.set_full_record(job, StoredJob { row, size, state });
     }
 
-    /// Adds a row; one without a job's latest record is removed in turn.
-    pub fn add_row(&mut self, row: Name) {
-        self.jobs_by_row.entry(row).or_default();
+    /// Allows rows to be removed, once all of them have been restored with their jobs.
+    pub fn finish_restoring(&mut self) {
+        self.is_restored = true;
+    }
+
+    /// Sets a job's latest full record.
+    fn set_full_record(&mut self, job: Name, record: StoredJob) {
+        self.remove_job(&job);
+        self.rows.entry(record.row.clone()).or_default().jobs.insert(job.clone());
+        self.valid_size += record.size;
+        self.stored.insert(job, record);
     }
 
     /// Removes a job; its records are removed with their rows.
     pub fn remove_job(&mut self, job: &Name) {
-        if let Some(row) = self.row_by_job.remove(job)
-            && let Some(jobs) = self.jobs_by_row.get_mut(&row)
-        {
-            jobs.remove(job);
+        if let Some(record) = self.stored.remove(job) {
+            self.valid_size = self.valid_size.saturating_sub(record.size);
+            if let Some(row) = self.rows.get_mut(&record.row) {
+                row.jobs.remove(job);
+            }
         }
     }
 
-    /// Queues jobs of the oldest rows for rewriting once there are `compaction_row_limit` rows.
+    /// Queues jobs of the oldest rows for rewriting once the journal is too large.
     fn compact(&mut self, compaction_row_limit: usize) {
-        if self.jobs_by_row.len() < compaction_row_limit {
+        let size_limit = MIN_COMPACTED_BYTES + self.valid_size * MAX_SIZE_FACTOR;
+        let is_too_large = self.rows.len() >= compaction_row_limit || self.total_size > size_limit;
+        if !is_too_large || !self.is_restored {
             return;
         }
-        let oldest = self.jobs_by_row.values().flatten();
+        let oldest = self.rows.values().flat_map(|row| &row.jobs);
         let moved: BTreeSet<Name> = oldest.take(MAX_COMPACTED_PER_COMMIT).cloned().collect();
+        self.moved.extend(moved.iter().cloned());
         self.enqueue(moved);
     }
 
-    /// Takes the oldest rows, while they hold no job's latest record, to be removed.
+    /// Takes the oldest rows, while they hold no job's latest full record, to be removed.
     fn take_empty_rows(&mut self, max_rows: usize) -> Vec<RowKey> {
         let mut removable = Vec::new();
-        while removable.len() < max_rows {
-            let Some(oldest) = self.jobs_by_row.first_entry().filter(|row| row.get().is_empty())
+        while self.is_restored && removable.len() < max_rows {
+            let Some(oldest) = self.rows.first_entry().filter(|row| row.get().jobs.is_empty())
             else {
                 break;
             };
-            removable.push(RowKey { table: POOL_TABLE, key: oldest.remove_entry().0 });
+            let (key, row) = oldest.remove_entry();
+            self.total_size = self.total_size.saturating_sub(row.size);
+            removable.push(RowKey { table: POOL_TABLE, key });
         }
         removable
     }
@@ -350,37 +393,49 @@
         ctx: &Context,
         scheduler: &Scheduler,
         commit: u64,
-    ) -> (Vec<WrittenJob>, Vec<RowWrite>) {
+    ) -> (Vec<(Name, Phase)>, Vec<RowWrite>) {
         let (mut jobs, mut writes) = (Vec::new(), Vec::new());
-        let (mut segment, mut filled, mut total) = (Segment::default(), 0, 0);
-        while total < ctx.config.max_transaction_bytes {
+        let (mut segment, mut packed_size) = (SegmentBuilder::default(), 0);
+        while packed_size + segment.size() < ctx.config.max_transaction_bytes {
             let Some(id) = self.write_queue.pop_front() else { break };
             self.queued.remove(&id);
             self.dequeued += 1;
+            let is_moved = self.moved.remove(&id);
             let Some(job) = scheduler.jobs.get(&id) else { continue };
-            let record = job.record();
-            let size = record.encoded_len() + RECORD_OVERHEAD_BYTES;
-            if filled + size > ctx.config.max_row_bytes && filled > 0 {
-                let full = std::mem::take(&mut segment);
-                writes.push(self.row_write(commit, writes.len(), &full));
-                filled = 0;
+            let diff = match self.stored.get(&id).filter(|_| !is_moved) {
+                Some(stored) => JobDiff::since(&stored.state, job),
+                None => JobDiff::full(job),
+            };
+            jobs.push((id.clone(), job.phase));
+            if diff.is_empty() {
+                continue;
+            }
+            if segment.size() > 0 && segment.size() + diff.max_size() > ctx.config.max_row_bytes {
+                packed_size += segment.size();
+                self.add_row_write(commit, &mut writes, std::mem::take(&mut segment));
+            }
+            let size = segment.add(&diff);
+            if diff.is_full() {
+                let row = self.row_key(commit, writes.len());
+                self.set_full_record(id, StoredJob { row, size, state: StoredState::of(job) });
+            } else if let Some(stored) = self.stored.get_mut(&id) {
+                stored.state.apply(&diff);
+                stored.size += size;
+                self.valid_size += size;
             }
-            filled += size;
-            total += size;
-            let row = self.row_key(commit, writes.len());
-            jobs.push(WrittenJob { id, phase: job.phase, row });
-            segment.jobs.push(record);
         }
-        if !segment.jobs.is_empty() {
-            writes.push(self.row_write(commit, writes.len(), &segment));
+        if segment.size() > 0 {
+            self.add_row_write(commit, &mut writes, segment);
         }
         (jobs, writes)
     }
 
-    /// The write of a journal row.
-    fn row_write(&self, commit: u64, number: usize, segment: &Segment) -> RowWrite {
-        let key = RowKey { table: POOL_TABLE, key: self.row_key(commit, number) };
-        RowWrite { key, value: segment.encode_to_vec() }
+    /// Adds the write of a journal row to those of a commit.
+    fn add_row_write(&mut self, commit: u64, writes: &mut Vec<RowWrite>, segment: SegmentBuilder) {
+        let key = self.row_key(commit, writes.len());
+        let value = segment.finish();
+        self.add_row(key.clone(), value.len());
+        writes.push(RowWrite { key: RowKey { table: POOL_TABLE, key }, value });
     }
 
     /// Key of a journal row; keys sort in write order.
@@ -483,12 +538,11 @@
         if batch.is_release {
             return CommitOutcome::Released;
         }
-        let mut jobs = Vec::with_capacity(batch.jobs.len());
-        for written in batch.jobs {
-            self.set_row(written.id.clone(), written.row);
-            jobs.push((written.id, written.phase));
+        CommitOutcome::Durable {
+            jobs: batch.jobs,
+            effects: batch.effects,
+            first_sent: batch.first_sent,
         }
-        CommitOutcome::Durable { jobs, effects: batch.effects, first_sent: batch.first_sent }
     }
 }
 
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -19,7 +19,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use scheduler::{Scheduler, WaitReason};
+use scheduler::{Scheduler, StoredState, WaitReason};
 
 use crate::Body;
 use crate::action::Action;
@@ -226,17 +226,34 @@
     pub fn handle_read(&mut self, ctx: &mut Context, call: u64, page: Option<Page>) {
         let outcome = self.journal.handle_head_read(ctx, call, page.as_ref());
         self.apply_outcome(ctx, outcome);
-        let Some(recovery) = &mut self.recovery else { return };
-        let Some(recovered) = recovery.handle_page(ctx, call, page) else { return };
-        for row in recovered.rows {
-            self.journal.add_row(row);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.handle_page(ctx, call, page);
         }
-        for (id, (row, record)) in recovered.jobs {
+    }
+
+    /// Continues the recovery and ends it once the leader may accept requests.
+    fn advance_recovery(&mut self, ctx: &mut Context) {
+        let Some(recovery) = &mut self.recovery else { return };
+        recovery.read_if_due(ctx);
+        for (id, mut recovered) in recovery.advance(ctx) {
             let now_ms = self.store_clock.ms_at(ctx.now);
-            let age = Duration::from_millis(now_ms.saturating_sub(record.arrived_ms));
-            let arrived = ctx.now.saturating_sub(age);
-            self.journal.set_row(common::Name::from(id.as_str()), row);
-            recovery::restore_job(ctx, &mut self.scheduler, record, arrived);
+            let age = Duration::from_millis(now_ms.saturating_sub(recovered.job.arrived_ms));
+            recovered.job.arrived = ctx.now.saturating_sub(age);
+            let state = StoredState::of(&recovered.job);
+            self.journal.restore_job(id, recovered.row, recovered.size, state);
+            self.scheduler.add_job(recovered.job);
+        }
+        if !recovery.is_done() {
+            return;
+        }
+        for (row, size) in recovery.take_rows() {
+            self.journal.add_row(row, size);
+        }
+        self.journal.finish_restoring();
+        if self.workers_cursor.is_some() {
+            self.recovery = None;
+            let jobs = self.scheduler.jobs.len();
+            log_event!(ctx, AcceptingRequests, "epoch" => self.epoch, "jobs" => jobs);
         }
     }
 
@@ -355,14 +372,7 @@
             return self.status;
         }
         self.start_due_watches(ctx);
-        if let Some(recovery) = &mut self.recovery {
-            recovery.read_if_due(ctx);
-            if recovery.is_done() && self.workers_cursor.is_some() {
-                self.recovery = None;
-                let jobs = self.scheduler.jobs.len();
-                log_event!(ctx, AcceptingRequests, "epoch" => self.epoch, "jobs" => jobs);
-            }
-        }
+        self.advance_recovery(ctx);
         if self.recovery.is_none() {
             self.run_scheduler(ctx);
         }
--- a/crates/control/src/lead/recovery.rs
+++ b/crates/control/src/lead/recovery.rs
@@ -1,17 +1,20 @@
 //! Recovery of a pool's state from the journal rows in the store.
+//!
+//! The next page is requested before the last one is decoded. Rows are decoded and jobs are
+//! restored a few with each input, so that the leader stays responsive.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use common::Name;
 use prost::Message;
-use scheduler::{Job, JobRecord, Scheduler, Segment};
+use scheduler::{ChangeRecord, Job, Restored, Segment};
 
 use crate::action::Action;
 use crate::event::log_event;
 use crate::head::{JOURNAL_KEY_END, JOURNAL_KEY_PREFIX, POOL_TABLE};
 use crate::node::Context;
-use crate::store::Page;
+use crate::store::{Page, Row};
 
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -19,7 +22,13 @@
 /// Timeout of a read of one page.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// A recovery under way, read page by page.
+/// Bytes of rows after which decoding continues with the next input.
+const DECODED_BYTES_PER_INPUT: usize = 64 * 1024;
+
+/// Most jobs that are restored with each input.
+const RESTORED_JOBS_PER_INPUT: usize = 250;
+
+/// A recovery under way.
 #[derive(Debug)]
 pub(crate) struct Recovery {
     /// Call number of the read under way.
@@ -28,43 +37,53 @@
     next_key: Name,
     /// Earliest time of the next read.
     retry_at: Duration,
+    /// Whether the last page has been received.
+    has_all_pages: bool,
+    /// Rows received but not decoded yet.
+    undecoded: VecDeque<Row>,
+    /// Key and size of each decoded row, in order.
+    rows: Vec<(Name, usize)>,
+    /// Jobs that the decoded rows give and that are not restored yet.
+    jobs: BTreeMap<Name, RecoveredJob>,
     is_done: bool,
-    /// Content of the pages read so far.
-    recovered: Recovered,
 }
 
-/// State read from the journal rows.
-#[derive(Debug, Default)]
-pub(crate) struct Recovered {
-    /// Each job's latest record and the key of its row, by job id.
-    pub jobs: BTreeMap<String, (Name, JobRecord)>,
-    /// Keys of all rows, in order.
-    pub rows: Vec<Name>,
+/// A job that was read from the journal.
+#[derive(Debug)]
+pub(crate) struct RecoveredJob {
+    /// Key of the row with its latest full record.
+    pub row: Name,
+    /// Size of that record and the changes since, in bytes.
+    pub size: usize,
+    /// Its state.
+    pub job: Job,
 }
 
 impl Recovery {
     /// Starts to read the journal rows.
     pub fn start(ctx: &mut Context) -> Self {
-        let next_key = Name::new(JOURNAL_KEY_PREFIX);
         let mut recovery = Self {
             pending_read: None,
-            next_key,
+            next_key: Name::new(JOURNAL_KEY_PREFIX),
             retry_at: ctx.now,
+            has_all_pages: false,
+            undecoded: VecDeque::new(),
+            rows: Vec::new(),
+            jobs: BTreeMap::new(),
             is_done: false,
-            recovered: Recovered::default(),
         };
         recovery.read_if_due(ctx);
         recovery
     }
 
-    /// Whether all rows have been read.
+    /// Whether all jobs have been restored.
     pub fn is_done(&self) -> bool {
         self.is_done
     }
 
     /// Requests the next page, unless one is pending or not due.
     pub fn read_if_due(&mut self, ctx: &mut Context) {
-        if self.is_done || self.pending_read.is_some() || ctx.now < self.retry_at {
+        if self.has_all_pages || self.pending_read.is_some() || ctx.now < self.retry_at {
             return;
         }
         let call = ctx.next_call_id();
@@ -78,56 +97,86 @@
         });
     }
 
-    /// Adds a page; returns the whole state after the last one.
-    pub fn handle_page(
-        &mut self,
-        ctx: &mut Context,
-        call: u64,
-        page: Option<Page>,
-    ) -> Option<Recovered> {
+    /// Queues a page's rows and requests the next one; without a page, retries later.
+    pub fn handle_page(&mut self, ctx: &mut Context, call: u64, page: Option<Page>) {
         if self.pending_read != Some(call) {
-            return None;
+            return;
         }
         self.pending_read = None;
         let Some(page) = page else {
             self.retry_at = ctx.now + READ_RETRY_DELAY;
-            return None;
+            return;
         };
-        self.is_done = !page.has_more;
+        self.has_all_pages = !page.has_more;
         if let Some(last) = page.rows.last() {
             self.next_key = Name::from(format!("{}\0", last.key).as_str());
         }
-        for row in page.rows {
+        self.undecoded.extend(page.rows);
+        self.read_if_due(ctx);
+    }
+
+    /// Decodes some rows or, once all are decoded, returns some jobs to restore.
+    pub fn advance(&mut self, ctx: &Context) -> Vec<(Name, RecoveredJob)> {
+        let mut decoded = 0;
+        while decoded < DECODED_BYTES_PER_INPUT {
+            let Some(row) = self.undecoded.pop_front() else { break };
+            decoded += row.value.len();
+            self.rows.push((row.key.clone(), row.value.len()));
             match Segment::decode(&*row.value) {
-                Ok(segment) => self.merge_segment(row.key, segment),
+                Ok(segment) => self.merge_segment(ctx, &row.key, segment),
                 Err(error) => {
                     log_event!(ctx, RowIgnored, "key" => %row.key, "reason" => %error);
                 }
             }
         }
-        self.is_done.then(|| std::mem::take(&mut self.recovered))
+        if decoded > 0 || !self.has_all_pages {
+            return Vec::new();
+        }
+        let mut slice = Vec::new();
+        while slice.len() < RESTORED_JOBS_PER_INPUT {
+            let Some(job) = self.jobs.pop_first() else {
+                self.is_done = true;
+                break;
+            };
+            slice.push(job);
+        }
+        slice
     }
 
-    /// Adds a row, whose records replace earlier ones; rows come in write order.
-    fn merge_segment(&mut self, row: Name, segment: Segment) {
-        for record in segment.jobs {
-            let id = record.submission.id.clone();
-            self.recovered.jobs.insert(id, (row.clone(), record));
-        }
-        self.recovered.rows.push(row);
+    /// Takes the key and size of each row.
+    pub fn take_rows(&mut self) -> Vec<(Name, usize)> {
+        std::mem::take(&mut self.rows)
     }
-}
 
-/// Admits a stored job to the scheduler; logs and skips invalid records.
-pub(crate) fn restore_job(
-    ctx: &Context,
-    scheduler: &mut Scheduler,
-    record: JobRecord,
-    arrived: Duration,
-) {
-    let id = record.submission.id.clone();
-    match Job::from_record(record, arrived) {
-        Some(job) => scheduler.add_job(job),
-        None => log_event!(ctx, RowIgnored, "key" => id, "reason" => "job record is invalid"),
+    /// Merges a row; rows come in write order.
+    fn merge_segment(&mut self, ctx: &Context, row: &Name, segment: Segment) {
+        segment.restore(|restored, size, workers| match restored {
+            Restored::Job(job) => {
+                let recovered = RecoveredJob { row: row.clone(), size, job };
+                self.jobs.insert(recovered.job.id.clone(), recovered);
+            }
+            Restored::Change(change) => self.merge_change(ctx, row, change, size, workers),
+            Restored::Invalid(id) => {
+                log_event!(ctx, RowIgnored, "key" => id, "reason" => "job record is invalid");
+            }
+        });
+    }
+
+    /// Applies a change to its job.
+    fn merge_change(
+        &mut self,
+        ctx: &Context,
+        row: &Name,
+        change: ChangeRecord,
+        size: usize,
+        workers: &[Name],
+    ) {
+        // The full record of a job that was removed goes before the changes in later rows.
+        let Some(recovered) = self.jobs.get_mut(&*change.id) else { return };
+        recovered.size += size;
+        if !recovered.job.apply_states(change.states, workers) {
+            log_event!(ctx, RowIgnored, "key" => %row, "reason" => "change of a job is invalid",
+                "job" => change.id);
+        }
     }
 }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -104,10 +104,16 @@
 }
 
 impl Task {
-    fn new() -> Self {
+    /// Creates a task without runs.
+    pub(crate) fn new() -> Self {
         Self { is_done: false, run: 0, failed_runs: 0, worker: None, checkpoint: Name::default() }
     }
 
+    /// Whether it has had no run.
+    pub(crate) fn is_initial(&self) -> bool {
+        self.run == 0 && !self.is_done && self.failed_runs == 0 && self.checkpoint.is_empty()
+    }
+
     /// Whether it is neither done nor assigned to a worker.
     pub fn is_waiting(&self) -> bool {
         !self.is_done && self.worker.is_none()
@@ -175,10 +181,15 @@
     }
 
     /// Whether any task is assigned to a worker.
-    fn has_runs(&self) -> bool {
+    pub(crate) fn has_runs(&self) -> bool {
         self.steps.iter().any(|step| step.tasks.iter().any(|task| task.worker.is_some()))
     }
 
+    /// Whether its record must tell its submission and tasks.
+    pub(crate) fn needs_details(&self) -> bool {
+        self.phase == Phase::Open || self.has_runs()
+    }
+
     /// The record to store; reduced once the job has ended without remaining runs.
     pub fn record(&self) -> JobRecord {
         let is_open = self.phase == Phase::Open;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod rules;
 mod runs;
 mod scheduler;
+mod segment;
 mod step;
 mod validation;
 mod worker;
@@ -23,11 +24,13 @@
 pub use job::{Job, JobState, Phase, Task, TaskKey};
 pub use pool::Pool;
 pub use record::{
-    JobRecord, QueueRecord, Resources, Segment, Step, StepRecord, Submission, TaskRecord,
+    ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
+    Step, StepRecord, Submission, TaskRecord, TaskStates,
 };
 pub use rules::{AdvicePolicy, Limits, Queue, Rules};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
+pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState};
 pub use step::{Eligibility, StepState};
 pub use validation::{SubmissionError, is_job_id};
 pub use worker::{Assignment, Registration, RunState, Worker};
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -174,7 +174,7 @@
     pub hint_validity_ms: u32,
 }
 
-/// The row of a job.
+/// A job's record as written by earlier versions.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JobRecord {
     /// The submission; only its id once the job has ended without remaining runs.
@@ -200,10 +200,115 @@
     pub queue_rules: Option<QueueRecord>,
 }
 
-/// Job records written together.
+/// A queue that records of a segment refer to.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct QueueEntry {
+    /// Name of the queue.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Rules at a job's submission; `None` if they are unknown.
+    #[prost(message, optional, tag = "2")]
+    pub rules: Option<QueueRecord>,
+}
+
+/// States of some tasks of a job.
+///
+/// Tasks are numbered through all steps of the job. A task that is listed in `tasks` has
+/// exactly the state given here; any other is as it was before, which is initial in the full
+/// record of a job.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TaskStates {
+    /// Three numbers for each task: its number, twice its latest run plus 1 if it is done, and
+    /// the position of its worker in the segment's list plus 1, or 0 for none.
+    #[prost(uint32, repeated, tag = "1")]
+    pub tasks: Vec<u32>,
+    /// Two numbers for each task with failed runs: its number and the count.
+    #[prost(uint32, repeated, tag = "2")]
+    pub failed: Vec<u32>,
+    /// Numbers of tasks with a checkpoint.
+    #[prost(uint32, repeated, tag = "3")]
+    pub saved_tasks: Vec<u32>,
+    /// The checkpoint of each task in `saved_tasks`.
+    #[prost(string, repeated, tag = "4")]
+    pub saved: Vec<String>,
+    /// Two numbers for each changed step: its index and the latest gang run counted as failed.
+    #[prost(uint32, repeated, tag = "5")]
+    pub failed_runs: Vec<u32>,
+}
+
+/// Full record of a job that is open or has runs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FullRecord {
+    /// The submission.
+    #[prost(message, required, tag = "1")]
+    pub submission: Submission,
+    /// Position of the queue in the segment's list.
+    #[prost(uint32, tag = "2")]
+    pub queue: u32,
+    /// Time of arrival by the store's clock, in ms.
+    #[prost(uint64, tag = "3")]
+    pub arrived_ms: u64,
+    /// 0 open, 1 completed, 2 failed, 3 cancelled.
+    #[prost(uint32, tag = "4")]
+    pub phase: u32,
+    /// Time of the end by the store's clock, in ms; 0 while open.
+    #[prost(uint64, tag = "5")]
+    pub ended_ms: u64,
+    /// States of tasks that are not initial.
+    #[prost(message, required, tag = "6")]
+    pub states: TaskStates,
+}
+
+/// Change of a job's tasks since its previous record.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ChangeRecord {
+    /// Id of the job.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// States of the tasks that changed.
+    #[prost(message, required, tag = "2")]
+    pub states: TaskStates,
+}
+
+/// Full record of a job that has ended without remaining runs.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct EndedRecord {
+    /// Id of the job.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Position of the queue in the segment's list.
+    #[prost(uint32, tag = "2")]
+    pub queue: u32,
+    /// Time of arrival by the store's clock, in ms.
+    #[prost(uint64, tag = "3")]
+    pub arrived_ms: u64,
+    /// 1 completed, 2 failed, 3 cancelled.
+    #[prost(uint32, tag = "4")]
+    pub phase: u32,
+    /// Time of the end by the store's clock, in ms.
+    #[prost(uint64, tag = "5")]
+    pub ended_ms: u64,
+}
+
+/// Records written together, at most one of each job.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Segment {
-    /// One record for each job, as of the write.
+    /// Full records in the form of earlier versions, which is still read.
     #[prost(message, repeated, tag = "1")]
     pub jobs: Vec<JobRecord>,
+    /// Queues that other records refer to.
+    #[prost(message, repeated, tag = "2")]
+    pub queues: Vec<QueueEntry>,
+    /// Ids of workers that other records refer to.
+    #[prost(string, repeated, tag = "3")]
+    pub workers: Vec<String>,
+    /// Full records of jobs.
+    #[prost(message, repeated, tag = "4")]
+    pub full: Vec<FullRecord>,
+    /// Changes of jobs whose full record is in an earlier segment.
+    #[prost(message, repeated, tag = "5")]
+    pub changes: Vec<ChangeRecord>,
+    /// Records of ended jobs.
+    #[prost(message, repeated, tag = "6")]
+    pub ended: Vec<EndedRecord>,
 }
--- /dev/null
+++ b/crates/scheduler/src/segment.rs
@@ -0,0 +1,376 @@
+//! Conversion of jobs to the records of a segment and back.
+//!
+//! The first record of a job is full. Later ones tell only the tasks that changed, so they are
+//! valid together with the full record and all changes before them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use common::Name;
+use prost::Message;
+
+use crate::job::{Job, Phase, Task};
+use crate::record::{
+    ChangeRecord, EndedRecord, FullRecord, QueueEntry, Segment, Submission, TaskStates,
+};
+
+/// Most bytes that a record's or name's tag and length take in a segment.
+const FIELD_OVERHEAD_BYTES: usize = 6;
+
+/// Most bytes of a full record or change without its submission or id and its tasks.
+const MAX_FIXED_BYTES: usize = 64;
+
+/// Most bytes of the numbers that a record holds for a task.
+const MAX_TASK_BYTES: usize = 30;
+
+/// What the store holds of a job's state.
+#[derive(Debug, Clone)]
+pub struct StoredState {
+    phase: Phase,
+    /// State of each step; empty for an ended job's record.
+    steps: Vec<StoredStep>,
+}
+
+#[derive(Debug, Clone)]
+struct StoredStep {
+    tasks: Vec<Task>,
+    failed_run: u32,
+}
+
+/// The kinds of records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordKind {
+    Full,
+    Change,
+    Ended,
+}
+
+/// What is to be written of a job.
+#[derive(Debug)]
+pub struct JobDiff<'a> {
+    job: &'a Job,
+    kind: RecordKind,
+    /// Tasks that the record tells, by their number in the job.
+    tasks: Vec<(u32, &'a Task)>,
+    /// Index and latest failed gang run of each step whose failed run the record tells.
+    failed_runs: Vec<(u32, u32)>,
+}
+
+/// Collects records into a segment.
+#[derive(Debug, Default)]
+pub struct SegmentBuilder {
+    segment: Segment,
+    worker_positions: HashMap<Name, u32>,
+    /// Upper bound of the encoded size.
+    size: usize,
+}
+
+/// A record read from a segment.
+#[derive(Debug)]
+pub enum Restored {
+    /// A job's full state.
+    Job(Job),
+    /// A change of a job.
+    Change(ChangeRecord),
+    /// An inconsistent record of the job with this id.
+    Invalid(String),
+}
+
+impl StoredState {
+    /// The state of a job that is about to be stored, or that was read.
+    pub fn of(job: &Job) -> Self {
+        let steps = job.steps.iter().filter(|_| job.needs_details());
+        let to_stored = |step: &crate::StepState| StoredStep {
+            tasks: step.tasks.clone(),
+            failed_run: step.failed_run,
+        };
+        Self { phase: job.phase, steps: steps.map(to_stored).collect() }
+    }
+
+    /// Takes over what a diff tells.
+    pub fn apply(&mut self, diff: &JobDiff<'_>) {
+        for (number, task) in &diff.tasks {
+            let tasks = self.steps.iter_mut().flat_map(|step| &mut step.tasks);
+            if let Some(stored) = tasks.into_iter().nth(*number as usize) {
+                *stored = (*task).clone();
+            }
+        }
+        for (index, failed_run) in &diff.failed_runs {
+            if let Some(step) = self.steps.get_mut(*index as usize) {
+                step.failed_run = *failed_run;
+            }
+        }
+    }
+}
+
+impl<'a> JobDiff<'a> {
+    /// What a full record of a job tells.
+    pub fn full(job: &'a Job) -> Self {
+        let (mut tasks, mut failed_runs) = (Vec::new(), Vec::new());
+        if !job.needs_details() {
+            return Self { job, kind: RecordKind::Ended, tasks, failed_runs };
+        }
+        let mut number = 0;
+        for (index, step) in job.steps.iter().enumerate() {
+            for task in &step.tasks {
+                if !task.is_initial() {
+                    tasks.push((number, task));
+                }
+                number += 1;
+            }
+            if step.failed_run > 0 {
+                failed_runs.push((index as u32, step.failed_run));
+            }
+        }
+        Self { job, kind: RecordKind::Full, tasks, failed_runs }
+    }
+
+    /// What changed of a job since `stored`; a full record if its phase changed.
+    pub fn since(stored: &StoredState, job: &'a Job) -> Self {
+        let has_details = !stored.steps.is_empty();
+        if job.phase != stored.phase || job.needs_details() != has_details {
+            return Self::full(job);
+        }
+        let (mut tasks, mut failed_runs) = (Vec::new(), Vec::new());
+        let mut number = 0;
+        for (index, (step, known)) in job.steps.iter().zip(&stored.steps).enumerate() {
+            for (task, known) in step.tasks.iter().zip(&known.tasks) {
+                if task != known {
+                    tasks.push((number, task));
+                }
+                number += 1;
+            }
+            if step.failed_run != known.failed_run {
+                failed_runs.push((index as u32, step.failed_run));
+            }
+        }
+        Self { job, kind: RecordKind::Change, tasks, failed_runs }
+    }
+
+    /// Whether it is a full record.
+    pub fn is_full(&self) -> bool {
+        self.kind != RecordKind::Change
+    }
+
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        !self.is_full() && self.tasks.is_empty() && self.failed_runs.is_empty()
+    }
+
+    /// Upper bound of the bytes that it adds to a segment.
+    pub fn max_size(&self) -> usize {
+        let queue_rules = self.job.queue_rules.as_ref().map_or(0, Message::encoded_len);
+        let queue = self.job.queue.len() + queue_rules + 2 * FIELD_OVERHEAD_BYTES;
+        let fixed = match self.kind {
+            RecordKind::Full => self.job.submission.encoded_len() + queue,
+            RecordKind::Change => self.job.id.len(),
+            RecordKind::Ended => self.job.id.len() + queue,
+        };
+        let task_size = |(_, task): &(u32, &Task)| {
+            MAX_TASK_BYTES
+                + task.worker.as_ref().map_or(0, |worker| worker.len() + FIELD_OVERHEAD_BYTES)
+                + task.checkpoint.len()
+                + FIELD_OVERHEAD_BYTES
+        };
+        let tasks: usize = self.tasks.iter().map(task_size).sum();
+        MAX_FIXED_BYTES + fixed + tasks + self.failed_runs.len() * MAX_TASK_BYTES
+    }
+}
+
+impl SegmentBuilder {
+    /// Upper bound of the segment's encoded size.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
+    /// Adds a record; returns its approximate size.
+    pub fn add(&mut self, diff: &JobDiff<'_>) -> usize {
+        let before = self.size;
+        let job = diff.job;
+        let states = self.task_states(diff);
+        let record_size = match diff.kind {
+            RecordKind::Full => {
+                let record = FullRecord {
+                    submission: job.submission.clone(),
+                    queue: self.queue_position(job),
+                    arrived_ms: job.arrived_ms,
+                    phase: job.phase.number(),
+                    ended_ms: job.ended_ms,
+                    states,
+                };
+                let size = record.encoded_len();
+                self.segment.full.push(record);
+                size
+            }
+            RecordKind::Change => {
+                let record = ChangeRecord { id: job.id.to_string(), states };
+                let size = record.encoded_len();
+                self.segment.changes.push(record);
+                size
+            }
+            RecordKind::Ended => {
+                let record = EndedRecord {
+                    id: job.id.to_string(),
+                    queue: self.queue_position(job),
+                    arrived_ms: job.arrived_ms,
+                    phase: job.phase.number(),
+                    ended_ms: job.ended_ms,
+                };
+                let size = record.encoded_len();
+                self.segment.ended.push(record);
+                size
+            }
+        };
+        self.size += record_size + FIELD_OVERHEAD_BYTES;
+        self.size - before
+    }
+
+    /// The encoded segment.
+    pub fn finish(self) -> Vec<u8> {
+        self.segment.encode_to_vec()
+    }
+
+    /// Position of a job's queue in the segment's list.
+    fn queue_position(&mut self, job: &Job) -> u32 {
+        // The state of an ended job does not depend on its queue's rules.
+        let rules = job.queue_rules.as_ref().filter(|_| job.phase == Phase::Open);
+        let is_same =
+            |entry: &QueueEntry| *entry.name == *job.queue && entry.rules.as_ref() == rules;
+        if let Some(position) = self.segment.queues.iter().position(is_same) {
+            return position as u32;
+        }
+        let entry = QueueEntry { name: job.queue.to_string(), rules: rules.cloned() };
+        self.size += entry.encoded_len() + FIELD_OVERHEAD_BYTES;
+        self.segment.queues.push(entry);
+        self.segment.queues.len() as u32 - 1
+    }
+
+    /// Position of a worker in the segment's list plus 1, or 0 for none.
+    fn worker_number(&mut self, worker: Option<&Name>) -> u32 {
+        let Some(worker) = worker else { return 0 };
+        let next = self.worker_positions.len() as u32;
+        let position = *self.worker_positions.entry(worker.clone()).or_insert(next);
+        if position == next {
+            self.size += worker.len() + FIELD_OVERHEAD_BYTES;
+            self.segment.workers.push(worker.to_string());
+        }
+        position + 1
+    }
+
+    /// Encodes the task states of a diff.
+    fn task_states(&mut self, diff: &JobDiff<'_>) -> TaskStates {
+        let mut states = TaskStates::default();
+        for (number, task) in &diff.tasks {
+            let run = task.run * 2 + u32::from(task.is_done);
+            let worker = self.worker_number(task.worker.as_ref());
+            states.tasks.extend([*number, run, worker]);
+            if task.failed_runs > 0 {
+                states.failed.extend([*number, task.failed_runs]);
+            }
+            if !task.checkpoint.is_empty() {
+                states.saved_tasks.push(*number);
+                states.saved.push(task.checkpoint.to_string());
+            }
+        }
+        for (index, failed_run) in &diff.failed_runs {
+            states.failed_runs.extend([*index, *failed_run]);
+        }
+        states
+    }
+}
+
+impl Segment {
+    /// Passes each record to `visit`, with its size and the names of the segment's workers.
+    pub fn restore(self, mut visit: impl FnMut(Restored, usize, &[Name])) {
+        let workers: Vec<Name> = self.workers.iter().map(|id| Name::new(id)).collect();
+        for record in self.jobs {
+            let size = record.encoded_len();
+            let id = record.submission.id.clone();
+            let job = Job::from_record(record, Duration::ZERO);
+            visit(job.map_or(Restored::Invalid(id), Restored::Job), size, &workers);
+        }
+        for record in self.full {
+            let size = record.encoded_len();
+            let id = record.submission.id.clone();
+            let job = job_from_full_record(record, &self.queues, &workers);
+            visit(job.map_or(Restored::Invalid(id), Restored::Job), size, &workers);
+        }
+        for record in self.ended {
+            let size = record.encoded_len();
+            let id = record.id.clone();
+            let job = job_from_ended_record(record, &self.queues);
+            visit(job.map_or(Restored::Invalid(id), Restored::Job), size, &workers);
+        }
+        for record in self.changes {
+            let size = record.encoded_len();
+            visit(Restored::Change(record), size, &workers);
+        }
+    }
+}
+
+impl Job {
+    /// Applies states read from a record; false if they are inconsistent with the job.
+    pub fn apply_states(&mut self, states: TaskStates, workers: &[Name]) -> bool {
+        let mut tasks: Vec<&mut Task> =
+            self.steps.iter_mut().flat_map(|step| &mut step.tasks).collect();
+        for state in states.tasks.chunks(3) {
+            let [number, run, worker] = *state else { return false };
+            let Some(task) = tasks.get_mut(number as usize) else { return false };
+            let worker = match (worker as usize).checked_sub(1) {
+                None => None,
+                Some(position) => match workers.get(position) {
+                    None => return false,
+                    found => found.cloned(),
+                },
+            };
+            **task = Task { is_done: run % 2 == 1, run: run / 2, worker, ..Task::new() };
+            self.has_started |= task.is_done;
+        }
+        for pair in states.failed.chunks(2) {
+            let [number, failed_runs] = *pair else { return false };
+            let Some(task) = tasks.get_mut(number as usize) else { return false };
+            task.failed_runs = failed_runs;
+            self.has_started = true;
+        }
+        for (number, checkpoint) in states.saved_tasks.iter().zip(states.saved) {
+            let Some(task) = tasks.get_mut(*number as usize) else { return false };
+            task.checkpoint = Name::from(checkpoint);
+            self.has_started = true;
+        }
+        for pair in states.failed_runs.chunks(2) {
+            let [index, failed_run] = *pair else { return false };
+            let Some(step) = self.steps.get_mut(index as usize) else { return false };
+            step.failed_run = failed_run;
+        }
+        true
+    }
+}
+
+/// Creates a job from its full record; `None` if the record is inconsistent.
+fn job_from_full_record(
+    record: FullRecord,
+    queues: &[QueueEntry],
+    workers: &[Name],
+) -> Option<Job> {
+    let phase = Phase::from_number(record.phase)?;
+    let queue = queues.get(record.queue as usize)?;
+    let name = Name::new(&queue.name);
+    let mut job = Job::new(record.submission, name, Duration::ZERO, record.arrived_ms);
+    job.queue_rules.clone_from(&queue.rules);
+    job.phase = phase;
+    job.durable_phase = Some(phase);
+    job.ended_ms = record.ended_ms;
+    job.apply_states(record.states, workers).then_some(job)
+}
+
+/// Creates a job from an ended job's record; `None` if the record is inconsistent.
+fn job_from_ended_record(record: EndedRecord, queues: &[QueueEntry]) -> Option<Job> {
+    let phase = Phase::from_number(record.phase).filter(|phase| *phase != Phase::Open)?;
+    let queue = Name::new(&queues.get(record.queue as usize)?.name);
+    let submission = Submission { id: record.id, ..Submission::default() };
+    let mut job = Job::new(submission, queue, Duration::ZERO, record.arrived_ms);
+    job.phase = phase;
+    job.durable_phase = Some(phase);
+    job.ended_ms = record.ended_ms;
+    Some(job)
+}
--- /dev/null
+++ b/crates/scheduler/tests/segment.rs
@@ -0,0 +1,158 @@
+//! Conversion of jobs to records and back.
+
+mod support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use common::Name;
+use prost::Message;
+use scheduler::{Job, JobDiff, Phase, Restored, Segment, SegmentBuilder, StoredState, Submission};
+use support::step;
+
+/// Small deterministic generator.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (self.0 >> 33) % bound
+    }
+}
+
+fn new_job(id: &str) -> Job {
+    let submission =
+        Submission { id: id.to_owned(), payload: "p".to_owned(), steps: vec![step(3), step(40)] };
+    let mut job = Job::new(submission, Name::new("q"), Duration::ZERO, 7);
+    job.queue_rules = Some(support::rules(None).queues[0].record());
+    job
+}
+
+/// Changes a few tasks at random.
+fn change_tasks(job: &mut Job, random: &mut Random) {
+    for _ in 0..random.below(4) {
+        let step = &mut job.steps[random.below(2) as usize];
+        step.failed_run = random.below(3) as u32;
+        let index = random.below(step.tasks.len() as u64) as usize;
+        let task = &mut step.tasks[index];
+        task.run += 1;
+        task.is_done = random.below(3) == 0;
+        task.failed_runs = random.below(3) as u32;
+        let worker = format!("w{}", random.below(200));
+        task.worker = (!task.is_done && random.below(2) == 0).then(|| Name::from(worker));
+        let checkpoint = if random.below(3) == 0 { "saved" } else { "" };
+        task.checkpoint = Name::new(checkpoint);
+    }
+}
+
+/// Reads jobs from segments in order.
+fn restore(segments: &[Vec<u8>]) -> HashMap<Name, Job> {
+    let mut jobs: HashMap<Name, Job> = HashMap::new();
+    for value in segments {
+        let segment = Segment::decode(&**value).expect("the segment decodes");
+        segment.restore(|restored, _, workers| match restored {
+            Restored::Job(job) => {
+                jobs.insert(job.id.clone(), job);
+            }
+            Restored::Change(change) => {
+                let job = jobs.get_mut(&*change.id).expect("the job has a full record");
+                assert!(job.apply_states(change.states, workers));
+            }
+            Restored::Invalid(id) => panic!("the record of {id} is invalid"),
+        });
+    }
+    jobs
+}
+
+fn assert_same(restored: &Job, job: &Job) {
+    assert_eq!(restored.steps, job.steps);
+    assert_eq!(restored.submission, job.submission);
+    assert_eq!((restored.phase, restored.queue.clone()), (job.phase, job.queue.clone()));
+    assert_eq!((restored.arrived_ms, restored.ended_ms), (job.arrived_ms, job.ended_ms));
+    assert_eq!(restored.queue_rules, job.queue_rules);
+}
+
+#[test]
+fn restore_full_and_changes() {
+    for seed in 0..200 {
+        let mut random = Random(seed);
+        let mut jobs = [new_job("a"), new_job("b")];
+        let mut stored: HashMap<Name, StoredState> = HashMap::new();
+        let mut segments = Vec::new();
+        for _ in 0..20 {
+            let mut builder = SegmentBuilder::default();
+            for job in &mut jobs {
+                change_tasks(job, &mut random);
+                let diff = match stored.get(&job.id).filter(|_| random.below(5) > 0) {
+                    Some(state) => JobDiff::since(state, job),
+                    None => JobDiff::full(job),
+                };
+                let (before, max_size) = (builder.size(), diff.max_size());
+                let size = builder.add(&diff);
+                assert!(builder.size() == before + size && size <= max_size, "seed {seed}");
+                if diff.is_full() {
+                    stored.insert(job.id.clone(), StoredState::of(job));
+                } else if let Some(state) = stored.get_mut(&job.id) {
+                    state.apply(&diff);
+                }
+            }
+            let size = builder.size();
+            let value = builder.finish();
+            assert!(value.len() <= size, "seed {seed}");
+            segments.push(value);
+            let restored = restore(&segments);
+            for job in &jobs {
+                assert_same(&restored[&job.id], job);
+            }
+        }
+    }
+}
+
+#[test]
+fn restore_earlier_form() {
+    let mut job = new_job("a");
+    change_tasks(&mut job, &mut Random(3));
+    let earlier = Segment { jobs: vec![job.record()], ..Segment::default() };
+    let mut segments = vec![earlier.encode_to_vec()];
+    assert_same(&restore(&segments)["a"], &job);
+    let stored = StoredState::of(&job);
+    change_tasks(&mut job, &mut Random(5));
+    let mut builder = SegmentBuilder::default();
+    let diff = JobDiff::since(&stored, &job);
+    assert!(!diff.is_full() && !diff.is_empty());
+    builder.add(&diff);
+    segments.push(builder.finish());
+    assert_same(&restore(&segments)["a"], &job);
+}
+
+#[test]
+fn since_unchanged_is_empty() {
+    let mut job = new_job("a");
+    change_tasks(&mut job, &mut Random(3));
+    assert!(JobDiff::since(&StoredState::of(&job), &job).is_empty());
+    job.phase = Phase::Cancelled;
+    assert!(JobDiff::since(&StoredState::of(&job), &job).is_empty());
+}
+
+#[test]
+fn since_ended_is_full_and_reduced() {
+    let mut job = new_job("a");
+    job.steps[0].tasks[0].worker = Some(Name::new("w"));
+    job.steps[0].tasks[0].run = 1;
+    let open = StoredState::of(&job);
+    job.phase = Phase::Cancelled;
+    job.ended_ms = 9;
+    let diff = JobDiff::since(&open, &job);
+    assert!(diff.is_full());
+    let with_run = StoredState::of(&job);
+    job.steps[0].tasks[0].worker = None;
+    let diff = JobDiff::since(&with_run, &job);
+    assert!(diff.is_full());
+    let mut builder = SegmentBuilder::default();
+    builder.add(&diff);
+    let ended = &restore(&[builder.finish()])["a"];
+    assert_eq!((ended.phase, ended.ended_ms, ended.steps.len()), (Phase::Cancelled, 9, 0));
+    let reduced = StoredState::of(&job);
+    job.drop_details();
+    assert!(JobDiff::since(&reduced, &job).is_empty());
+}
