control: unchanged registrations of workers have no effect

Each worker rewrites its row with every heartbeat, so each poll of the list, every 400 ms, returned many registrations without a change. Each poll replaced them in the pool and requested a placement pass; a full list compared each worker with each registration (350 x 350 comparisons of names).

Not changed: the bytes of a poll. The store's feed returns a row for each heartbeat whatever the interval.

--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -1,7 +1,11 @@
 //! Watches of the operator's rules and of the list of workers.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
+use common::Name;
+use scheduler::Registration;
+
 use crate::WatchTarget;
 use crate::action::Action;
 use crate::event::log_event;
@@ -49,6 +53,7 @@
                 "queues" => rules.queues.len());
             ctx.actions.push(Action::SetRequestLimits(RequestLimits::from(&rules.limits)));
             self.scheduler.set_rules(rules);
+            self.needs_placement = true;
             self.broadcast_members(ctx);
         }
         if target == WatchTarget::Workers {
@@ -56,33 +61,40 @@
                 self.unlist_missing(ctx, &change.registrations);
             }
             for registration in change.registrations {
-                self.leases.update_registration(ctx, &registration);
-                self.scheduler.pool.register(registration);
+                self.update_worker(ctx, registration);
             }
             for id in change.removed {
                 self.unlist_worker(ctx, &id);
             }
         }
+    }
+
+    /// Applies a worker's registration; heartbeats rewrite its row without a change.
+    fn update_worker(&mut self, ctx: &Context, registration: Registration) {
+        let known = self.scheduler.pool.get(&registration.id);
+        if known.is_some_and(|known| known.is_listed && known.registration == registration) {
+            return;
+        }
+        self.leases.update_registration(ctx, &registration);
+        self.scheduler.pool.register(registration);
         self.needs_placement = true;
     }
 
     /// Unlists the workers that a full list does not contain.
-    fn unlist_missing(&mut self, ctx: &mut Context, registrations: &[scheduler::Registration]) {
-        let is_missing = |worker: &&scheduler::Worker| {
-            worker.is_listed
-                && !registrations
-                    .iter()
-                    .any(|registration| registration.id == worker.registration.id)
-        };
-        let missing = self.scheduler.pool.iter().filter(is_missing);
-        let missing: Vec<_> = missing.map(|worker| worker.registration.id.clone()).collect();
+    fn unlist_missing(&mut self, ctx: &mut Context, registrations: &[Registration]) {
+        let listed: HashSet<&Name> =
+            registrations.iter().map(|registration| &registration.id).collect();
+        let workers = self.scheduler.pool.iter().filter(|worker| worker.is_listed);
+        let missing = workers.map(|worker| &worker.registration.id);
+        let missing: Vec<Name> = missing.filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
             self.unlist_worker(ctx, &id);
         }
     }
 
     /// Marks a worker as unlisted, and drops its lease if it holds no runs.
-    fn unlist_worker(&mut self, ctx: &mut Context, id: &common::Name) {
+    fn unlist_worker(&mut self, ctx: &mut Context, id: &Name) {
+        self.needs_placement = true;
         log_event!(ctx, WorkerUnlisted, "worker" => %id);
         if self.scheduler.mark_unlisted(id) {
             self.leases.remove(id);
