--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -3,7 +3,8 @@
 //! A leader writes the head row at least every 250 ms. A follower that lost its leader reads
 //! the row twice and claims leadership only if the row has not changed in between. The claim
 //! is conditional on the version that was read, so it fails if the leader is alive after all,
-//! and two claims never both succeed.
+//! and two claims never both succeed. A daemon waits longer before its claim if it knows others
+//! of larger capacity, which lead better.
 
 mod probe;
 
@@ -13,6 +14,7 @@
 use prost::Message;
 
 use crate::action::Action;
+use crate::config::Capacity;
 use crate::event::log_event;
 use crate::frame::{Body, Heartbeat};
 use crate::head::{HEAD_KEY, Head, POOL_TABLE, read_head};
@@ -23,9 +25,24 @@
 /// Time without a heartbeat after which the leader is suspected to have failed.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// Longest such time; it applies to a leader whose heartbeats have been late.
+const MAX_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1300);
+
+/// Multiple of the time between late heartbeats after which the leader is suspected.
+const HEARTBEAT_TIMEOUT_FACTOR: u32 = 2;
+
+/// Share that the longest time between heartbeats keeps with each further one.
+const HEARTBEAT_INTERVAL_DECAY: f64 = 0.8;
+
 /// Timeout for the leader's welcome on a new connection.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Most wrong suspicions of a leader that make followers more patient with it.
+const MAX_COUNTED_SUSPICIONS: u32 = 2;
+
+/// Time without a wrong suspicion after which earlier ones are forgotten.
+const SUSPICION_MEMORY: Duration = Duration::from_secs(10);
+
 /// Age of the leader's last commit above which it is suspected, in ms.
 const MAX_STORE_AGE_MS: u32 = 600;
 
@@ -51,6 +68,12 @@
 /// Delay after a resignation before followers other than the named successor claim.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_millis(300);
 
+/// Additional delay before a claim if daemons of larger capacity are known.
+const OUTRANKED_DELAY: Duration = Duration::from_millis(300);
+
+/// Additional delay if there are still larger daemons than those.
+const TWICE_OUTRANKED_DELAY: Duration = Duration::from_millis(500);
+
 /// Delay before a former leader may claim a released leadership.
 const RESIGNED_BACKOFF: Duration = Duration::from_millis(1500);
 
@@ -65,9 +88,11 @@
 enum Stage {
     /// No leader is known.
     Searching,
-    /// A connection to the leader is opened, or its welcome is awaited.
+    /// A connection to the leader is opened, or its welcome is awaited since a time of the loop
+    /// clock.
     Joining { link: u64, since: Duration },
-    /// The leader has welcomed this daemon and sends heartbeats.
+    /// The leader has welcomed this daemon and sends heartbeats; the time of the latest one is
+    /// by the loop clock.
     Joined { link: u64, last_heartbeat: Duration, store_age_ms: u32, is_serving: bool },
     /// A claim has been sent and not answered.
     Claiming { call: u64, head: Head, since: Duration },
@@ -83,6 +108,14 @@
     delay: Duration,
 }
 
+/// Recent suspicions of a leader that proved to be alive.
+#[derive(Debug, Default)]
+struct WrongSuspicions {
+    epoch: u64,
+    count: u32,
+    latest: Duration,
+}
+
 /// Change of role that results from an input.
 #[derive(Debug)]
 pub(crate) enum Transition {
@@ -104,16 +137,23 @@
     suspicion: Option<Suspicion>,
     /// Time before which a released leadership is not claimed.
     claim_not_before: Duration,
+    /// Epoch of the latest known release, which `claim_not_before` considers; 0 for none.
+    released_epoch: u64,
     /// Time since which no leader has been reached; meaningless while one is.
     leaderless_since: Duration,
     /// Duration of the latest read of the head row.
     store_latency: Duration,
     /// Whether the head row has changed since its leader was suspected.
     is_leader_alive: bool,
+    /// Longest recent time between two heartbeats; it decays with each heartbeat.
+    heartbeat_interval: Duration,
+    wrong_suspicions: WrongSuspicions,
     /// Whether the leader is alive but unreachable from here.
     is_cut_off: bool,
     /// Peer addresses, as last sent by a leader.
     peer_addresses: Vec<Name>,
+    /// Capacities of the peers in `peer_addresses`.
+    peer_capacities: Vec<Capacity>,
     /// Links to peers that are probed for the leader.
     probes: Vec<u64>,
     /// Whether the daemon is stopping; it then makes no claim.
@@ -130,11 +170,15 @@
             known_head: None,
             suspicion: None,
             claim_not_before: Duration::ZERO,
+            released_epoch: 0,
             leaderless_since: now,
             store_latency: Duration::ZERO,
             is_leader_alive: false,
+            heartbeat_interval: Duration::ZERO,
+            wrong_suspicions: WrongSuspicions::default(),
             is_cut_off: false,
             peer_addresses: Vec::new(),
+            peer_capacities: Vec::new(),
             probes: Vec::new(),
             is_stopping: false,
         }
@@ -186,17 +230,20 @@
 
     /// Runs work that is due: timeouts of the leader and reads of the head row.
     pub fn tick(&mut self, ctx: &mut Context) {
+        let loop_now = ctx.loop_clock.now();
         match self.stage {
             Stage::Searching => self.read_head_if_due(ctx),
-            Stage::Joining { link, since } if ctx.now > since + JOIN_TIMEOUT => {
+            Stage::Joining { link, since }
+                if loop_now > since + JOIN_TIMEOUT * self.patience(ctx.now) =>
+            {
                 ctx.actions.push(Action::Close { link });
-                self.lose_leader(ctx, SILENT_DELAY, "no welcome");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "no welcome");
             }
             Stage::Joined { link, last_heartbeat, .. }
-                if ctx.now > last_heartbeat + HEARTBEAT_TIMEOUT =>
+                if loop_now > last_heartbeat + self.heartbeat_timeout() =>
             {
                 ctx.actions.push(Action::Close { link });
-                self.lose_leader(ctx, SILENT_DELAY, "no heartbeat");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "no heartbeat");
             }
             Stage::Joined { store_age_ms, .. } if store_age_ms > MAX_STORE_AGE_MS => {
                 self.read_head_if_due(ctx);
@@ -208,6 +255,32 @@
         }
     }
 
+    /// Time without a heartbeat after which the leader is suspected.
+    fn heartbeat_timeout(&self) -> Duration {
+        let timeout = self.heartbeat_interval * HEARTBEAT_TIMEOUT_FACTOR;
+        timeout.clamp(HEARTBEAT_TIMEOUT, MAX_HEARTBEAT_TIMEOUT)
+    }
+
+    /// Factor on delays; it grows if the leader was suspected wrongly and is late again.
+    fn patience(&self, now: Duration) -> u32 {
+        let wrong = &self.wrong_suspicions;
+        let is_current =
+            self.known_head.as_ref().is_some_and(|(head, _)| head.epoch == wrong.epoch);
+        let is_recent = now < wrong.latest + SUSPICION_MEMORY;
+        if is_current && is_recent { 1 + wrong.count.min(MAX_COUNTED_SUSPICIONS) } else { 1 }
+    }
+
+    /// Delay before the second read of the head row if the leader is silent.
+    fn silent_delay(&self, now: Duration) -> Duration {
+        SILENT_DELAY * self.patience(now)
+    }
+
+    /// Records that a suspected leader has changed the head row.
+    fn record_wrong_suspicion(&mut self, now: Duration, epoch: u64) {
+        let count = if self.patience(now) > 1 { self.wrong_suspicions.count } else { 0 };
+        self.wrong_suspicions = WrongSuspicions { epoch, count: count + 1, latest: now };
+    }
+
     /// Reads the head row if that is due and no read is in progress.
     fn read_head_if_due(&mut self, ctx: &mut Context) {
         if self.pending_read.is_some() || ctx.now < self.next_read_at {
@@ -279,6 +352,10 @@
         let is_released = head.is_released;
         let is_new = self.known_head.as_ref().is_none_or(|(known, _)| known.epoch != epoch);
         self.known_head = Some((head, version));
+        if is_released && self.released_epoch != epoch {
+            self.released_epoch = epoch;
+            self.claim_not_before = self.claim_not_before.max(ctx.now + self.rank_delay(ctx));
+        }
         if (is_own && !is_released) || (is_released && ctx.now >= self.claim_not_before) {
             self.claim(ctx, epoch, version);
         } else if is_released {
@@ -296,10 +373,10 @@
         let is_joined = matches!(self.stage, Stage::Joined { .. });
         // A leader that still sends heartbeats has itself reported that it lost the store, so the
         // shorter delay suffices.
-        let min_delay = if is_joined {
+        let min_delay = if is_joined && self.patience(ctx.now) == 1 {
             REFUSED_DELAY + self.store_latency * STORE_LATENCY_FACTOR
         } else {
-            SILENT_DELAY
+            self.silent_delay(ctx.now)
         };
         let delay = self.suspicion.as_ref().map_or(min_delay, |suspicion| suspicion.delay);
         match &self.suspicion {
@@ -313,6 +390,7 @@
             Some(suspicion) if suspicion.version != 0 => {
                 log_event!(ctx, ClaimAbandoned, "epoch" => epoch, "version" => version);
                 self.suspicion = None;
+                self.record_wrong_suspicion(ctx.now, epoch);
                 if !is_joined {
                     self.is_leader_alive = true;
                     self.connect_to_leader(ctx);
@@ -320,7 +398,7 @@
             }
             _ if is_joined || self.suspicion.is_some() => {
                 let jitter = ctx.random_below(MAX_CLAIM_JITTER_MS);
-                let delay = delay + Duration::from_millis(jitter);
+                let delay = delay + self.rank_delay(ctx) + Duration::from_millis(jitter);
                 self.suspicion = Some(Suspicion { version, since: ctx.now, delay });
                 self.next_read_at = ctx.now + delay;
             }
@@ -328,13 +406,36 @@
         }
     }
 
+    /// Delay of a claim in favor of daemons of larger capacity that may be alive.
+    fn rank_delay(&self, ctx: &Context) -> Duration {
+        let own = ctx.config.capacity;
+        let lost = self.known_head.as_ref().map(|(head, _)| head);
+        let peers = self.peer_addresses.iter().zip(&self.peer_capacities);
+        let alive =
+            peers.filter(|(address, _)| lost.is_none_or(|head| *head.address != ***address));
+        let mut larger: Vec<Capacity> =
+            alive.map(|(_, capacity)| *capacity).filter(|peer| peer.outranks(own)).collect();
+        // Without a list of members, the last leader's capacity tells what daemons there are.
+        if self.peer_addresses.is_empty() {
+            larger.extend(lost.map(Head::capacity).filter(|former| former.outranks(own)));
+        }
+        let is_outranked = |peer: &Capacity| larger.iter().any(|other| other.outranks(*peer));
+        if larger.iter().any(is_outranked) {
+            TWICE_OUTRANKED_DELAY
+        } else if larger.is_empty() {
+            Duration::ZERO
+        } else {
+            OUTRANKED_DELAY
+        }
+    }
+
     /// Opens a connection to the last known leader.
     fn connect_to_leader(&mut self, ctx: &mut Context) {
         let Some((head, _)) = &self.known_head else { return };
         let link = ctx.next_link_id();
         let address = Name::new(&head.address);
         ctx.actions.push(Action::Connect { link, address });
-        self.stage = Stage::Joining { link, since: ctx.now };
+        self.stage = Stage::Joining { link, since: ctx.loop_clock.now() };
     }
 
     /// Claims leadership in the next epoch, conditional on the head row's version.
@@ -348,12 +449,15 @@
         let former = self.known_head.as_ref().filter(|(known, _)| known.epoch == epoch);
         let head = Head {
             slow_ms: former.map_or(0, |(known, _)| known.slow_ms),
+            promotion_ms: former.map_or(0, |(known, _)| known.promotion_ms),
             epoch: epoch + 1,
             member: ctx.config.member.to_string(),
             address: ctx.config.peer_address.to_string(),
             incarnation: ctx.config.incarnation,
             commit: 0,
             is_released: false,
+            cpu_millis: ctx.config.capacity.cpu_millis,
+            link_kbps: ctx.config.capacity.link_kbps,
         };
         log_event!(ctx, Claiming, "epoch" => head.epoch, "version" => version);
         let call = ctx.next_call_id();
@@ -412,7 +516,7 @@
             PeerEvent::Closed => {
                 // A dead process refuses the next connection; a live one may just have closed
                 // this one.
-                self.lose_leader(ctx, SILENT_DELAY, "connection closed");
+                self.lose_leader(ctx, self.silent_delay(ctx.now), "connection closed");
                 self.connect_to_leader(ctx);
             }
             PeerEvent::Accepted => {}
@@ -433,10 +537,16 @@
             }
             Some(Body::Welcome(welcome)) => {
                 log_event!(ctx, LeaderFound, "epoch" => welcome.epoch);
+                self.heartbeat_interval = Duration::ZERO;
                 self.mark_joined(ctx, from, welcome.is_serving, 0);
                 return welcome.is_serving;
             }
             Some(Body::Beat(heartbeat)) => {
+                if let Stage::Joined { last_heartbeat, .. } = self.stage {
+                    let interval = ctx.loop_clock.now().saturating_sub(last_heartbeat);
+                    let decayed = self.heartbeat_interval.mul_f64(HEARTBEAT_INTERVAL_DECAY);
+                    self.heartbeat_interval = interval.max(decayed);
+                }
                 self.mark_joined(ctx, from, heartbeat.is_serving, heartbeat.store_age_ms);
                 let lag_us = ctx.lag.mean().as_micros() as u32;
                 let reply = Heartbeat { epoch: heartbeat.epoch, lag_us, ..Heartbeat::default() };
@@ -444,8 +554,8 @@
                 return heartbeat.is_serving;
             }
             Some(Body::Members(members)) => {
-                self.peer_addresses =
-                    members.addresses.iter().map(|address| Name::new(address)).collect();
+                (self.peer_addresses, self.peer_capacities) =
+                    members.iter().map(|(address, peer)| (Name::new(address), peer)).unzip();
                 if let Some(bounds) = members.bounds {
                     ctx.actions.push(Action::SetRequestLimits(bounds));
                 }
@@ -454,8 +564,12 @@
                 let is_successor = *resignation.successor == *ctx.config.member;
                 ctx.actions.push(Action::Close { link: from });
                 self.lose_leader(ctx, REFUSED_DELAY, "leader resigned");
-                self.claim_not_before =
-                    if is_successor { Duration::ZERO } else { ctx.now + SUCCESSOR_HEAD_START };
+                self.released_epoch = resignation.epoch;
+                self.claim_not_before = if is_successor {
+                    Duration::ZERO
+                } else {
+                    ctx.now + SUCCESSOR_HEAD_START + self.rank_delay(ctx)
+                };
             }
             _ => {}
         }
@@ -469,7 +583,8 @@
         }
         self.is_leader_alive = false;
         self.is_cut_off = false;
-        self.stage = Stage::Joined { link, last_heartbeat: ctx.now, store_age_ms, is_serving };
+        let last_heartbeat = ctx.loop_clock.now();
+        self.stage = Stage::Joined { link, last_heartbeat, store_age_ms, is_serving };
     }
 }
 
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -54,7 +54,7 @@
             ctx.actions.push(Action::SetRequestLimits(RequestLimits::from(&rules.limits)));
             self.scheduler.set_rules(rules);
             self.needs_placement = true;
-            self.broadcast_members(ctx);
+            self.peers.request_list();
         }
         if target == WatchTarget::Workers {
             if change.is_snapshot {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -106,6 +106,8 @@
     pub ended_runs: Vec<EndedRun>,
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
+    /// Steps that placement passes have visited so far.
+    pub steps_visited: u64,
     /// Observed run times and advice results.
     pub(crate) estimator: Estimator,
     /// Open jobs by rank: priority, due time, id.
@@ -365,22 +367,26 @@
     pub fn apply_advice(
         &mut self,
         job: &str,
-        step: u32,
+        step_index: u32,
         allowed: Option<(Vec<(Name, Name)>, Duration)>,
         now: Duration,
     ) {
         let Some(job) = self.jobs.get_mut(job) else { return };
-        let Some(step) = job.steps.get_mut(step as usize) else { return };
+        let Some(step) = job.steps.get_mut(step_index as usize) else { return };
         let named_workers = step.pending_advice.take().unwrap_or_default();
         let Some((allowed, validity)) = allowed else {
-            step.advice_not_before = now + ADVICE_RETRY_DELAY;
+            let doublings = step.advice_failures.min(MAX_ADVICE_RETRY_DOUBLINGS);
+            step.advice_failures += 1;
+            step.advice_not_before = now + ADVICE_RETRY_DELAY * (1 << doublings);
             return;
         };
         step.last_advice_at = now;
+        step.advice_failures = 0;
         let newly_named =
             named_workers.iter().filter(|worker| !step.eligibility.contains_key(*worker)).count();
         let mut newly_allowed = 0;
         let expires = (now + validity).saturating_sub(TICKET_MARGIN);
+        step.tickets_until = step.tickets_until.max(expires);
         for worker in named_workers {
             let is_new = !step.eligibility.contains_key(&worker);
             let ticket = allowed.iter().find(|(id, _)| *id == worker);
@@ -390,6 +396,12 @@
             });
             step.eligibility.insert(worker, eligibility);
         }
+        let spec = &job.submission.steps[step_index as usize];
+        let allowed = step.eligibility.keys().filter(|worker| step.is_allowed(worker));
+        let workers = allowed.filter_map(|worker| self.pool.get(worker));
+        let places = workers
+            .map(|worker| spec.need.max_copies_in(&worker.registration.capacity).min(spec.count));
+        step.allowed_places = places.fold(0, u32::saturating_add);
         self.estimator.observe_advice(&job.queue, newly_named, newly_allowed);
     }
 
@@ -412,5 +424,8 @@
     }
 }
 
-/// Delay before a failed advice call is retried.
+/// Delay before a failed advice call is retried; doubled with each further failure.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Most doublings of the delay before a failed advice call is retried.
+const MAX_ADVICE_RETRY_DOUBLINGS: u32 = 5;
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -9,10 +9,12 @@
     ActiveRun, FinishedRun, JobState, Listing, Outcome, Phase, Refusal, Registration, Resources,
     RunState, Scheduler, StartOrder, Step, TaskKey,
 };
-use support::{NO_DELAY, NOW, advice_policy, new_registration, pool, rules, secs, step, submit};
+use support::{
+    NO_DELAY, NOW, advice_policy, ample_advice, new_registration, pool, rules, secs, step, submit,
+};
 
 fn place(scheduler: &mut Scheduler, now: Duration) -> Vec<StartOrder> {
-    scheduler.plan(now, NO_DELAY);
+    scheduler.plan(now, NO_DELAY, ample_advice());
     std::mem::take(&mut scheduler.starts)
 }
 
@@ -358,13 +360,44 @@
     assert_eq!(&*scheduler.advice_calls[0].job, "j000", "the highest rank is visited first");
 }
 
+// Guards against a failing advice service that gets calls about the same step without pause.
+#[test]
+fn failed_advice_is_retried_with_growing_delay() {
+    let mut scheduler = pool(&["w1"], Some(advice_policy()));
+    submit(&mut scheduler, "j", vec![step(1)]);
+    let mut calls = 0;
+    for tick in 0..1000 {
+        let now = NOW + Duration::from_millis(10) * tick;
+        scheduler.plan(now, NO_DELAY, ample_advice());
+        for call in std::mem::take(&mut scheduler.advice_calls) {
+            calls += 1;
+            scheduler.apply_advice(&call.job, call.step, None, now);
+        }
+    }
+    assert!((5..=20).contains(&calls), "{calls} calls in ten seconds");
+}
+
+// Guards against steps that cannot run using up a pass, so that lower ranks never run.
+#[test]
+fn plan_places_step_behind_many_that_cannot_run() {
+    let mut scheduler = pool(&["w1"], None);
+    for number in 0..200 {
+        let gang = Step { is_gang: true, requirement: "none".to_owned(), ..step(2) };
+        submit(&mut scheduler, &format!("a{number:03}"), vec![gang]);
+        let single = Step { requirement: "none".to_owned(), ..step(1) };
+        submit(&mut scheduler, &format!("b{number:03}"), vec![single]);
+    }
+    submit(&mut scheduler, "c", vec![step(1)]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 1);
+}
+
 #[test]
 fn gang_with_busy_candidates_requests_advice_after_delay() {
     let ids: Vec<String> = (0..28).map(|number| format!("w{number:02}")).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     let mut scheduler = pool(&ids, Some(advice_policy()));
     submit(&mut scheduler, "j1", vec![Step { is_gang: true, ..step(4) }]);
-    scheduler.plan(NOW, NO_DELAY);
+    scheduler.plan(NOW, NO_DELAY, ample_advice());
     let advice_call =
         std::mem::take(&mut scheduler.advice_calls).pop().expect("advice is requested");
     let allowed: Vec<Name> = advice_call.workers.iter().take(4).cloned().collect();
@@ -374,9 +407,9 @@
     }
     let tickets = allowed.into_iter().map(|id| (id, Name::new("t"))).collect();
     scheduler.apply_advice("j1", 0, Some((tickets, secs(2))), NOW);
-    scheduler.plan(NOW + secs(1), NO_DELAY);
+    scheduler.plan(NOW + secs(1), NO_DELAY, ample_advice());
     assert!(scheduler.advice_calls.is_empty());
-    scheduler.plan(NOW + secs(3), NO_DELAY);
+    scheduler.plan(NOW + secs(3), NO_DELAY, ample_advice());
     let advice_call =
         std::mem::take(&mut scheduler.advice_calls).pop().expect("advice is requested again");
     assert_eq!(advice_call.workers.len(), 4);
