--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -192,6 +192,8 @@
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
+    /// Number of journal rows at which nodes that are started compact.
+    pub compaction_row_limit: usize,
     /// Capacities of the nodes; unknown for others.
     pub capacities: Vec<Capacity>,
     /// Number of member lists that nodes sent.
@@ -244,6 +246,7 @@
             run_time: None,
             timer_lags: HashMap::new(),
             started_runs: 0,
+            compaction_row_limit: 20,
             capacities: capacities.to_vec(),
             member_lists: 0,
             meter: Rc::new(control::NoopMeter),
@@ -293,7 +296,7 @@
             max_transaction_rows: 100,
             max_transaction_bytes: 600_000,
             max_row_bytes: 48_000,
-            compaction_row_limit: 20,
+            compaction_row_limit: self.compaction_row_limit,
             initial_commit_latency: ms(8),
         };
         let log = test_log(&config.member);
