--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -8,7 +8,6 @@
     Action, Change, CommitResult, Input, OrderReply, Page, RenewReply, Row, Transaction,
     WatchResult, WatchTarget,
 };
-use prost::Message;
 use scheduler::{
     ActiveRun, FinishedRun, Listing, Outcome, Refusal, Registration, Resources, TaskKey,
 };
