--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -17,7 +17,7 @@
 use crate::follow::{Follower, Transition};
 use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
 use crate::input::{AdviceResult, Input, PeerEvent};
-use crate::lag::TimerLag;
+use crate::lag::{LoopClock, TimerLag};
 use crate::lead::{Caller, Leader};
 use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
@@ -73,6 +73,7 @@
     pub sampler: Sampler,
     pub lag: TimerLag,
     pub load: Load,
+    pub loop_clock: LoopClock,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -134,6 +135,7 @@
         let sampler = Sampler::new();
         let lag = TimerLag::default();
         let load = Load::new(Rc::clone(&meter), now);
+        let loop_clock = LoopClock::new(now);
         let (last_call_id, last_link_id) = (0, 0);
         let ctx = Context {
             config,
@@ -144,6 +146,7 @@
             sampler,
             lag,
             load,
+            loop_clock,
             last_call_id,
             last_link_id,
             rng,
@@ -206,6 +209,7 @@
         queued: usize,
     ) -> Vec<Action> {
         self.ctx.now = now;
+        self.ctx.loop_clock.record_input(now);
         self.ctx.load.begin_batch(queued);
         for QueuedInput { input, queued_at } in batch {
             let work = Work::of(&input);
@@ -279,12 +283,7 @@
         if self.ctx.load.input_age() > call.timeout {
             self.ctx.load.count_late(Late::Request);
         }
-        let Some(_) = self.pending_requests.admit(&mut self.ctx, token, call) else { return };
-        if let RoleState::Follower(follower) = &self.role_state
-            && let Some(link) = follower.serving_link()
-        {
-            self.pending_requests.forward_unsent(&mut self.ctx, link);
-        }
+        self.pending_requests.admit(&mut self.ctx, token, call);
     }
 
     fn handle_peer_event(&mut self, link: u64, event: PeerEvent) {
@@ -296,19 +295,13 @@
         }
         match &mut self.role_state {
             RoleState::Follower(follower) if follower.is_leader_link(link) => {
-                let may_send = follower.handle_leader_event(&mut self.ctx, link, &event);
+                follower.handle_leader_event(&mut self.ctx, link, &event);
                 if follower.serving_link() != Some(link) {
                     self.proxied_advice.retain(|(_, requester, _)| *requester != link);
                 }
-                if may_send {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) if follower.is_probe_link(link) => {
                 follower.handle_probe_event(&mut self.ctx, link, &event);
-                if follower.serving_link() == Some(link) {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) => {
                 if let PeerEvent::Frame(frame) = &event
@@ -443,10 +436,14 @@
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
                 self.ctx.load.attribute(Work::Followers);
+                match follower.serving_link() {
+                    Some(link) => self.pending_requests.forward_unsent(&mut self.ctx, link),
+                    None => self.pending_requests.hold(),
+                }
             }
             RoleState::Leader(leader) => {
                 if leader.is_serving() {
-                    for (id, call) in self.pending_requests.take_for_local_leader() {
+                    for (id, call) in self.pending_requests.take_for_local_leader(self.ctx.now) {
                         leader.handle_request(&mut self.ctx, Caller::Local(id), call);
                     }
                 }
@@ -465,6 +462,9 @@
             RoleState::Leader(_) => (None, false),
         };
         self.pending_requests.expire(&mut self.ctx, without_leader, is_cut_off);
+        if self.stop_requested_at.is_some() && self.role() != Role::Following {
+            self.pending_requests.refuse_unsent(&mut self.ctx);
+        }
         self.report_readiness();
         self.exit_if_stopped();
         self.report_gauges();
@@ -522,6 +522,7 @@
         if !self.has_exited && ((is_idle && elapsed >= READINESS_DRAIN) || is_grace_over) {
             self.has_exited = true;
             log_event!(self.ctx, ShutdownCompleted, "requests" => self.pending_requests.len());
+            self.pending_requests.answer_all(&mut self.ctx);
             self.ctx.actions.push(Action::Exit);
         }
     }
