--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -216,7 +216,9 @@
     /// Sends due renewals, and abandons the runs of workers whose leases expired.
     pub(super) fn renew_leases(&mut self, ctx: &mut Context) {
         let mut expired = Vec::new();
+        let (mut checked, mut renewed) = (0, 0);
         for worker in self.scheduler.pool.iter() {
+            checked += 1;
             let id = &worker.registration.id;
             let elected_at = self.leases.elected_at;
             let lease = self.leases.workers.entry(id.clone()).or_insert_with(|| {
@@ -257,6 +259,7 @@
             // The lease of an unresponsive worker is not extended, so that it expires and the
             // worker's runs can be abandoned.
             let lease_end_ms = if lease.failures == 0 { lease.extend(ctx.now) } else { None };
+            renewed += 1;
             let call = ctx.next_call_id();
             lease.renewal = Some((call, ctx.now));
             self.leases.renewals.insert(call, id.clone());
@@ -271,6 +274,7 @@
                 timeout: max_wait + RENEWAL_TIMEOUT_SLACK,
             });
         }
+        ctx.load.record_leases(checked, renewed);
         for id in expired {
             log_event!(ctx, WorkerRunsAbandoned, "worker" => %id, "reason" => "lease expired");
             self.abandon_runs(ctx, &id);
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -141,6 +141,8 @@
     max_queued: usize,
     passes: u64,
     steps_visited: u64,
+    leases_checked: u64,
+    renewals_sent: u64,
 }
 
 impl Load {
@@ -157,6 +159,8 @@
             max_queued: 0,
             passes: 0,
             steps_visited: 0,
+            leases_checked: 0,
+            renewals_sent: 0,
         }
     }
 
@@ -193,6 +197,12 @@
         self.steps_visited += steps_visited;
     }
 
+    /// Records checks of leases, and the renewals that were sent.
+    pub fn record_leases(&mut self, checked: u64, renewed: u64) {
+        self.leases_checked += checked;
+        self.renewals_sent += renewed;
+    }
+
     /// Counts a result or request that came too late.
     pub fn count_late(&mut self, late: Late) {
         self.late[late as usize] += 1;
@@ -228,6 +238,10 @@
             meter.add(Counter::Placement, "passes", ended.passes);
             meter.add(Counter::Placement, "steps", ended.steps_visited);
         }
+        if ended.leases_checked > 0 {
+            meter.add(Counter::Leases, "checked", ended.leases_checked);
+            meter.add(Counter::Leases, "renewed", ended.renewals_sent);
+        }
         meter.set_gauge(Gauge::InputAge, ended.max_input_age.as_millis() as u64);
         meter.set_gauge(Gauge::InputQueue, ended.max_queued as u64);
         LoadFields { load: ended, until: now }
@@ -265,6 +279,10 @@
             serializer.emit_u64("passes", load.passes)?;
             serializer.emit_u64("steps", load.steps_visited)?;
         }
+        if load.leases_checked > 0 {
+            serializer.emit_u64("leases_checked", load.leases_checked)?;
+            serializer.emit_u64("renewals_sent", load.renewals_sent)?;
+        }
         Ok(())
     }
 }
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -34,6 +34,8 @@
         Late,
         /// Placement passes, and the steps that they visited.
         Placement,
+        /// Checks of workers' leases, and renewals sent.
+        Leases,
     }
 
     /// Duration that is measured.
@@ -110,7 +112,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
@@ -125,6 +127,7 @@
         Self::LoopInputs,
         Self::Late,
         Self::Placement,
+        Self::Leases,
     ];
 
     /// The metric's name.
@@ -144,6 +147,7 @@
             Self::LoopInputs => "bronzerail.loop.inputs",
             Self::Late => "bronzerail.late",
             Self::Placement => "bronzerail.placement",
+            Self::Leases => "bronzerail.leases",
         }
     }
 }
