--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod action;
 mod answer;
+mod backlog;
 mod config;
 mod event;
 mod follow;
@@ -18,6 +19,7 @@
 mod input;
 mod lag;
 mod lead;
+mod load;
 mod meter;
 mod node;
 mod pending;
@@ -26,7 +28,8 @@
 
 pub use action::{Action, WatchTarget};
 pub use answer::{Answer, CallerRequest, Operation, Target, View};
-pub use config::Config;
+pub use backlog::{Backlog, QueuedInput};
+pub use config::{Capacity, Config};
 pub use event::Event;
 pub use frame::{
     Advice, AdviceRequest, Body, Frame, Heartbeat, Hello, Members, Reply, Request, RequestLimits,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,13 +11,15 @@
 use slog::Logger;
 
 use crate::action::Action;
+use crate::backlog::QueuedInput;
 use crate::config::Config;
 use crate::event::log_event;
 use crate::follow::{Follower, Transition};
 use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
 use crate::input::{AdviceResult, Input, PeerEvent};
-use crate::lag::TimerLag;
-use crate::lead::{Caller, Leader, LeaderStatus};
+use crate::lag::{LoopClock, TimerLag};
+use crate::lead::{Caller, Leader};
+use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
 use crate::pending::{self, PendingRequests};
 use crate::sampler::Sampler;
@@ -70,6 +72,8 @@
     pub meter: Rc<dyn Meter>,
     pub sampler: Sampler,
     pub lag: TimerLag,
+    pub load: Load,
+    pub loop_clock: LoopClock,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -125,11 +129,14 @@
 
 impl Node {
     /// Creates a follower that knows no leader.
-    pub fn new(config: Config, log: Logger, meter: Rc<dyn Meter>, now: Duration) -> Self {
+    pub fn new(mut config: Config, log: Logger, meter: Rc<dyn Meter>, now: Duration) -> Self {
+        config.fit_to_link();
         let rng = SmallRng::seed_from_u64(config.seed);
         let actions = Vec::new();
         let sampler = Sampler::new();
         let lag = TimerLag::default();
+        let load = Load::new(Rc::clone(&meter), now);
+        let loop_clock = LoopClock::new(now);
         let (last_call_id, last_link_id) = (0, 0);
         let ctx = Context {
             config,
@@ -139,6 +146,8 @@
             meter,
             sampler,
             lag,
+            load,
+            loop_clock,
             last_call_id,
             last_link_id,
             rng,
@@ -181,9 +190,43 @@
         }
     }
 
+    /// Records that the host has started the actions of the last batch.
+    pub fn record_actions_started(&mut self) {
+        self.ctx.load.attribute(Work::Actions);
+    }
+
     /// Processes an input at the time `now` and returns the actions to perform.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
+        self.handle_batch(now, [QueuedInput { input, queued_at: now }], 0)
+    }
+
+    /// Processes inputs at the time `now` and returns the actions to perform.
+    ///
+    /// `queued` is the number of inputs that were queued when the batch was taken.
+    pub fn handle_batch(
+        &mut self,
+        now: Duration,
+        batch: impl IntoIterator<Item = QueuedInput>,
+        queued: usize,
+    ) -> Vec<Action> {
         self.ctx.now = now;
+        self.ctx.loop_clock.record_input(now);
+        self.ctx.load.begin_batch(queued);
+        for QueuedInput { input, queued_at } in batch {
+            let work = Work::of(&input);
+            self.ctx.load.begin_input(work, now.saturating_sub(queued_at));
+            self.apply_input(input);
+            self.ctx.load.attribute(work);
+            self.step_down_if_replaced();
+        }
+        self.run_due_work();
+        self.ctx.load.attribute(Work::Pending);
+        std::mem::take(&mut self.ctx.actions)
+    }
+
+    /// Applies an input without the work that is due after it.
+    fn apply_input(&mut self, input: Input) {
+        let now = self.ctx.now;
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
@@ -223,19 +266,27 @@
                 }
             }
         }
-        self.run_due_work();
-        std::mem::take(&mut self.ctx.actions)
     }
 
-    fn handle_call(&mut self, token: u64, call: crate::CallerRequest) {
-        let Some(_) = self.pending_requests.admit(&mut self.ctx, token, call) else { return };
-        if let RoleState::Follower(follower) = &self.role_state
-            && let Some(link) = follower.serving_link()
+    /// Becomes a follower if this daemon is no longer the leader.
+    fn step_down_if_replaced(&mut self) {
+        if let RoleState::Leader(leader) = &mut self.role_state
+            && leader.has_stepped_down()
         {
-            self.pending_requests.forward_unsent(&mut self.ctx, link);
+            for (id, answer) in leader.take_local_answers() {
+                self.pending_requests.answer(&mut self.ctx, id, answer);
+            }
+            self.role_state = RoleState::Follower(Box::new(self.step_down()));
         }
     }
 
+    fn handle_call(&mut self, token: u64, call: crate::CallerRequest) {
+        if self.ctx.load.input_age() > call.timeout {
+            self.ctx.load.count_late(Late::Request);
+        }
+        self.pending_requests.admit(&mut self.ctx, token, call);
+    }
+
     fn handle_peer_event(&mut self, link: u64, event: PeerEvent) {
         if let PeerEvent::Frame(frame) = &event
             && let Some(body) = &frame.body
@@ -245,19 +296,13 @@
         }
         match &mut self.role_state {
             RoleState::Follower(follower) if follower.is_leader_link(link) => {
-                let may_send = follower.handle_leader_event(&mut self.ctx, link, &event);
+                follower.handle_leader_event(&mut self.ctx, link, &event);
                 if follower.serving_link() != Some(link) {
                     self.proxied_advice.retain(|(_, requester, _)| *requester != link);
                 }
-                if may_send {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) if follower.is_probe_link(link) => {
                 follower.handle_probe_event(&mut self.ctx, link, &event);
-                if follower.serving_link() == Some(link) {
-                    self.pending_requests.forward_unsent(&mut self.ctx, link);
-                }
             }
             RoleState::Follower(follower) => {
                 if let PeerEvent::Frame(frame) = &event
@@ -386,29 +431,31 @@
         }
     }
 
-    /// Runs the work that is due after each input.
+    /// Runs the work that is due after a batch of inputs.
     fn run_due_work(&mut self) {
-        let status = match &mut self.role_state {
+        match &mut self.role_state {
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
-                LeaderStatus::Leading
+                self.ctx.load.attribute(Work::Followers);
+                match follower.serving_link() {
+                    Some(link) => self.pending_requests.forward_unsent(&mut self.ctx, link),
+                    None => self.pending_requests.hold(),
+                }
             }
             RoleState::Leader(leader) => {
                 if leader.is_serving() {
-                    for (id, call) in self.pending_requests.take_for_local_leader() {
+                    for (id, call) in self.pending_requests.take_for_local_leader(self.ctx.now) {
                         leader.handle_request(&mut self.ctx, Caller::Local(id), call);
                     }
                 }
-                let status = leader.run_due_work(&mut self.ctx);
+                self.ctx.load.attribute(Work::Pending);
+                leader.run_due_work(&mut self.ctx);
                 for (id, answer) in leader.take_local_answers() {
                     self.pending_requests.answer(&mut self.ctx, id, answer);
                 }
-                status
             }
-        };
-        if status == LeaderStatus::SteppedDown {
-            self.role_state = RoleState::Follower(Box::new(self.step_down()));
         }
+        self.step_down_if_replaced();
         let (without_leader, is_cut_off) = match &self.role_state {
             RoleState::Follower(follower) => {
                 (follower.time_without_leader(self.ctx.now), follower.is_cut_off())
@@ -416,6 +463,9 @@
             RoleState::Leader(_) => (None, false),
         };
         self.pending_requests.expire(&mut self.ctx, without_leader, is_cut_off);
+        if self.stop_requested_at.is_some() && self.role() != Role::Following {
+            self.pending_requests.refuse_unsent(&mut self.ctx);
+        }
         self.report_readiness();
         self.exit_if_stopped();
         self.report_gauges();
@@ -437,6 +487,14 @@
         if let Some(leader) = leader {
             leader.report_gauges(&self.ctx);
         }
+        let is_logged = leader.is_some() || self.ctx.load.is_late();
+        let load = self.ctx.load.report(self.ctx.now);
+        if is_logged {
+            log_event!(self.ctx, LoopLoad, "leads" => leader.is_some(),
+                "lag_us" => self.ctx.lag.mean().as_micros() as u64,
+                "requests_open" => self.pending_requests.len(),
+                "jobs_open" => leader.map(|leader| leader.scheduler().open_jobs()), load);
+        }
         let dropped_lines = self.ctx.sampler.take_dropped_lines();
         if dropped_lines > 0 {
             self.ctx.meter.add(Counter::LinesDropped, "sampled", dropped_lines);
@@ -465,6 +523,7 @@
         if !self.has_exited && ((is_idle && elapsed >= READINESS_DRAIN) || is_grace_over) {
             self.has_exited = true;
             log_event!(self.ctx, ShutdownCompleted, "requests" => self.pending_requests.len());
+            self.pending_requests.answer_all(&mut self.ctx);
             self.ctx.actions.push(Action::Exit);
         }
     }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -195,6 +195,7 @@
             }
         }
         let spec = spec.clone();
+        self.scheduler.steps_visited += 1;
         let waiting_tasks = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
         let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32).collect();
         let candidates = self.find_candidates(queue, &spec);
