--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use common::Name;
-use prost::Message;
 
 use crate::action::Action;
 use crate::config::Capacity;
@@ -340,7 +339,7 @@
             self.claim(ctx, 0, 0);
             return;
         };
-        let head = match Head::decode(&*row.value) {
+        let head = match Head::from_row(&row.value) {
             Ok(head) => head,
             Err(error) => {
                 log_event!(ctx, RowIgnored, "key" => HEAD_KEY, "reason" => %error);
@@ -462,7 +461,7 @@
         log_event!(ctx, Claiming, "epoch" => head.epoch, "version" => version);
         let call = ctx.next_call_id();
         let checked_row = RowKey { table: POOL_TABLE, key: Name::new(HEAD_KEY) };
-        let write = RowWrite { key: checked_row.clone(), value: head.encode_to_vec() };
+        let write = RowWrite { key: checked_row.clone(), value: head.to_row() };
         let transaction = Transaction {
             checked_row,
             expected_version: version,
@@ -591,7 +590,7 @@
 /// Checks in the head row whether a claim succeeded whose answer was lost.
 fn verify_claim(claim: &Head, page: &Page) -> Transition {
     let Some(row) = page.rows.first() else { return Transition::Stay };
-    match Head::decode(&*row.value) {
+    match Head::from_row(&row.value) {
         Ok(head) if head == *claim => Transition::BecomeLeader {
             head,
             version: row.version,
--- a/crates/control/src/head.rs
+++ b/crates/control/src/head.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use common::Name;
+use prost::Message;
 
 use crate::action::Action;
 use crate::config::Capacity;
@@ -22,6 +23,12 @@
 /// Exclusive end of the key range of journal rows.
 pub(crate) const JOURNAL_KEY_END: &str = "log0";
 
+/// Start of the row's value: a zero and the format of the journal's rows.
+///
+/// No message starts with a zero, so daemons that know only earlier formats cannot decode the
+/// row and do not claim leadership with a part of the jobs.
+const FORMAT: [u8; 2] = [0, 1];
+
 /// Value of the head row.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Head {
@@ -58,6 +65,20 @@
 }
 
 impl Head {
+    /// Decodes the row's value, with or without a format.
+    ///
+    /// # Errors
+    ///
+    /// The decoder's error, also for formats of later versions; the daemon must then not claim.
+    pub fn from_row(value: &[u8]) -> Result<Self, prost::DecodeError> {
+        Self::decode(value.strip_prefix(&FORMAT).unwrap_or(value))
+    }
+
+    /// Encodes the row's value.
+    pub fn to_row(&self) -> Vec<u8> {
+        [FORMAT.as_slice(), &self.encode_to_vec()].concat()
+    }
+
     /// Capacity of the leader.
     pub fn capacity(&self) -> Capacity {
         Capacity { cpu_millis: self.cpu_millis, link_kbps: self.link_kbps }
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -15,7 +15,6 @@
 use std::time::Duration;
 
 use common::Name;
-use prost::Message;
 use scheduler::{JobDiff, Phase, Scheduler, SegmentBuilder, StoredState};
 
 use crate::action::Action;
@@ -379,7 +378,7 @@
         head.is_released = is_release;
         self.is_commit_requested = false;
         let checked_row = RowKey { table: POOL_TABLE, key: Name::new(HEAD_KEY) };
-        writes.push(RowWrite { key: checked_row.clone(), value: head.encode_to_vec() });
+        writes.push(RowWrite { key: checked_row.clone(), value: head.to_row() });
         let transaction =
             Transaction { checked_row, expected_version: self.head_version, writes, deletes };
         Batch {
@@ -498,7 +497,7 @@
         };
         let took = ctx.now.saturating_sub(sent);
         let row = page.and_then(|page| page.rows.first().cloned());
-        let found = row.as_ref().and_then(|row| Head::decode(&*row.value).ok());
+        let found = row.as_ref().and_then(|row| Head::from_row(&row.value).ok());
         let (Some(row), Some(found)) = (row, found) else {
             batch.next_check = ctx.now + batch.check_delay;
             return CommitOutcome::NoChange;
@@ -521,7 +520,7 @@
 
     /// Distinguishes a batch that took effect without a reply from a change of leader.
     fn resolve_conflict(&mut self, ctx: &mut Context, row: Option<Row>) -> CommitOutcome {
-        let found = row.as_ref().and_then(|row| Head::decode(&*row.value).ok());
+        let found = row.as_ref().and_then(|row| Head::from_row(&row.value).ok());
         let expected = self.batch.as_ref().map(|batch| batch.commit);
         match (row, found) {
             (Some(row), Some(found))
--- a/crates/control/tests/capacity.rs
+++ b/crates/control/tests/capacity.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use control::{Answer, Capacity, Head, Operation, Role};
-use prost::Message;
 use support::{NodeSlot, Simulation, job, step};
 
 const LARGE: Capacity = Capacity { cpu_millis: 500, link_kbps: 200_000 };
@@ -38,7 +37,7 @@
 /// The head row; an empty one if there is none.
 fn head(sim: &Simulation) -> Head {
     let row = sim.store.rows.get("head");
-    row.map_or_else(Head::default, |(value, _)| Head::decode(&**value).expect("a head"))
+    row.map_or_else(Head::default, |(value, _)| Head::from_row(value).expect("a head"))
 }
 
 /// Number of the node that leads according to the head row, even if it does not serve yet.
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Answer, Operation};
+use control::{Answer, Head, Operation};
 use prost::Message;
 use scheduler::{JobRecord, JobState, Segment, Step, StepRecord, Submission, TaskRecord};
 use support::fakes::FakeWorker;
@@ -165,6 +165,28 @@
     assert_eq!(sim.state("open1"), Some(Answer::State(JobState::Completed)));
 }
 
+// Guards against jobs that are lost when a daemon of an earlier version leads after a newer one.
+#[test]
+fn head_row_earlier_version_cannot_claim() {
+    let mut sim = Simulation::new(4, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    let (value, _) = &sim.store.rows["head"];
+    // Earlier versions decode the whole value, and claim only if they can.
+    Head::decode(&**value).unwrap_err();
+    assert_eq!(Head::from_row(value).expect("the row is a head").epoch, 1);
+}
+
+#[test]
+fn head_row_of_earlier_version_is_read() {
+    let head = Head { epoch: 3, member: "n1".to_owned(), ..Head::default() };
+    assert_eq!(Head::from_row(&head.encode_to_vec()), Ok(head.clone()));
+    assert_eq!(Head::from_row(&head.to_row()), Ok(head.clone()));
+    let mut later_format = head.to_row();
+    later_format[1] += 1;
+    Head::from_row(&later_format).unwrap_err();
+}
+
 // Guards against a journal that grows without limit once a job is removed while it is rewritten.
 #[test]
 fn journal_removed_jobs_leave_no_rows() {
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -173,3 +173,19 @@
     let answer = sim.answers.get(&token);
     assert!(matches!(answer, Some(Answer::State(_))), "{answer:?}");
 }
+
+// Guards against a worker that stays unused as its registration did not change while it was unlisted.
+#[test]
+fn worker_listed_again_runs_tasks() {
+    let mut sim = start_with_leader(20, 3, 1);
+    let set_listed = |sim: &mut Simulation, is_listed| {
+        sim.workers.values_mut().for_each(|worker| worker.is_listed = is_listed);
+        sim.run(secs(1));
+    };
+    set_listed(&mut sim, false);
+    assert_eq!(sim.submit(job("j1", vec![step(1, 300)])), Some(Answer::Accepted));
+    sim.run(secs(2));
+    assert_eq!(sim.state("j1"), Some(Answer::State(JobState::Queued)));
+    set_listed(&mut sim, true);
+    assert!(sim.wait_for_state("j1", JobState::Completed, secs(8)));
+}
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -8,7 +8,6 @@
     Action, Change, CommitResult, Input, OrderReply, Page, RenewReply, Row, Transaction,
     WatchResult, WatchTarget,
 };
-use prost::Message;
 use scheduler::{
     ActiveRun, FinishedRun, Listing, Outcome, Refusal, Registration, Resources, TaskKey,
 };
@@ -51,7 +50,7 @@
     /// Epoch in the head row.
     pub fn epoch(&self) -> u64 {
         let (value, _) = self.rows.get("head").expect("the head row exists");
-        control::Head::decode(&**value).expect("the row is a head").epoch
+        control::Head::from_row(value).expect("the row is a head").epoch
     }
 
     pub fn read(&self, from: &str, to: &str, now: Duration) -> Page {
