--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fit;
 pub mod leader;
 pub mod load;
+pub mod pass;
 pub mod path;
 pub mod plot;
 pub mod process;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use measure::bench::Result;
 use measure::environment::Environment;
-use measure::{capacity, decide, faults, leader, path};
+use measure::{capacity, decide, faults, leader, pass, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -35,6 +35,8 @@
     Capacity(Capacity),
     /// Time of a leader for each kind of input.
     Leader(Leader),
+    /// Duration of a placement pass.
+    Pass(Pass),
 }
 
 /// Measure nine daemons under quick and study load together.
@@ -84,6 +86,21 @@
     followers: usize,
 }
 
+/// Measure the duration of a placement pass.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "pass")]
+struct Pass {
+    /// workers of the pool
+    #[argh(option, default = "350")]
+    workers: usize,
+    /// open jobs
+    #[argh(option, default = "3000")]
+    jobs: usize,
+    /// followers, a third of which make the advice calls of a class
+    #[argh(option, default = "40")]
+    followers: usize,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(&args.measure) {
@@ -103,6 +120,11 @@
         Measure::Path(args) => path::run(&Environment::find()?, args.rate),
         Measure::Capacity(args) => capacity::run(&Environment::find()?, args.plots.as_deref()),
         Measure::Decide(_) => decide::run(),
+        Measure::Pass(args) => pass::run(leader::PoolSize {
+            workers: args.workers,
+            jobs: args.jobs,
+            followers: args.followers,
+        }),
         Measure::Leader(args) => leader::run(leader::PoolSize {
             workers: args.workers,
             jobs: args.jobs,
