--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -74,7 +74,7 @@
     let reply = Input::Order { call: 1, reply: OrderReply::OutcomeUnknown };
     let result = AdviceResult { allowed: Vec::new(), validity: Duration::ZERO };
     let advice = Input::Advice { call: 1, result: Some(result) };
-    for _ in 0..QUEUED_REQUESTS {
+    for _ in 0..2 * QUEUED_REQUESTS {
         for input in [commit(), reply.clone(), advice.clone()] {
             backlog.push(Duration::ZERO, input);
         }
