--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -8,7 +8,6 @@
     Action, Change, CommitResult, Input, OrderReply, Page, RenewReply, Row, Transaction,
     WatchResult, WatchTarget,
 };
-use prost::Message;
 use scheduler::{
     ActiveRun, FinishedRun, Listing, Outcome, Refusal, Registration, Resources, TaskKey,
 };
@@ -20,6 +19,8 @@
     pub rows: BTreeMap<Name, (Vec<u8>, u64)>,
     pub version: u64,
     pub commits: u64,
+    /// Bytes of the journal rows written so far, without encoding.
+    pub written_bytes: u64,
 }
 
 impl FakeStore {
@@ -37,6 +38,7 @@
         }
         self.version += 1;
         for write in &transaction.writes {
+            self.written_bytes += write.value.len() as u64;
             self.rows.insert(write.key.key.clone(), (write.value.clone(), self.version));
         }
         for key in &transaction.deletes {
@@ -48,7 +50,7 @@
     /// Epoch in the head row.
     pub fn epoch(&self) -> u64 {
         let (value, _) = self.rows.get("head").expect("the head row exists");
-        control::Head::decode(&**value).expect("the row is a head").epoch
+        control::Head::from_row(value).expect("the row is a head").epoch
     }
 
     pub fn read(&self, from: &str, to: &str, now: Duration) -> Page {
