--- a/crates/control/src/backlog.rs
+++ b/crates/control/src/backlog.rs
@@ -65,9 +65,9 @@
     /// Most inputs of the class in a batch.
     fn max_in_batch(self) -> usize {
         match self {
-            Self::Control | Self::Reply => 128,
-            Self::Advice => 32,
-            Self::Request => 64,
+            Self::Control => 64,
+            Self::Reply => 32,
+            Self::Advice | Self::Request => 16,
         }
     }
 }
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -14,6 +14,9 @@
 /// Longest sleep of the event loop without an input or a timer.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
+/// Time after which the event loop yields although inputs are queued.
+const MAX_TURN: Duration = Duration::from_millis(10);
+
 /// Shortest suspension of the machine that is reported to the node.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 
@@ -89,6 +92,7 @@
     node: Node,
     driver: Rc<dyn Driver>,
     mesh: Mesh,
+    inputs: InputQueue,
     /// Time zero of the node's clock.
     started: Instant,
     /// Total suspension of the machine that was seen at the last check.
@@ -109,11 +113,17 @@
         self.perform(actions);
     }
 
-    /// Passes inputs of the queue to the node and performs the resulting actions.
-    fn handle_batch(&mut self, cx: CX![], batch: Vec<QueuedInput>, queued: usize) {
-        let now = cx.now().saturating_duration_since(self.started);
-        let actions = self.node.handle_batch(now, batch, queued);
-        self.perform(actions);
+    /// Passes the queued inputs to the node in batches and performs the resulting actions.
+    fn handle_inputs(&mut self, _cx: CX![]) {
+        let began = Instant::now();
+        while began.elapsed() < MAX_TURN {
+            let (batch, queued) = self.inputs.take_batch();
+            if batch.is_empty() {
+                return;
+            }
+            let actions = self.node.handle_batch(self.started.elapsed(), batch, queued);
+            self.perform(actions);
+        }
     }
 
     /// Starts actions.
@@ -161,18 +171,19 @@
     let started = inputs.state.started;
     let mut stakker = Stakker::new(started);
     let s = &mut stakker;
-    let initial = NodeActor { node, driver, mesh, started, suspended_total: total_suspension() };
+    let suspended_total = total_suspension();
+    let initial =
+        NodeActor { node, driver, mesh, inputs: inputs.clone(), started, suspended_total };
     let actor: ActorOwn<NodeActor> = actor!(s, NodeActor::start(initial), ret_nop!());
     loop {
         call!([actor], check_suspension());
-        let (batch, queued) = inputs.take_batch();
-        if !batch.is_empty() {
-            call!([actor], handle_batch(batch, queued));
+        if inputs.has_input() {
+            call!([actor], handle_inputs());
         }
         s.run(Instant::now(), false);
         let sleep = s.next_wait_max(Instant::now(), MAX_SLEEP, false);
         if sleep.is_zero() || inputs.has_input() {
-            // Sockets are read and written between batches, and before a timer that is due:
+            // Sockets are read and written between turns, and before a timer that is due:
             // what a peer has sent counts before its silence does.
             tokio::task::yield_now().await;
             continue;
