control: a takeover tells its size and duration; test of one over a small link

The line 'state recovered; accepting requests' lacked what was read and how long it took; it now has bytes and took_ms. The simulated store now returns pages of 500 rows as the platform's does, so that recovery over several pages is exercised. A new leader of the large cell whose link carries 10 Mbit/s serves within 2 s of its claim, with all jobs (simulated, transfers only).

--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -257,6 +257,11 @@
         self.set_full_record(job, StoredJob { row, size, state });
     }
 
+    /// Size of all rows, in bytes.
+    pub fn size(&self) -> usize {
+        self.total_size
+    }
+
     /// Allows rows to be removed, once all of them have been restored with their jobs.
     pub fn finish_restoring(&mut self) {
         self.is_restored = true;
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -271,8 +271,10 @@
         self.journal.finish_restoring();
         if self.workers_cursor.is_some() {
             self.recovery = None;
-            let jobs = self.scheduler.jobs.len();
-            log_event!(ctx, AcceptingRequests, "epoch" => self.epoch, "jobs" => jobs);
+            let took = ctx.now.saturating_sub(self.elected_at);
+            log_event!(ctx, AcceptingRequests, "epoch" => self.epoch,
+                "jobs" => self.scheduler.jobs.len(), "bytes" => self.journal.size(),
+                "took_ms" => took.as_millis() as u64);
         }
     }
 
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Answer, Head, Operation};
+use control::{Answer, Head, Operation, Role};
 use prost::Message;
 use scheduler::{JobRecord, JobState, Segment, Step, StepRecord, Submission, TaskRecord};
 use support::fakes::FakeWorker;
@@ -124,6 +124,32 @@
     assert!(bytes <= limit, "{bytes} bytes, at most {limit}");
 }
 
+// Guards against a takeover of many seconds on a small link.
+#[test]
+fn takeover_small_link_serves_within_target() {
+    let mut sim = start_large_cell(6);
+    submit_jobs(&mut sim, 0..JOBS / 3 * 2);
+    sim.allowed_share = 0.0;
+    submit_jobs(&mut sim, JOBS / 3 * 2..JOBS);
+    sim.run(ms(3000));
+    let former = sim.leader().expect("a node leads");
+    let (jobs, open) = count_jobs(&sim);
+    for node in 0..3 {
+        // The simulated links carry values without base64.
+        sim.network.bandwidths.insert(node, LINK_BYTES_PER_S / 4 * 3 / SCALE);
+    }
+    sim.kill(former);
+    let is_recovering = |sim: &Simulation| {
+        sim.slots
+            .iter()
+            .any(|slot| slot.node.as_ref().is_some_and(|node| node.role() == Role::Recovering))
+    };
+    assert!(sim.run_until(ms(5000), is_recovering));
+    assert!(sim.run_until(ms(1000) * READ_TARGET_S as u32, |sim| sim.leader().is_some()));
+    assert_eq!(count_jobs(&sim), (jobs, open));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 // Guards against commits that take up the link of a leader on a small machine.
 #[test]
 fn commits_large_cell_leave_link_free() {
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -14,6 +14,9 @@
 
 use super::{Event, Simulation, ms};
 
+/// Most rows in a page.
+const PAGE_ROWS: usize = 500;
+
 #[derive(Debug, Default)]
 pub struct FakeStore {
     pub rows: BTreeMap<Name, (Vec<u8>, u64)>,
@@ -60,7 +63,10 @@
             value: value.clone(),
             version: *version,
         });
-        Page { rows: rows.collect(), has_more: false, store_clock_ms: now.as_millis() as u64 }
+        let mut rows: Vec<Row> = rows.take(PAGE_ROWS + 1).collect();
+        let has_more = rows.len() > PAGE_ROWS;
+        rows.truncate(PAGE_ROWS);
+        Page { rows, has_more, store_clock_ms: now.as_millis() as u64 }
     }
 }
 
