--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -139,6 +139,9 @@
     /// Mean lag of the follower's timer, in us; 0 from the leader.
     #[prost(uint32, tag = "4")]
     pub lag_us: u32,
+    /// Whether the follower is stopping and makes no claim; false from the leader.
+    #[prost(bool, tag = "5")]
+    pub is_stopping: bool,
 }
 
 /// A caller's request, forwarded to the leader.
@@ -184,6 +187,9 @@
     /// View, as JSON; empty for other answers.
     #[prost(string, tag = "4")]
     pub text: String,
+    /// Time for which the request was queued at the leader, in us.
+    #[prost(uint64, tag = "5")]
+    pub queued_us: u64,
 }
 
 /// An advice call that a follower makes on behalf of the leader.
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -8,18 +8,22 @@
     Action, Change, CommitResult, Input, OrderReply, Page, RenewReply, Row, Transaction,
     WatchResult, WatchTarget,
 };
-use prost::Message;
 use scheduler::{
     ActiveRun, FinishedRun, Listing, Outcome, Refusal, Registration, Resources, TaskKey,
 };
 
 use super::{Event, Simulation, ms};
 
+/// Most rows in a page.
+const PAGE_ROWS: usize = 500;
+
 #[derive(Debug, Default)]
 pub struct FakeStore {
     pub rows: BTreeMap<Name, (Vec<u8>, u64)>,
     pub version: u64,
     pub commits: u64,
+    /// Bytes of the journal rows written so far, without encoding.
+    pub written_bytes: u64,
 }
 
 impl FakeStore {
@@ -37,6 +41,7 @@
         }
         self.version += 1;
         for write in &transaction.writes {
+            self.written_bytes += write.value.len() as u64;
             self.rows.insert(write.key.key.clone(), (write.value.clone(), self.version));
         }
         for key in &transaction.deletes {
@@ -48,7 +53,7 @@
     /// Epoch in the head row.
     pub fn epoch(&self) -> u64 {
         let (value, _) = self.rows.get("head").expect("the head row exists");
-        control::Head::decode(&**value).expect("the row is a head").epoch
+        control::Head::from_row(value).expect("the row is a head").epoch
     }
 
     pub fn read(&self, from: &str, to: &str, now: Duration) -> Page {
@@ -58,7 +63,10 @@
             value: value.clone(),
             version: *version,
         });
-        Page { rows: rows.collect(), has_more: false, store_clock_ms: now.as_millis() as u64 }
+        let mut rows: Vec<Row> = rows.take(PAGE_ROWS + 1).collect();
+        let has_more = rows.len() > PAGE_ROWS;
+        rows.truncate(PAGE_ROWS);
+        Page { rows, has_more, store_clock_ms: now.as_millis() as u64 }
     }
 }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -16,8 +16,8 @@
 
 use common::Name;
 use control::{
-    Action, Answer, CallerRequest, Capacity, Config, Input, Node, Operation, PeerEvent, Role,
-    Target,
+    Action, Answer, Backlog, CallerRequest, Capacity, Config, Input, Node, Operation, PeerEvent,
+    QueuedInput, Role, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -44,7 +44,7 @@
         node: usize,
         incarnation: u64,
     },
-    /// A node has finished handling an input.
+    /// A node has finished handling a batch of inputs.
     Handled {
         node: usize,
         incarnation: u64,
@@ -79,21 +79,17 @@
     pub incarnation: u64,
     pub is_suspended: bool,
     held_events: Vec<Event>,
-    /// Inputs that are not handled yet, in order of arrival, with their arrival times.
-    inbox: VecDeque<(Duration, Input)>,
-    /// Whether an input is being handled.
+    /// Ticks and ends of suspensions, which the host handles between batches.
+    due: VecDeque<Input>,
+    backlog: Backlog,
+    /// Whether a batch is being handled.
     is_busy: bool,
 }
 
 impl NodeSlot {
     /// Number of inputs that are not handled yet.
     pub fn backlog(&self) -> usize {
-        self.inbox.len()
-    }
-
-    /// Age of the oldest input that is not handled yet; zero if there is none.
-    pub fn oldest_input_age(&self, now: Duration) -> Duration {
-        self.inbox.front().map_or(Duration::ZERO, |(arrived, _)| now.saturating_sub(*arrived))
+        self.due.len() + self.backlog.len()
     }
 }
 
@@ -196,6 +192,8 @@
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
+    /// Number of journal rows at which nodes that are started compact.
+    pub compaction_row_limit: usize,
     /// Capacities of the nodes; unknown for others.
     pub capacities: Vec<Capacity>,
     /// Number of member lists that nodes sent.
@@ -248,6 +246,7 @@
             run_time: None,
             timer_lags: HashMap::new(),
             started_runs: 0,
+            compaction_row_limit: 20,
             capacities: capacities.to_vec(),
             member_lists: 0,
             meter: Rc::new(control::NoopMeter),
@@ -272,7 +271,8 @@
                 incarnation: 0,
                 is_suspended: false,
                 held_events: Vec::new(),
-                inbox: VecDeque::new(),
+                due: VecDeque::new(),
+                backlog: Backlog::default(),
                 is_busy: false,
             });
             sim.start(number);
@@ -296,7 +296,7 @@
             max_transaction_rows: 100,
             max_transaction_bytes: 600_000,
             max_row_bytes: 48_000,
-            compaction_row_limit: 20,
+            compaction_row_limit: self.compaction_row_limit,
             initial_commit_latency: ms(8),
         };
         let log = test_log(&config.member);
@@ -312,7 +312,8 @@
         self.slots[number].node = None;
         self.slots[number].incarnation += 1;
         self.slots[number].held_events.clear();
-        self.slots[number].inbox.clear();
+        self.slots[number].due.clear();
+        self.slots[number].backlog = Backlog::default();
         self.slots[number].is_busy = false;
         let dead: Vec<_> = self.links.keys().filter(|(node, _)| *node == number).copied().collect();
         for key in dead {
@@ -413,7 +414,7 @@
             Event::Tick { node, incarnation } => self.receive(node, incarnation, Input::Tick),
             Event::Input { node, incarnation, input } => self.receive(node, incarnation, input),
             Event::Handled { node, incarnation, actions } => {
-                self.finish_input(node, incarnation, actions);
+                self.finish_batch(node, incarnation, actions);
             }
             Event::Commit { node, incarnation, call, transaction, is_lost } => {
                 let commit = self.store.commit(&transaction, self.now);
@@ -446,7 +447,7 @@
         }
     }
 
-    /// Adds an input to a node's inbox.
+    /// Adds an input to a node's backlog.
     fn receive(&mut self, node: usize, incarnation: u64, input: Input) {
         let now = self.now;
         let slot = &mut self.slots[node];
@@ -461,16 +462,15 @@
             slot.held_events.push(event);
             return;
         }
-        // The host reports a suspension before all other inputs.
-        if matches!(input, Input::Resumed { .. }) {
-            slot.inbox.push_front((now, input));
-        } else {
-            slot.inbox.push_back((now, input));
+        match input {
+            Input::Tick => slot.due.push_back(input),
+            Input::Resumed { .. } => slot.due.push_front(input),
+            input => slot.backlog.push(now, input),
         }
         self.handle_next(node);
     }
 
-    /// Handles the inputs of an idle node until one takes time.
+    /// Handles the inputs of an idle node until a batch takes time.
     fn handle_next(&mut self, node: usize) {
         let now = self.now;
         loop {
@@ -480,10 +480,16 @@
             }
             let incarnation = slot.incarnation;
             let Some(running) = slot.node.as_mut() else { return };
-            let Some((_, input)) = slot.inbox.pop_front() else { return };
-            let is_tick = matches!(input, Input::Tick);
-            let input_cost = self.costs.input_cost(&input);
-            let actions = running.handle(now, input);
+            let queued = slot.backlog.len();
+            let due = slot.due.pop_front().map(|input| QueuedInput { input, queued_at: now });
+            let batch = due.map_or_else(|| slot.backlog.take_batch(), |input| vec![input]);
+            if batch.is_empty() {
+                return;
+            }
+            let is_tick = matches!(batch[0].input, Input::Tick);
+            let costs = batch.iter().map(|queued| self.costs.input_cost(&queued.input));
+            let input_cost: Duration = costs.sum();
+            let actions = running.handle_batch(now, batch, queued);
             if is_tick {
                 let lag = self.timer_lags.get(&node).copied().unwrap_or_default();
                 let next_tick = now + running.tick_interval() + lag;
@@ -501,8 +507,8 @@
         }
     }
 
-    /// Performs the actions of an input that was handled, and handles the next one.
-    fn finish_input(&mut self, node: usize, incarnation: u64, actions: Vec<Action>) {
+    /// Performs the actions of a batch that was handled, and handles the next one.
+    fn finish_batch(&mut self, node: usize, incarnation: u64, actions: Vec<Action>) {
         let slot = &mut self.slots[node];
         if slot.incarnation != incarnation {
             return;
