--- a/crates/control/tests/overload.rs
+++ b/crates/control/tests/overload.rs
@@ -398,3 +398,38 @@
     });
     assert!(served[1] * 10 >= served[0] * 7, "{served:?}");
 }
+
+// Guards against a full pool in which wide gangs starve behind narrower jobs.
+#[test]
+#[ignore = "known red: see KNOWN-RED.txt"]
+fn full_pool_serves_wide_gangs() {
+    const WIDTHS: [u32; 10] = [2, 4, 4, 6, 8, 3, 10, 5, 24, 12];
+    const WIDE: u32 = 12;
+    let mut sim = start_quick_cell(9, 10);
+    let mut jobs = Vec::new();
+    let end = sim.now + ms(60_000);
+    while sim.now < end {
+        let number = jobs.len();
+        let width = WIDTHS[number % WIDTHS.len()];
+        let mut tasks = step(width, TASK_MS as u32);
+        tasks.is_gang = number % 3 > 0;
+        let is_wide_gang = tasks.is_gang && width >= WIDE;
+        let id = format!("j{number}");
+        sim.call(number % NODES, Operation::Submit(job(&id, vec![tasks])));
+        jobs.push((id, is_wide_gang));
+        sim.run(ms(90));
+    }
+    let leader = sim.leader().and_then(|node| sim.slots[node].node.as_ref());
+    let scheduler = leader.and_then(control::Node::scheduler).expect("a node leads");
+    let share = |only_wide: bool| {
+        let counted = jobs.iter().filter(|(_, is_wide_gang)| *is_wide_gang || !only_wide);
+        let is_served = |id: &str| {
+            let job = scheduler.jobs.get(id);
+            job.is_some_and(|job| job.durable_phase == Some(Phase::Completed))
+        };
+        let served = counted.clone().filter(|(id, _)| is_served(id)).count();
+        served as f64 / counted.count() as f64
+    };
+    let (wide, all) = (share(true), share(false));
+    assert!(wide >= all / 2.0, "{wide} of the wide gangs, {all} of all jobs");
+}
