Jobs with gangs rank as late after three quarters of their slack

What callers saw: in a full pool, wide gangs were rarely served, as they ranked as late before their room was gathered.

Change: a job with a gang ranks as late after 0.75 of its slack, others after 0.5.

--- a/crates/scheduler/src/lateness.rs
+++ b/crates/scheduler/src/lateness.rs
@@ -12,6 +12,9 @@
 /// Run times exceed their estimates, so a job that starts at the end of its slack is often late.
 const MAX_SLACK_SHARE: f64 = 0.5;
 
+/// Same as [`MAX_SLACK_SHARE`] for jobs with gangs, as it takes time to gather room for a gang.
+const MAX_GANG_SLACK_SHARE: f64 = 0.75;
+
 /// Added to the due time of a late job when jobs are ranked.
 pub(crate) const LATE_RANK_DELAY: Duration = Duration::from_hours(1);
 
@@ -35,9 +38,12 @@
 
     /// Whether a job without a started task is late and not yet ranked as such.
     fn is_newly_late(&self, job: &Job, now: Duration) -> bool {
-        !job.is_late
-            && !job.has_started
-            && now.saturating_sub(job.arrived) > self.slack(job).mul_f64(MAX_SLACK_SHARE)
+        if job.is_late || job.has_started {
+            return false;
+        }
+        let has_gang = job.submission.steps.iter().any(|step| step.is_gang);
+        let share = if has_gang { MAX_GANG_SLACK_SHARE } else { MAX_SLACK_SHARE };
+        now.saturating_sub(job.arrived) > self.slack(job).mul_f64(share)
     }
 
     /// Time for which a job may wait and still complete by its target time.
