A daemon's limit on submissions in flight is 4 at least

With a limit of 1, a daemon sends one submission in each response time of the leader; where a pass of placement takes 90 to 270 ms (event 5008 of a small leader), that is below the calm rate of a daemon with many callers.

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -27,8 +27,7 @@
 /// Limits on the submissions that were sent to the leader and not answered.
 ///
 /// Others wait here, where they can be refused truthfully, and the leader's queue stays short.
-const MIN_IN_FLIGHT: usize = 1;
-const INITIAL_IN_FLIGHT: usize = 4;
+const MIN_IN_FLIGHT: usize = 4;
 const MAX_IN_FLIGHT: usize = 32;
 
 /// Most queries that were sent to the leader and not answered.
@@ -145,7 +144,7 @@
             link: None,
             sent: BTreeMap::new(),
             response_time: Duration::ZERO,
-            limit: INITIAL_IN_FLIGHT,
+            limit: MIN_IN_FLIGHT,
             adjusted_at: Duration::ZERO,
             min_queue_time: None,
             is_limited: false,
