--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -507,7 +507,6 @@
             self.needs_placement = false;
             ctx.load.attribute(Work::Rest);
             let visited_before = self.scheduler.steps_visited;
-            self.scheduler.rank_late_jobs(ctx.now);
             let advice_capacity = self.advice_calls.capacity(&self.peers, ctx.now);
             self.scheduler.plan(ctx.now, self.journal.expected_latency(), advice_capacity);
             ctx.load.record_pass(self.scheduler.steps_visited - visited_before);
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -85,8 +85,6 @@
         pub has_started: bool,
         /// Target completion time; jobs of equal priority are ranked by it.
         pub due_at: Duration,
-        /// Whether it ranks behind other jobs, as it will probably miss its target time.
-        pub is_late: bool,
         /// State of each step; empty once the job's details are dropped.
         pub steps: Vec<StepState>,
     }
@@ -150,7 +148,6 @@
             durable_phase: None,
             has_started: false,
             due_at: arrived,
-            is_late: false,
             steps: steps.collect(),
             submission,
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,7 +9,6 @@
 mod estimate;
 mod explain;
 mod job;
-mod lateness;
 mod placement;
 mod pool;
 mod reconcile;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,7 +9,6 @@
 
 use crate::estimate::Estimator;
 use crate::job::{Job, Phase, TaskKey};
-use crate::lateness::LATE_RANK_DELAY;
 use crate::pool::Pool;
 use crate::record::Submission;
 use crate::rules::{Queue, Rules};
@@ -190,11 +189,10 @@
         current.or_else(|| self.removed_queues.get(name))
     }
 
-    /// Sort key among open jobs: priority, due time after all others if late, id.
-    pub(crate) fn rank(&self, job: &Job) -> (u32, Duration, Name) {
+    /// Sort key among open jobs: priority, due time, id.
+    fn rank(&self, job: &Job) -> (u32, Duration, Name) {
         let queue = self.queue(&job.queue);
-        let due_at = if job.is_late { job.due_at + LATE_RANK_DELAY } else { job.due_at };
-        (queue.map_or(u32::MAX, |queue| queue.priority), due_at, job.id.clone())
+        (queue.map_or(u32::MAX, |queue| queue.priority), job.due_at, job.id.clone())
     }
 
     /// Computes the target completion time: arrival, plus the critical path times the queue's factor,
