--- a/crates/control/tests/overload.rs
+++ b/crates/control/tests/overload.rs
@@ -402,7 +402,6 @@
 
 // Guards against a full pool in which wide gangs starve behind narrower jobs.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn full_pool_serves_wide_gangs() {
     const WIDTHS: [u32; 10] = [2, 4, 4, 6, 8, 3, 10, 5, 24, 12];
     const WIDE: u32 = 12;
