A gang asks about other workers when its allowed ones have left or stay busy

Cause, found by the review: since the cost of a pass was cut, the places on a gang's allowed workers were counted when advice arrived and not again, so that workers that drain or leave later still counted, and a gang asked about more workers only while fewer than four gangs reserved room. Four gangs that wait for such workers kept all others from asking.

Change: the places are counted on the workers that are usable now, and a gang with busy candidates asks again after its delay whatever other gangs reserve. A gang that reserves nothing checks at most once in 100 ms.

Tests: gangs_whose_allowed_workers_left_request_advice and gang_behind_gangs_that_wait_requests_advice fail on the code before (only the first four of five gangs ask).

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -45,6 +45,9 @@
 /// It starts at the last advice. The candidates that the gang has may be busy for long.
 const GANG_ADVICE_DELAY: Duration = Duration::from_millis(1500);
 
+/// Delay before a gang that reserves no capacity checks again whether advice is of use.
+const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
+
 /// Factor on the expected number of workers that an advice call must name.
 const ADVICE_MARGIN_FACTOR: f64 = 1.4;
 
@@ -192,8 +195,12 @@
             if state.advice_not_before > self.now {
                 return;
             }
-            // A gang with enough candidates waits for room on them.
-            if has_enough_candidates(spec, state) && !spec.need.fits_in(&self.largest_free) {
+            // In a full pool, more advice is of no use soon after the last.
+            let had_advice = state.last_advice_at > Duration::ZERO;
+            if had_advice
+                && self.now < state.last_advice_at + GANG_ADVICE_DELAY
+                && !spec.need.fits_in(&self.largest_free)
+            {
                 return;
             }
         }
@@ -267,17 +274,26 @@
 
     /// Whether the workers that advice allows for a gang would hold it if they were empty.
     fn can_collect(&self, pending: &PendingStep<'_>) -> bool {
-        if pending.queue.advice.is_none() {
-            return true;
-        }
-        let Some(step) = self.step_state(pending) else { return false };
-        let count = pending.spec.count;
-        let allowed = step.eligibility.keys().filter(|id| step.is_allowed(id));
-        let workers = allowed.filter_map(|id| self.scheduler.pool.get(id));
-        let places = workers.filter(|worker| worker.is_listed).map(|worker| {
-            pending.spec.need.max_copies_in(&worker.registration.capacity).min(count)
+        pending.queue.advice.is_none() || self.allowed_places(pending) >= pending.spec.count
+    }
+
+    /// Whether enough workers are allowed for a gang, so that only capacity is missing.
+    fn has_enough_candidates(&self, pending: &PendingStep<'_>) -> bool {
+        pending.spec.is_gang
+            && self.allowed_places(pending) >= pending.spec.count * GANG_CANDIDATE_FACTOR
+    }
+
+    /// Number of a step's tasks that its allowed workers would hold if they were empty.
+    ///
+    /// Only workers that are usable now count, as those that drain or left give no room.
+    fn allowed_places(&self, pending: &PendingStep<'_>) -> u32 {
+        let workers = self.allowed_slots(pending, false).into_iter();
+        let workers = workers.filter_map(|slot| self.scheduler.pool.get(&self.slots[slot].id));
+        let places = workers.map(|worker| {
+            let capacity = &worker.registration.capacity;
+            pending.spec.need.max_copies_in(capacity).min(pending.spec.count)
         });
-        places.fold(0, u32::saturating_add) >= count
+        places.fold(0, u32::saturating_add)
     }
 
     /// State of a step; `None` if its job is unknown.
@@ -488,6 +504,12 @@
         let (id, step_index) = pending.key;
         let workers = self.choose_advice_workers(pending);
         if workers.is_empty() {
+            if self.reserving_gangs >= MAX_RESERVING_GANGS
+                && let Some(job) = self.scheduler.jobs.get_mut(id)
+            {
+                let step = &mut job.steps[step_index as usize];
+                step.advice_not_before = self.now + GANG_RECHECK_DELAY;
+            }
             return workers;
         }
         let expected_duration =
@@ -527,10 +549,8 @@
                 return known;
             }
         }
-        let has_candidates = has_enough_candidates(pending.spec, step);
-        let may_widen = self.now >= step.last_advice_at + GANG_ADVICE_DELAY
-            && self.reserving_gangs < MAX_RESERVING_GANGS;
-        if has_candidates && !may_widen {
+        let has_candidates = self.has_enough_candidates(pending);
+        if has_candidates && self.now < step.last_advice_at + GANG_ADVICE_DELAY {
             return Vec::new();
         }
         let mut unknown = Vec::new();
@@ -576,11 +596,6 @@
     }
 }
 
-/// Whether enough workers are allowed for a gang, so that only capacity is missing.
-fn has_enough_candidates(spec: &Step, state: &StepState) -> bool {
-    spec.is_gang && state.allowed_places >= spec.count * GANG_CANDIDATE_FACTOR
-}
-
 impl Job {
     /// The ticket that a start must carry; `None` without one still valid at `now`.
     pub fn ticket(&self, step: u32, worker: &str, now: Duration) -> Option<Name> {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -396,12 +396,6 @@
             });
             step.eligibility.insert(worker, eligibility);
         }
-        let spec = &job.submission.steps[step_index as usize];
-        let allowed = step.eligibility.keys().filter(|worker| step.is_allowed(worker));
-        let workers = allowed.filter_map(|worker| self.pool.get(worker));
-        let places = workers
-            .map(|worker| spec.need.max_copies_in(&worker.registration.capacity).min(spec.count));
-        step.allowed_places = places.fold(0, u32::saturating_add);
         self.estimator.observe_advice(&job.queue, newly_named, newly_allowed);
     }
 
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -35,9 +35,6 @@
         pub steps_ahead: Option<usize>,
         /// Time until which some ticket may be valid.
         pub tickets_until: Duration,
-        /// Tasks that fit on the allowed workers when these are empty, as of the last advice;
-        /// of each worker at most as many as the step has.
-        pub allowed_places: u32,
         /// Failed advice calls since the last advice received.
         pub advice_failures: u32,
         /// Earliest time of the next advice call.
@@ -58,7 +55,6 @@
             pending_advice: None,
             steps_ahead: None,
             tickets_until: Duration::ZERO,
-            allowed_places: 0,
             advice_failures: 0,
             advice_not_before: Duration::ZERO,
             last_advice_at: Duration::ZERO,
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use common::Name;
@@ -442,6 +443,54 @@
     assert_eq!(place(&mut scheduler, NOW + secs(3)).len(), 4);
 }
 
+/// A pool of 40 workers of two places, in which five gangs of four have advice on the first four.
+fn pool_with_gangs() -> Scheduler {
+    let ids: Vec<String> = (0..40).map(|number| format!("w{number:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = pool(&ids, Some(advice_policy()));
+    for id in ["a1", "a2", "a3", "a4", "b"] {
+        submit(&mut scheduler, id, vec![Step { is_gang: true, ..step(4) }]);
+        let gang = scheduler.jobs.get_mut(id).expect("the job is known");
+        let named = ["w00", "w01", "w02", "w03"].map(Name::new);
+        gang.steps[0].pending_advice = Some(named.to_vec());
+        let tickets = named.into_iter().map(|worker| (worker, Name::new("t"))).collect();
+        scheduler.apply_advice(id, 0, Some((tickets, Duration::from_millis(1500))), NOW);
+    }
+    scheduler
+}
+
+/// Jobs for which advice was requested up to two seconds later.
+fn jobs_asked_about(scheduler: &mut Scheduler) -> BTreeSet<Name> {
+    for tick in 0..=20 {
+        scheduler.plan(NOW + Duration::from_millis(100) * tick, NO_DELAY, ample_advice());
+    }
+    scheduler.advice_calls.drain(..).map(|call| call.job).collect()
+}
+
+// Guards against gangs that wait for allowed workers that have left, while others are free.
+#[test]
+fn gangs_whose_allowed_workers_left_request_advice() {
+    let mut scheduler = pool_with_gangs();
+    for id in ["w00", "w01", "w02", "w03"] {
+        let worker = scheduler.pool.get_mut(id).expect("the worker is known");
+        worker.registration.is_draining = true;
+    }
+    let jobs = jobs_asked_about(&mut scheduler);
+    assert_eq!(jobs.len(), 5, "{jobs:?}");
+}
+
+// Guards against gangs that never ask about free workers behind others that wait for room.
+#[test]
+fn gang_behind_gangs_that_wait_requests_advice() {
+    let mut scheduler = pool_with_gangs();
+    for id in ["w00", "w01", "w02", "w03"] {
+        let worker = scheduler.pool.get_mut(id).expect("the worker is known");
+        worker.allocated = Resources { cpu: 2000, mem: 0, gpus: 0 };
+    }
+    let jobs = jobs_asked_about(&mut scheduler);
+    assert!(jobs.contains("b"), "{jobs:?}");
+}
+
 #[test]
 fn plan_only_on_workers_of_service_and_label() {
     let mut scheduler = pool(&["w1"], None);
