--- /dev/null
+++ b/crates/scheduler/src/placement/advice.rs
@@ -0,0 +1,167 @@
+//! Decides which steps request advice, on which workers, and what they reserve meanwhile.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use common::Name;
+
+use super::{GANG_ADVICE_DELAY, MAX_RESERVING_GANGS, Pass, PendingStep, Slot};
+use crate::advice::CallClass;
+use crate::rules::AdvicePolicy;
+use crate::scheduler::AdviceCall;
+
+/// Limit on workers named in an advice call, which bounds its duration.
+///
+/// Allowed workers that a step needs are named even beyond this limit.
+const MAX_WORKERS_PER_CALL: usize = 30;
+
+/// Fewest unknown workers named in an advice call for a gang.
+///
+/// The base duration of a call dominates the added duration of each worker named.
+const MIN_WORKERS_PER_GANG_CALL: usize = 24;
+
+/// Delay before a gang that reserves no capacity checks again whether advice is of use.
+const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
+
+/// Factor on the expected number of workers that an advice call must name.
+const ADVICE_MARGIN_FACTOR: f64 = 1.4;
+
+impl Pass<'_> {
+    /// Requests the tickets that a step lacks, unless a call is pending.
+    pub(super) fn ensure_advice(&mut self, pending: &PendingStep<'_>) {
+        let Some(advice) = &pending.queue.advice else { return };
+        let Some(step) = self.step_state(pending) else { return };
+        let workers = match &step.pending_advice {
+            Some(named_workers) => named_workers.clone(),
+            None if step.advice_not_before > self.now => return,
+            None => self.request_advice(pending, advice),
+        };
+        self.reserve_for_advice(pending, &workers);
+    }
+
+    /// Reserves the capacity that a step will use after its advice arrives.
+    ///
+    /// A gang may use any of many unknown workers, so that these are only avoided by the calls of
+    /// other gangs.
+    pub(super) fn reserve_for_advice(&mut self, pending: &PendingStep<'_>, workers: &[Name]) {
+        let slots = workers.iter().filter_map(|worker| self.slot_indexes.get(worker).copied());
+        let mut slots: Vec<usize> = slots.collect();
+        if pending.spec.is_gang {
+            let Some(step) = self.step_state(pending) else { return };
+            let is_allowed = |slot: &usize| step.is_allowed(&self.slots[*slot].id);
+            let (allowed, unknown): (Vec<usize>, Vec<usize>) =
+                slots.into_iter().partition(is_allowed);
+            let need = pending.spec.need.times(pending.waiting_tasks.len() as u32);
+            let share = need.divided(unknown.len().max(1) as u32);
+            for slot in unknown {
+                let expected_use = &mut self.slots[slot].expected_use;
+                *expected_use = expected_use.plus(&share);
+            }
+            if self.reserving_gangs < MAX_RESERVING_GANGS {
+                return;
+            }
+            slots = allowed;
+        }
+        self.reserve(pending, &slots);
+    }
+
+    /// Queues an advice call if it can start soon, and returns the workers that it names.
+    pub(super) fn request_advice(
+        &mut self,
+        pending: &PendingStep<'_>,
+        advice: &AdvicePolicy,
+    ) -> Vec<Name> {
+        let (id, step_index) = pending.key;
+        let workers = self.choose_advice_workers(pending);
+        if workers.is_empty() {
+            if self.reserving_gangs >= MAX_RESERVING_GANGS
+                && let Some(job) = self.scheduler.jobs.get_mut(id)
+            {
+                let step = &mut job.steps[step_index as usize];
+                step.advice_not_before = self.now + GANG_RECHECK_DELAY;
+            }
+            return workers;
+        }
+        let expected_duration =
+            advice.base_duration + advice.duration_per_worker * workers.len() as u32;
+        let class = CallClass::of(expected_duration);
+        let Some(job) = self.scheduler.jobs.get_mut(id) else { return Vec::new() };
+        let step = &mut job.steps[step_index as usize];
+        if !self.advice_capacity.has_free_daemon(class) {
+            step.steps_ahead = Some(self.advice_capacity.refuse(class));
+            return Vec::new();
+        }
+        self.advice_capacity.assign(expected_duration);
+        self.steps_handled += 1;
+        step.pending_advice = Some(workers.clone());
+        let advice_call = AdviceCall {
+            job: id.clone(),
+            step: step_index,
+            workers: workers.clone(),
+            expected_duration,
+        };
+        self.scheduler.advice_calls.push(advice_call);
+        workers
+    }
+
+    /// Chooses the workers of an advice call: allowed ones first, then unknown ones by capacity.
+    pub(super) fn choose_advice_workers(&self, pending: &PendingStep<'_>) -> Vec<Name> {
+        let Some(step) = self.step_state(pending) else { return Vec::new() };
+        let count = pending.waiting_tasks.len() as u32;
+        let (mut known, mut known_places) = (Vec::new(), 0);
+        for slot in self.allowed_slots(pending, false) {
+            let free_places = self.fitting_tasks(pending, slot);
+            if free_places > 0 {
+                known_places += free_places;
+                known.push(self.slots[slot].id.clone());
+            }
+            if known_places >= count {
+                return known;
+            }
+        }
+        let has_candidates = self.has_enough_candidates(pending);
+        if has_candidates && self.now < step.last_advice_at + GANG_ADVICE_DELAY {
+            return Vec::new();
+        }
+        let mut unknown = Vec::new();
+        for slot in pending.candidates.slots.iter().copied() {
+            let free_places = self.fitting_tasks(pending, slot);
+            let id = &self.slots[slot].id;
+            // A gang reserves capacity over time, so workers that are full now count too.
+            if (free_places > 0 || pending.spec.is_gang) && !step.eligibility.contains_key(id) {
+                unknown.push((free_places, slot));
+            }
+        }
+        let share = self.scheduler.estimator.allowed_share(&pending.queue.name);
+        let remaining = f64::from(count - known_places);
+        if has_candidates {
+            unknown.retain(|(free_places, _)| *free_places > 0);
+            let places: u32 = unknown.iter().map(|(free_places, _)| free_places.min(&count)).sum();
+            if known_places + places < count {
+                return Vec::new();
+            }
+        }
+        if unknown.is_empty() {
+            return if pending.spec.is_gang { Vec::new() } else { known };
+        }
+        unknown.sort_by_key(|(_, slot)| {
+            let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
+            let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
+            (Reverse(places), expected_use.cpu)
+        });
+        let tasks_per_worker = f64::from(unknown[0].0.clamp(1, count));
+        let mut new_workers =
+            (remaining / tasks_per_worker / share * ADVICE_MARGIN_FACTOR).ceil() as usize + 1;
+        if pending.spec.is_gang {
+            new_workers = new_workers.max(MIN_WORKERS_PER_GANG_CALL.min(unknown.len()));
+        }
+        let max_new = MAX_WORKERS_PER_CALL.saturating_sub(known.len()).max(1);
+        known.extend(
+            unknown
+                .into_iter()
+                .take(new_workers.min(max_new))
+                .map(|(_, slot)| self.slots[slot].id.clone()),
+        );
+        known
+    }
+}
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -3,9 +3,11 @@
 //! A scheduling pass visits the open jobs by rank and works on a copy of the workers' free
 //! capacity. Capacity that a job of higher rank will use soon (a gang that waits for enough
 //! capacity, a step that waits for advice) is reserved in the copy, so that jobs of lower
-//! rank do not take it.
+//! rank do not take it. `gangs` places gangs, `advice` decides on the calls.
+
+mod advice;
+mod gangs;
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,42 +17,19 @@
 use crate::advice::{AdviceCapacity, CallClass};
 use crate::job::{Job, TaskKey};
 use crate::record::{Resources, Step};
-use crate::rules::{AdvicePolicy, Queue};
-use crate::scheduler::{AdviceCall, Scheduler, StartOrder};
+use crate::rules::Queue;
+use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
 
 /// Most gangs per pass that may reserve capacity until all tasks fit.
 const MAX_RESERVING_GANGS: usize = 4;
 
-/// Limit on workers named in an advice call, which bounds its duration.
-///
-/// Allowed workers that a step needs are named even beyond this limit.
-const MAX_WORKERS_PER_CALL: usize = 30;
-
-/// Fewest unknown workers named in an advice call for a gang.
-///
-/// The base duration of a call dominates the added duration of each worker named.
-const MIN_WORKERS_PER_GANG_CALL: usize = 24;
-
-/// Number of places on allowed workers that counts as enough, as a multiple of the gang's size.
-///
-/// Busy workers count too. A gang with enough candidates waits for free capacity instead of
-/// requesting advice on more workers.
-const GANG_CANDIDATE_FACTOR: u32 = 2;
-
-/// Delay after which a gang with enough candidates and reserved capacity requests advice on more
-/// workers.
+/// Delay after which a gang with enough candidates requests advice on more workers.
 ///
 /// It starts at the last advice. The candidates that the gang has may be busy for long.
 const GANG_ADVICE_DELAY: Duration = Duration::from_millis(1500);
 
-/// Delay before a gang that reserves no capacity checks again whether advice is of use.
-const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
-
-/// Factor on the expected number of workers that an advice call must name.
-const ADVICE_MARGIN_FACTOR: f64 = 1.4;
-
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
 
@@ -254,48 +233,6 @@
         }
     }
 
-    /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, pending: PendingStep<'_>) {
-        let feasible = self.allowed_slots(&pending, true);
-        if let Some(chosen) = self.choose_gang_slots(&pending, feasible) {
-            self.assign_tasks(&pending, &chosen);
-            self.steps_handled += 1;
-            self.update_largest_free();
-            return;
-        }
-        if pending.queue.advice.is_some() {
-            self.ensure_advice(&pending);
-        }
-        if self.reserving_gangs < MAX_RESERVING_GANGS && self.can_collect(&pending) {
-            self.reserving_gangs += 1;
-            self.reserve_for_gang(&pending);
-        }
-    }
-
-    /// Whether the workers that advice allows for a gang would hold it if they were empty.
-    fn can_collect(&self, pending: &PendingStep<'_>) -> bool {
-        pending.queue.advice.is_none() || self.allowed_places(pending) >= pending.spec.count
-    }
-
-    /// Whether enough workers are allowed for a gang, so that only capacity is missing.
-    fn has_enough_candidates(&self, pending: &PendingStep<'_>) -> bool {
-        pending.spec.is_gang
-            && self.allowed_places(pending) >= pending.spec.count * GANG_CANDIDATE_FACTOR
-    }
-
-    /// Number of a step's tasks that its allowed workers would hold if they were empty.
-    ///
-    /// Only workers that are usable now count, as those that drain or left give no room.
-    fn allowed_places(&self, pending: &PendingStep<'_>) -> u32 {
-        let workers = self.allowed_slots(pending, false).into_iter();
-        let workers = workers.filter_map(|slot| self.scheduler.pool.get(&self.slots[slot].id));
-        let places = workers.map(|worker| {
-            let capacity = &worker.registration.capacity;
-            pending.spec.need.max_copies_in(capacity).min(pending.spec.count)
-        });
-        places.fold(0, u32::saturating_add)
-    }
-
     /// State of a step; `None` if its job is unknown.
     fn step_state(&self, pending: &PendingStep<'_>) -> Option<&StepState> {
         let (id, step_index) = pending.key;
@@ -361,57 +298,6 @@
         worker.is_some_and(|worker| worker.has_label(&spec.affinity))
     }
 
-    /// Slots for all tasks of a gang; `None` if they do not all fit.
-    fn choose_gang_slots(
-        &self,
-        pending: &PendingStep<'_>,
-        mut feasible: Vec<usize>,
-    ) -> Option<Vec<(u32, usize)>> {
-        feasible.retain(|slot| pending.spec.need.fits_in(&self.slots[*slot].free_capacity));
-        feasible.sort_by_key(|slot| {
-            (!self.has_affinity(pending.spec, *slot), self.slots[*slot].free_capacity.cpu)
-        });
-        if pending.spec.same_rack
-            && let Some(chosen) = self.choose_in_rack(pending, &feasible)
-        {
-            return Some(chosen);
-        }
-        self.choose_among(pending, &feasible)
-    }
-
-    /// Slots for all tasks of a gang within one rack.
-    fn choose_in_rack(
-        &self,
-        pending: &PendingStep<'_>,
-        feasible: &[usize],
-    ) -> Option<Vec<(u32, usize)>> {
-        let mut racks: HashMap<&Name, Vec<usize>> = HashMap::new();
-        for slot in feasible {
-            let worker = self.scheduler.pool.get(&self.slots[*slot].id)?;
-            if let Some(rack) = worker.registration.labels.last() {
-                racks.entry(rack).or_default().push(*slot);
-            }
-        }
-        racks.values().find_map(|slots| self.choose_among(pending, slots))
-    }
-
-    /// Chooses slots in the given order; `None` if the gang does not fit.
-    fn choose_among(
-        &self,
-        pending: &PendingStep<'_>,
-        feasible: &[usize],
-    ) -> Option<Vec<(u32, usize)>> {
-        let mut remaining = pending.waiting_tasks.iter();
-        let mut chosen = Vec::with_capacity(pending.waiting_tasks.len());
-        for slot in feasible {
-            for _ in 0..self.fitting_tasks(pending, *slot) {
-                let Some(index) = remaining.next() else { return Some(chosen) };
-                chosen.push((*index, *slot));
-            }
-        }
-        remaining.next().is_none().then_some(chosen)
-    }
-
     /// Assigns tasks to slots and queues their starts until the job is durable.
     fn assign_tasks(&mut self, pending: &PendingStep<'_>, chosen: &[(u32, usize)]) {
         let (id, step_index) = pending.key;
@@ -441,12 +327,6 @@
         self.scheduler.changed_jobs.insert(id.clone());
     }
 
-    /// Reserves capacity for a gang on the slots that may run it.
-    fn reserve_for_gang(&mut self, pending: &PendingStep<'_>) {
-        let allowed = self.allowed_slots(pending, false);
-        self.reserve(pending, &allowed);
-    }
-
     /// Reserves capacity for the waiting tasks of a step on the first slots with room.
     fn reserve(&mut self, pending: &PendingStep<'_>, slots: &[usize]) {
         let mut remaining = pending.waiting_tasks.len() as u32;
@@ -460,140 +340,6 @@
             }
         }
     }
-
-    /// Requests the tickets that a step lacks, unless a call is pending.
-    fn ensure_advice(&mut self, pending: &PendingStep<'_>) {
-        let Some(advice) = &pending.queue.advice else { return };
-        let Some(step) = self.step_state(pending) else { return };
-        let workers = match &step.pending_advice {
-            Some(named_workers) => named_workers.clone(),
-            None if step.advice_not_before > self.now => return,
-            None => self.request_advice(pending, advice),
-        };
-        self.reserve_for_advice(pending, &workers);
-    }
-
-    /// Reserves the capacity that a step will use after its advice arrives.
-    ///
-    /// A gang may use any of many unknown workers, so that these are only avoided by the calls of
-    /// other gangs.
-    fn reserve_for_advice(&mut self, pending: &PendingStep<'_>, workers: &[Name]) {
-        let slots = workers.iter().filter_map(|worker| self.slot_indexes.get(worker).copied());
-        let mut slots: Vec<usize> = slots.collect();
-        if pending.spec.is_gang {
-            let Some(step) = self.step_state(pending) else { return };
-            let is_allowed = |slot: &usize| step.is_allowed(&self.slots[*slot].id);
-            let (allowed, unknown): (Vec<usize>, Vec<usize>) =
-                slots.into_iter().partition(is_allowed);
-            let need = pending.spec.need.times(pending.waiting_tasks.len() as u32);
-            let share = need.divided(unknown.len().max(1) as u32);
-            for slot in unknown {
-                let expected_use = &mut self.slots[slot].expected_use;
-                *expected_use = expected_use.plus(&share);
-            }
-            if self.reserving_gangs < MAX_RESERVING_GANGS {
-                return;
-            }
-            slots = allowed;
-        }
-        self.reserve(pending, &slots);
-    }
-
-    /// Queues an advice call if it can start soon, and returns the workers that it names.
-    fn request_advice(&mut self, pending: &PendingStep<'_>, advice: &AdvicePolicy) -> Vec<Name> {
-        let (id, step_index) = pending.key;
-        let workers = self.choose_advice_workers(pending);
-        if workers.is_empty() {
-            if self.reserving_gangs >= MAX_RESERVING_GANGS
-                && let Some(job) = self.scheduler.jobs.get_mut(id)
-            {
-                let step = &mut job.steps[step_index as usize];
-                step.advice_not_before = self.now + GANG_RECHECK_DELAY;
-            }
-            return workers;
-        }
-        let expected_duration =
-            advice.base_duration + advice.duration_per_worker * workers.len() as u32;
-        let class = CallClass::of(expected_duration);
-        let Some(job) = self.scheduler.jobs.get_mut(id) else { return Vec::new() };
-        let step = &mut job.steps[step_index as usize];
-        if !self.advice_capacity.has_free_daemon(class) {
-            step.steps_ahead = Some(self.advice_capacity.refuse(class));
-            return Vec::new();
-        }
-        self.advice_capacity.assign(expected_duration);
-        self.steps_handled += 1;
-        step.pending_advice = Some(workers.clone());
-        let advice_call = AdviceCall {
-            job: id.clone(),
-            step: step_index,
-            workers: workers.clone(),
-            expected_duration,
-        };
-        self.scheduler.advice_calls.push(advice_call);
-        workers
-    }
-
-    /// Chooses the workers of an advice call: allowed ones first, then unknown ones by capacity.
-    fn choose_advice_workers(&self, pending: &PendingStep<'_>) -> Vec<Name> {
-        let Some(step) = self.step_state(pending) else { return Vec::new() };
-        let count = pending.waiting_tasks.len() as u32;
-        let (mut known, mut known_places) = (Vec::new(), 0);
-        for slot in self.allowed_slots(pending, false) {
-            let free_places = self.fitting_tasks(pending, slot);
-            if free_places > 0 {
-                known_places += free_places;
-                known.push(self.slots[slot].id.clone());
-            }
-            if known_places >= count {
-                return known;
-            }
-        }
-        let has_candidates = self.has_enough_candidates(pending);
-        if has_candidates && self.now < step.last_advice_at + GANG_ADVICE_DELAY {
-            return Vec::new();
-        }
-        let mut unknown = Vec::new();
-        for slot in pending.candidates.slots.iter().copied() {
-            let free_places = self.fitting_tasks(pending, slot);
-            let id = &self.slots[slot].id;
-            // A gang reserves capacity over time, so workers that are full now count too.
-            if (free_places > 0 || pending.spec.is_gang) && !step.eligibility.contains_key(id) {
-                unknown.push((free_places, slot));
-            }
-        }
-        let share = self.scheduler.estimator.allowed_share(&pending.queue.name);
-        let remaining = f64::from(count - known_places);
-        if has_candidates {
-            unknown.retain(|(free_places, _)| *free_places > 0);
-            let places: u32 = unknown.iter().map(|(free_places, _)| free_places.min(&count)).sum();
-            if known_places + places < count {
-                return Vec::new();
-            }
-        }
-        if unknown.is_empty() {
-            return if pending.spec.is_gang { Vec::new() } else { known };
-        }
-        unknown.sort_by_key(|(_, slot)| {
-            let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
-            let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
-            (Reverse(places), expected_use.cpu)
-        });
-        let tasks_per_worker = f64::from(unknown[0].0.clamp(1, count));
-        let mut new_workers =
-            (remaining / tasks_per_worker / share * ADVICE_MARGIN_FACTOR).ceil() as usize + 1;
-        if pending.spec.is_gang {
-            new_workers = new_workers.max(MIN_WORKERS_PER_GANG_CALL.min(unknown.len()));
-        }
-        let max_new = MAX_WORKERS_PER_CALL.saturating_sub(known.len()).max(1);
-        known.extend(
-            unknown
-                .into_iter()
-                .take(new_workers.min(max_new))
-                .map(|(_, slot)| self.slots[slot].id.clone()),
-        );
-        known
-    }
 }
 
 impl Job {
