A freeze during a placement pass no longer delays the next one

Callers would see accepted jobs wait after a leader was suspended during a pass: the time to the next pass is twice the time that the pass took, without a limit, so a freeze of 5 s means no placement for 5 s more.

The part of the interval that follows from a pass's time is at most 300 ms.

placement_continues_after_freeze fails before the change ("not placed within a second of the freeze") and passes with it; cargo test -p control is green.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -51,6 +51,11 @@
 /// Least time from a pass to the next one, as a multiple of the time that the pass took.
 const PLACEMENT_REST_FACTOR: u32 = 1;
 
+/// Longest interval that follows from the time that a pass took.
+///
+/// The process may have been suspended during the pass.
+const MAX_COST_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Interval between placement passes while nothing changes, as tickets and quarantines expire.
 const IDLE_PLACEMENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -499,7 +504,8 @@
         let elapsed = ctx.now.saturating_sub(self.last_placement);
         let interval =
             MIN_PLACEMENT_INTERVAL + PLACEMENT_INTERVAL_PER_JOB * self.scheduler.open_jobs() as u32;
-        let interval = interval.max(self.placement_cost * (1 + PLACEMENT_REST_FACTOR));
+        let cost_interval = self.placement_cost * (1 + PLACEMENT_REST_FACTOR);
+        let interval = interval.max(cost_interval.min(MAX_COST_INTERVAL));
         let is_due = (self.needs_placement && elapsed >= interval)
             || elapsed >= IDLE_PLACEMENT_INTERVAL.max(interval);
         if is_due && !self.is_resigning {
--- a/crates/control/tests/load.rs
+++ b/crates/control/tests/load.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 struct SlowMeter {
     clock: Cell<Duration>,
+    /// Added to the time of the pieces of work in progress.
+    freeze: Cell<Duration>,
     passes: Cell<u64>,
     lease_checks: Cell<u64>,
     renewals: Cell<u64>,
@@ -41,7 +43,7 @@
     fn set_gauge(&self, _gauge: Gauge, _value: u64) {}
 
     fn work_clock(&self) -> Duration {
-        self.clock.set(self.clock.get() + WORK_TIME);
+        self.clock.set(self.clock.get() + WORK_TIME + self.freeze.get());
         self.clock.get()
     }
 }
@@ -74,6 +76,18 @@
     assert!(share < 0.6, "placement takes {share} of the time");
 }
 
+// Guards against a leader that, after a freeze during a pass, places nothing for as long again.
+#[test]
+fn placement_continues_after_freeze() {
+    let (mut sim, meter) = measured_leader(17, 4);
+    meter.freeze.set(Duration::from_secs(5));
+    sim.run(Duration::from_millis(200));
+    meter.freeze.set(Duration::ZERO);
+    sim.call(0, Operation::Submit(job("j1", vec![step(1, 20)])));
+    sim.run(Duration::from_secs(1));
+    assert!(sim.has_run("j1"), "not placed within a second of the freeze");
+}
+
 // Guards against a leader whose loop is filled by looking for leases that need nothing.
 #[test]
 fn lease_checks_follow_changes() {
