A new leader is not overloaded by what waited without a leader

Callers saw "leader is overloaded" from a follower right after a takeover, while the new leader was idle: the follower kept counting the time for which submissions were held back by the former leader and the time without one, so it refused all but the first four that it forwarded.

The time that a submission waits to be sent, and the time of the backlog, now count from when the link to the leader was selected. Deadlines are as before.

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -124,6 +124,8 @@
 struct InFlight {
     /// Link on which they were sent; none while no leader accepts requests.
     link: Option<u64>,
+    /// When the link was selected.
+    selected_at: Duration,
     /// Class of each request and when it was sent, by request id.
     sent: BTreeMap<u64, (Class, Duration)>,
     /// Mean time from sending to the answer of a submission.
@@ -142,6 +144,7 @@
     fn default() -> Self {
         Self {
             link: None,
+            selected_at: Duration::ZERO,
             sent: BTreeMap::new(),
             response_time: Duration::ZERO,
             limit: MIN_IN_FLIGHT,
@@ -153,11 +156,9 @@
 }
 
 impl InFlight {
-    /// Forgets the requests that were sent on another link.
-    fn select_link(&mut self, link: u64) {
-        if self.link != Some(link) {
-            *self = Self { link: Some(link), ..Self::default() };
-        }
+    /// Starts anew on a link; the requests that were sent on another one no longer count.
+    fn select_link(&mut self, link: u64, now: Duration) {
+        *self = Self { link: Some(link), selected_at: now, ..Self::default() };
     }
 
     /// Number of requests that may be sent, by class.
@@ -291,7 +292,10 @@
 
     /// Marks the oldest unsent requests as sent, within the limits, and returns them.
     fn take_unsent(&mut self, now: Duration, link: u64) -> Vec<(u64, CallerRequest)> {
-        self.in_flight.select_link(link);
+        if self.in_flight.link != Some(link) {
+            self.in_flight.select_link(link, now);
+            self.backlogged_since = None;
+        }
         let mut taken = Vec::new();
         let mut is_backlogged = false;
         if !self.requests.values().any(|pending| pending.is_unsent(link)) {
@@ -354,10 +358,13 @@
         let Some(link) = self.in_flight.link else { return };
         let now = ctx.now;
         let backlogged = self.backlogged_for(now);
+        let selected_at = self.in_flight.selected_at;
         let is_overdue = |pending: &PendingRequest| {
+            // Time without a leader says nothing about the load of the present one.
+            let queue_time = now.saturating_sub(pending.arrived.max(selected_at));
             !pending.was_sent
                 && pending.is_unsent(link)
-                && now.saturating_sub(pending.arrived) > pending.max_queue_time(backlogged)
+                && queue_time > pending.max_queue_time(backlogged)
         };
         let overdue: Vec<_> =
             self.requests.extract_if(.., |_, pending| is_overdue(pending)).collect();
--- a/crates/control/tests/overload.rs
+++ b/crates/control/tests/overload.rs
@@ -324,6 +324,40 @@
     assert_eq!(load.epochs.len(), 2, "{:?}", load.epochs);
 }
 
+// Guards against submissions that an idle new leader refuses for what waited at the former one.
+#[test]
+fn takeover_waiting_submissions_are_not_refused() {
+    for seed in 10..15 {
+        let mut sim = Simulation::new(seed, 3, 10);
+        assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+        sim.run(ms(7000));
+        let leader = sim.leader().expect("a node leads");
+        sim.speeds.insert(leader, 0.01);
+        sim.costs = CostModel { request: ms(10), ..CostModel::default() };
+        let submit = |sim: &mut Simulation, name: &str, count: usize| {
+            let mut tokens = Vec::new();
+            for follower in (0..3).filter(|node| *node != leader) {
+                for number in 0..count {
+                    let id = format!("{name}{follower}-{number}");
+                    tokens.push(sim.call(follower, Operation::Submit(job(&id, vec![step(1, 20)]))));
+                }
+            }
+            tokens
+        };
+        submit(&mut sim, "old", 20);
+        sim.run(ms(700));
+        sim.kill(leader);
+        sim.costs = CostModel::default();
+        sim.run(ms(50));
+        let tokens = submit(&mut sim, "new", 30);
+        assert!(sim.run_until(ms(1000), |sim| sim.leader().is_some()));
+        sim.run(ms(2000));
+        for token in tokens {
+            assert_eq!(sim.answers.get(&token), Some(&Answer::Accepted), "seed {seed}");
+        }
+    }
+}
+
 // Guards against changes of leader in a cell in which nothing failed.
 #[test]
 #[ignore = "known red: see KNOWN-RED.txt"]
