--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -289,7 +289,7 @@
     fn compact(&mut self, compaction_row_limit: usize) {
         let size_limit = MIN_COMPACTED_BYTES + self.valid_size * MAX_SIZE_FACTOR;
         let is_too_large = self.rows.len() >= compaction_row_limit || self.total_size > size_limit;
-        if !is_too_large || !self.is_restored {
+        if !is_too_large || !self.is_restored || self.is_releasing {
             return;
         }
         let oldest = self.rows.values().flat_map(|row| &row.jobs);
@@ -313,9 +313,10 @@
         removable
     }
 
-    /// Releases leadership with the batch that empties the queue.
+    /// Releases leadership with the batch that empties the queue; nothing more is rewritten.
     pub fn release_leadership(&mut self) {
         self.is_releasing = true;
+        self.moved.clear();
     }
 
     /// Store time of the last resignation for slowness, in ms; 0 for never.
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -163,6 +163,39 @@
     assert!(bytes_per_start <= limit, "{bytes_per_start} bytes a start, at most {limit}");
 }
 
+// Guards against a stopping leader that serves nothing while it rewrites its journal.
+#[test]
+fn release_does_not_wait_for_compaction() {
+    const MAX_RELEASE_COMMITS: u64 = 5;
+    let mut sim = Simulation::new(8, 3, 0);
+    sim.compaction_row_limit = 20;
+    for node in 0..3 {
+        sim.kill(node);
+        sim.start(node);
+    }
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    for number in 0..150 {
+        let mut large = job(&format!("j{number}"), vec![step(1, 300)]);
+        large.payload = "x".repeat(20_000);
+        sim.call(0, Operation::Submit(large));
+        sim.run(ms(100));
+    }
+    let rows = sim.store.rows.keys().filter(|key| key.starts_with("log/")).count();
+    assert!(rows > sim.compaction_row_limit, "{rows} rows");
+    let is_released = |sim: &Simulation| {
+        let (value, _) = &sim.store.rows["head"];
+        Head::from_row(value).expect("the row is a head").is_released
+    };
+    let leader = sim.leader().expect("a node leads");
+    sim.stop(leader);
+    let commits_before = sim.store.commits;
+    while !is_released(&sim) {
+        sim.run(ms(1));
+        let commits = sim.store.commits - commits_before;
+        assert!(commits <= MAX_RELEASE_COMMITS, "{commits} commits without a release");
+    }
+}
+
 // Guards against jobs that are lost when a daemon takes over from one of an earlier version.
 #[test]
 fn leader_reads_rows_of_earlier_version() {
