Lease renewals are sent in order of due time

At most 32 renewals are sent after a batch of inputs, and the others were retried in order of the workers' ids. On a slow leader, workers with low ids become due again before those with high ids are reached, whose leases may then expire.

The renewals that are due are now sent in order of the time since which they are.

renewals_are_sent_in_order_of_due_time fails before the change (a worker was not renewed at all while another one was renewed again) and passes with it. A first form of the test compared how often workers were renewed; it failed with the change too, as workers that become due at the same time are ordered by id, and was replaced by one that compares the times. cargo test -p control is green.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -47,10 +47,11 @@
 /// Interval between renewals of a worker without runs.
 const IDLE_RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Most renewals that are sent after a batch of inputs; the others follow after the next ones.
+/// Most renewals that are sent after a batch of inputs, longest due first; the others follow
+/// after the next ones.
 ///
 /// A new leader renews the leases of all workers.
-const MAX_RENEWALS_PER_BATCH: u64 = 32;
+const MAX_RENEWALS_PER_BATCH: usize = 32;
 
 /// Shortest time between two checks of whether a lease has expired.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
@@ -58,8 +59,8 @@
 /// What a worker's lease needs.
 #[derive(Debug)]
 enum LeaseCheck {
-    /// A renewal.
-    Renew,
+    /// A renewal that was due at this time.
+    Renew(Duration),
     /// The end of its runs, as it has expired.
     Expired,
     /// Nothing before this time; none if nothing is due without a change.
@@ -300,18 +301,13 @@
     pub(super) fn renew_leases(&mut self, ctx: &mut Context) {
         self.leases.unchecked.extend(self.scheduler.pool.take_changed());
         self.leases.take_due(ctx.now);
-        let mut renewed = 0;
-        let mut postponed = BTreeSet::new();
+        let mut due = BTreeSet::new();
         let unchecked = std::mem::take(&mut self.leases.unchecked);
         let checked = unchecked.len() as u64;
         for id in unchecked {
             match self.check_lease(ctx, &id) {
-                LeaseCheck::Renew if renewed < MAX_RENEWALS_PER_BATCH => {
-                    self.send_renewal(ctx, &id);
-                    renewed += 1;
-                }
-                LeaseCheck::Renew => {
-                    postponed.insert(id);
+                LeaseCheck::Renew(due_at) => {
+                    due.insert((due_at, id));
                 }
                 LeaseCheck::Expired => {
                     log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
@@ -321,8 +317,13 @@
                 LeaseCheck::Later(next_check) => self.leases.schedule_check(&id, next_check),
             }
         }
-        self.leases.unchecked.extend(postponed);
-        ctx.load.record_leases(checked, renewed);
+        let renewed = due.len().min(MAX_RENEWALS_PER_BATCH);
+        for _ in 0..renewed {
+            let Some((_, id)) = due.pop_first() else { break };
+            self.send_renewal(ctx, &id);
+        }
+        self.leases.unchecked.extend(due.into_iter().map(|(_, id)| id));
+        ctx.load.record_leases(checked, renewed as u64);
     }
 
     /// Determines what a worker's lease needs now.
@@ -351,7 +352,7 @@
         let idle_interval = if needs_renewal { Duration::ZERO } else { IDLE_RENEWAL_INTERVAL };
         let due_at = lease.next_renewal + idle_interval;
         if ctx.now >= due_at {
-            return LeaseCheck::Renew;
+            return LeaseCheck::Renew(due_at);
         }
         LeaseCheck::Later(Some(expiry.map_or(due_at, |at| at.min(due_at))))
     }
--- a/crates/control/tests/load.rs
+++ b/crates/control/tests/load.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use common::Name;
 use control::{
-    Action, Change, Counter, Gauge, Input, Meter, Operation, Timing, WatchResult, WatchTarget,
+    Action, Change, Counter, Gauge, Input, Meter, Operation, QueuedInput, RenewReply, Timing,
+    WatchResult, WatchTarget,
 };
 use scheduler::{Registration, Resources};
 use support::{Simulation, job, step};
@@ -103,10 +105,8 @@
     assert!(checks < 10 * renewals, "{checks} checks for {renewals} renewals");
 }
 
-// Guards against a new leader that sends hundreds of renewals before it handles anything else.
-#[test]
-fn renewals_of_many_workers_are_spread() {
-    let (mut sim, _) = measured_leader(13, 1);
+/// A watch result that adds workers to the leader's list.
+fn list_workers(sim: &Simulation, count: usize) -> Input {
     let registration = |number: usize| Registration {
         id: Name::from(format!("new{number}").as_str()),
         incarnation: 1,
@@ -121,15 +121,22 @@
         cursor: 1000,
         is_snapshot: false,
         rules: None,
-        registrations: (0..200).map(registration).collect(),
+        registrations: (0..count).map(registration).collect(),
         removed: Vec::new(),
         store_clock_ms: sim.now.as_millis() as u64,
     };
     let result = WatchResult::Changed(change);
+    Input::Watch { call: 0, target: WatchTarget::Workers, result }
+}
+
+// Guards against a new leader that sends hundreds of renewals before it handles anything else.
+#[test]
+fn renewals_of_many_workers_are_spread() {
+    let (mut sim, _) = measured_leader(13, 1);
+    let mut input = list_workers(&sim, 200);
     let now = sim.now;
     let node = sim.slots[0].node.as_mut().expect("the leader runs");
     let mut renewals = Vec::new();
-    let mut input = Input::Watch { call: 0, target: WatchTarget::Workers, result };
     for _ in 0..10 {
         let actions = node.handle(now, std::mem::replace(&mut input, Input::Tick));
         let sent = actions.iter().filter(|action| matches!(action, Action::Renew { .. }));
@@ -138,3 +145,37 @@
     assert!(renewals.iter().all(|sent| *sent <= 40), "{renewals:?}");
     assert!(renewals.iter().sum::<usize>() >= 200, "{renewals:?}");
 }
+
+// Guards against workers whose leases lapse because those with lower ids are renewed first.
+#[test]
+fn renewals_are_sent_in_order_of_due_time() {
+    const WORKERS: usize = 300;
+    let (mut sim, _) = measured_leader(19, 1);
+    let mut now = sim.now;
+    let mut inputs = vec![list_workers(&sim, WORKERS)];
+    let node = sim.slots[0].node.as_mut().expect("the leader runs");
+    // When each worker without a renewal under way last answered, and so became due again.
+    let mut waiting: BTreeMap<_, _> = (0..WORKERS)
+        .map(|number| (Name::from(format!("new{number}").as_str()), Duration::ZERO))
+        .collect();
+    let mut answered = Vec::new();
+    let mut renewals = 0;
+    for _ in 0..40 {
+        waiting.extend(answered.drain(..).map(|worker| (worker, now)));
+        let batch: Vec<_> =
+            inputs.drain(..).map(|input| QueuedInput { input, queued_at: now }).collect();
+        let mut latest = Duration::ZERO;
+        for action in node.handle_batch(now, batch, 0) {
+            let Action::Renew { call, worker, .. } = action else { continue };
+            let Some(since) = waiting.remove(&worker) else { continue };
+            latest = latest.max(since);
+            renewals += 1;
+            inputs.push(Input::Renew { call, reply: RenewReply::Failed });
+            answered.push(worker);
+        }
+        let overtaken = waiting.iter().find(|(_, since)| **since < latest);
+        assert_eq!(overtaken, None, "one that became due at {latest:?} was renewed before it");
+        now += Duration::from_millis(50);
+    }
+    assert!(renewals >= 3 * WORKERS, "{renewals} renewals");
+}
