Calls that are handled after a daemon exited are refused at once

A call that the host still has queued when the daemon exits was accepted and sent to the leader, or held, and got no answer: open requests are answered only once, at the exit.

Such a call is now answered when it is handled, before it is sent, with a refusal that points to other daemons.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -285,6 +285,9 @@
             self.ctx.load.count_late(Late::Request);
         }
         self.pending_requests.admit(&mut self.ctx, token, call);
+        if self.has_exited {
+            self.pending_requests.answer_all(&mut self.ctx);
+        }
     }
 
     fn handle_peer_event(&mut self, link: u64, event: PeerEvent) {
--- a/crates/control/tests/shutdown.rs
+++ b/crates/control/tests/shutdown.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use control::{Answer, Operation};
+use common::Name;
+use control::{Action, Answer, CallerRequest, Input, Operation, Role, Target};
 use support::{Simulation, job, step};
 
 fn ms(ms: u64) -> Duration {
@@ -64,3 +65,31 @@
     let answer = sim.answers.get(&token);
     assert!(matches!(answer, Some(Answer::Refused { try_other_daemon: true, .. })), "{answer:?}");
 }
+
+// Guards against calls that get no answer because they were queued when the daemon exited.
+#[test]
+fn exited_daemon_answers_queued_calls() {
+    let mut sim = Simulation::new(72, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    let follower = (0..3).find(|node| Some(*node) != sim.leader()).expect("there are followers");
+    sim.stop(follower);
+    sim.run(ms(3150));
+    let now = sim.now + ms(100);
+    let node = sim.slots[follower].node.as_mut().expect("the follower runs");
+    let actions = node.handle(now, Input::Tick);
+    assert!(actions.iter().any(|action| matches!(action, Action::Exit)), "{actions:?}");
+    assert_eq!(node.role(), Role::Following);
+    let call = CallerRequest {
+        target: Target::Queue(Name::new("quick")),
+        op: Operation::Submit(job("j1", vec![step(1, 300)])),
+        timeout: ms(3000),
+    };
+    let actions = node.handle(now, Input::Call { token: 1, call });
+    let is_refused = |action: &Action| {
+        let Action::Answer { token: 1, answer } = action else { return false };
+        matches!(answer, Answer::Refused { try_other_daemon: true, .. })
+    };
+    assert!(actions.iter().any(is_refused), "{actions:?}");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Send { .. })), "{actions:?}");
+}
