--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -11,7 +11,7 @@
 use crate::input::AdviceResult;
 use crate::lead::{Leader, requests::Caller};
 use crate::node::Context;
-use crate::pending::{decode_request, encode_reply};
+use crate::request_codec::{decode_request, encode_reply};
 
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod frame;
 mod head;
+mod in_flight;
 mod input;
 mod lag;
 mod lead;
@@ -23,6 +24,7 @@
 mod meter;
 mod node;
 mod pending;
+mod request_codec;
 mod sampler;
 mod store;
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -21,7 +21,8 @@
 use crate::lead::{Caller, Leader};
 use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
-use crate::pending::{self, PendingRequests};
+use crate::pending::PendingRequests;
+use crate::request_codec::decode_answer;
 use crate::sampler::Sampler;
 
 /// Time for which a stopping daemon still accepts connections.
@@ -325,7 +326,7 @@
     fn handle_shared_frame(&mut self, link: u64, body: &Body) -> bool {
         match body {
             Body::Reply(reply) => {
-                let answer = pending::decode_answer(reply);
+                let answer = decode_answer(reply);
                 let queued = Duration::from_micros(reply.queued_us);
                 self.pending_requests.record_queue_time(self.ctx.now, queued);
                 self.pending_requests.answer(&mut self.ctx, reply.id, answer);
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -1,19 +1,17 @@
-//! Requests of local callers: admission, forwarding to the leader, timeouts, and their encoding
-//! in frames.
+//! Requests of local callers: admission, forwarding to the leader, and timeouts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::Name;
-use scheduler::JobState;
-
 use crate::action::Action;
-use crate::answer::{Answer, CallerRequest, Operation, Target, View};
+use crate::answer::{Answer, CallerRequest, Operation};
 use crate::event::{log_event, log_job_event};
-use crate::frame::{Body, Reply, Request};
+use crate::frame::Body;
+use crate::in_flight::{Class, InFlight};
 use crate::load::Late;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
+use crate::request_codec::encode_request;
 
 /// Time for which a request waits for a leader.
 ///
@@ -24,24 +22,6 @@
 /// Same as [`LEADER_WAIT_TIMEOUT`], if the leader is known to be alive but unreachable.
 const CUT_OFF_WAIT_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Limits on the submissions that were sent to the leader and not answered.
-///
-/// Others wait here, where they can be refused truthfully, and the leader's queue stays short.
-const MIN_IN_FLIGHT: usize = 4;
-const MAX_IN_FLIGHT: usize = 32;
-
-/// Most queries that were sent to the leader and not answered.
-const MAX_QUERIES_IN_FLIGHT: usize = 8;
-
-/// Queue time at the leader above which fewer requests are sent.
-const MAX_QUEUE_TIME: Duration = Duration::from_millis(50);
-
-/// Interval between adjustments of the limit.
-const LIMIT_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time after which an unanswered request no longer counts as in flight.
-const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Divisor of the caller's timeout that gives the longest time that a submission waits to be sent.
 const MAX_QUEUE_SHARE: u32 = 4;
 
@@ -50,9 +30,6 @@
 /// A short queue then serves as many requests as a long one, and those it serves are in time.
 const STANDING_QUEUE_SHARE: u32 = 32;
 
-/// Weight of a new sample in the mean response time.
-const RESPONSE_TIME_SMOOTHING: f64 = 0.2;
-
 /// Time after which refused callers are to retry.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -97,121 +74,6 @@
     }
 }
 
-/// Class of requests with a limit of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Class {
-    Submission,
-    Query,
-    /// Has no limit, as callers rely on the time of a cancellation.
-    Cancellation,
-}
-
-impl Class {
-    fn of(op: &Operation) -> Self {
-        match op {
-            Operation::Submit(_) => Self::Submission,
-            Operation::Cancel(_) => Self::Cancellation,
-            _ => Self::Query,
-        }
-    }
-}
-
-/// Requests that were sent to the current leader and not answered.
-///
-/// The number of submissions is limited by the leader's queue: it is halved while all requests queue there
-/// for too long, and grows by one while it holds requests back.
-#[derive(Debug)]
-struct InFlight {
-    /// Link on which they were sent; none while no leader accepts requests.
-    link: Option<u64>,
-    /// When the link was selected.
-    selected_at: Duration,
-    /// Class of each request and when it was sent, by request id.
-    sent: BTreeMap<u64, (Class, Duration)>,
-    /// Mean time from sending to the answer of a submission.
-    response_time: Duration,
-    /// Most submissions in flight.
-    limit: usize,
-    /// When the limit was last adjusted.
-    adjusted_at: Duration,
-    /// Shortest queue time at the leader since then; none without an answer.
-    min_queue_time: Option<Duration>,
-    /// Whether the limit held a submission back since then.
-    is_limited: bool,
-}
-
-impl Default for InFlight {
-    fn default() -> Self {
-        Self {
-            link: None,
-            selected_at: Duration::ZERO,
-            sent: BTreeMap::new(),
-            response_time: Duration::ZERO,
-            limit: MIN_IN_FLIGHT,
-            adjusted_at: Duration::ZERO,
-            min_queue_time: None,
-            is_limited: false,
-        }
-    }
-}
-
-impl InFlight {
-    /// Starts anew on a link; the requests that were sent on another one no longer count.
-    fn select_link(&mut self, link: u64, now: Duration) {
-        *self = Self { link: Some(link), selected_at: now, ..Self::default() };
-    }
-
-    /// Number of requests that may be sent, by class.
-    fn free_slots(&mut self, now: Duration) -> HashMap<Class, usize> {
-        self.sent.retain(|_, (_, sent_at)| *sent_at + IN_FLIGHT_TIMEOUT > now);
-        let mut free = HashMap::from([
-            (Class::Submission, self.limit),
-            (Class::Query, MAX_QUERIES_IN_FLIGHT),
-            (Class::Cancellation, usize::MAX),
-        ]);
-        for (class, _) in self.sent.values() {
-            if let Some(slots) = free.get_mut(class) {
-                *slots = slots.saturating_sub(1);
-            }
-        }
-        free
-    }
-
-    /// Records the answer to a request.
-    fn record_answer(&mut self, id: u64, now: Duration) {
-        if let Some((Class::Submission, sent_at)) = self.sent.remove(&id) {
-            let sample = now.saturating_sub(sent_at);
-            let decayed = self.response_time.mul_f64(1.0 - RESPONSE_TIME_SMOOTHING);
-            self.response_time = decayed + sample.mul_f64(RESPONSE_TIME_SMOOTHING);
-        }
-    }
-
-    /// Expected time until a submission behind `ahead` others is sent.
-    fn expected_wait(&self, ahead: usize, now: Duration) -> Duration {
-        let submissions = self.sent.values().filter(|(class, _)| *class == Class::Submission);
-        let oldest = submissions.map(|(_, sent_at)| now.saturating_sub(*sent_at)).max();
-        let response_time = self.response_time.max(oldest.unwrap_or_default());
-        response_time * ahead as u32 / self.limit as u32
-    }
-
-    /// Adjusts the limit to the time for which a request was queued at the leader.
-    fn record_queue_time(&mut self, now: Duration, queued: Duration) {
-        let shortest = self.min_queue_time.map_or(queued, |shortest| shortest.min(queued));
-        self.min_queue_time = Some(shortest);
-        if now < self.adjusted_at + LIMIT_INTERVAL {
-            return;
-        }
-        if shortest > MAX_QUEUE_TIME {
-            self.limit = (self.limit / 2).max(MIN_IN_FLIGHT);
-        } else if self.is_limited {
-            self.limit = (self.limit + 1).min(MAX_IN_FLIGHT);
-        }
-        self.adjusted_at = now;
-        self.min_queue_time = None;
-        self.is_limited = false;
-    }
-}
-
 /// Local callers' requests that wait for the leader's answer, by request id.
 #[derive(Debug, Default)]
 pub(crate) struct PendingRequests {
@@ -426,98 +288,6 @@
 /// Link number that denotes a leader in the same process.
 const LOCAL_LEADER: u64 = u64::MAX;
 
-/// Encodes a call; its timeout is not transmitted.
-fn encode_request(id: u64, call: &CallerRequest) -> Request {
-    let (op, job) = match &call.op {
-        Operation::Submit(_) => (1, None),
-        Operation::GetState(job) => (2, Some(job)),
-        Operation::Cancel(job) => (3, Some(job)),
-        Operation::CountPending => (4, None),
-        Operation::View(View::Job(job)) => (5, Some(job)),
-        Operation::View(View::Queues) => (6, None),
-        Operation::View(View::Workers) => (7, None),
-        Operation::View(View::Members) => (8, None),
-    };
-    let job = job.map(ToString::to_string).unwrap_or_default();
-    let submission = match &call.op {
-        Operation::Submit(submission) => Some(submission.clone()),
-        _ => None,
-    };
-    let (host, path, queue) = match &call.target {
-        Target::Route { host, path } => (host.to_string(), path.to_string(), String::new()),
-        Target::Queue(queue) => (String::new(), String::new(), queue.to_string()),
-    };
-    Request { id, host, path, op, job, submission, queue }
-}
-
-/// Decodes a peer's request; none if its operation is unknown to this version.
-pub(crate) fn decode_request(request: Request) -> Option<CallerRequest> {
-    let op = match request.op {
-        1 => Operation::Submit(request.submission.unwrap_or_default()),
-        2 => Operation::GetState(Name::new(&request.job)),
-        3 => Operation::Cancel(Name::new(&request.job)),
-        4 => Operation::CountPending,
-        5 => Operation::View(View::Job(Name::new(&request.job))),
-        6 => Operation::View(View::Queues),
-        7 => Operation::View(View::Workers),
-        8 => Operation::View(View::Members),
-        _ => return None,
-    };
-    let target = if request.host.is_empty() && request.path.is_empty() {
-        Target::Queue(Name::new(&request.queue))
-    } else {
-        Target::Route { host: Name::new(&request.host), path: Name::new(&request.path) }
-    };
-    Some(CallerRequest { target, op, timeout: Duration::ZERO })
-}
-
-/// Encodes an answer; the `try_other_daemon` flag of a refusal is not transmitted.
-pub(crate) fn encode_reply(id: u64, answer: &Answer, queued: Duration) -> Reply {
-    let text = match answer {
-        Answer::View(text) => text.clone(),
-        _ => String::new(),
-    };
-    let (answer, value) = match answer {
-        Answer::Accepted => (1, 0),
-        Answer::State(job_state) => (2, *job_state as u64),
-        Answer::Cancelled => (3, 0),
-        Answer::Pending(count) => (4, *count),
-        Answer::QueueNotFound => (5, 0),
-        Answer::JobNotFound => (6, 0),
-        Answer::Refused { retry_after, .. } => (7, retry_after.as_millis() as u64),
-        Answer::OutcomeUnknown => (8, 0),
-        Answer::View(_) => (9, 0),
-    };
-    Reply { id, answer, value, text, queued_us: queued.as_micros() as u64 }
-}
-
-/// Decodes an answer; [`Answer::OutcomeUnknown`] if its code is unknown to this version.
-pub(crate) fn decode_answer(reply: &Reply) -> Answer {
-    const JOB_STATES: [JobState; 5] = [
-        JobState::Queued,
-        JobState::Running,
-        JobState::Completed,
-        JobState::Failed,
-        JobState::Cancelled,
-    ];
-    match reply.answer {
-        1 => Answer::Accepted,
-        2 => JOB_STATES
-            .get(reply.value as usize)
-            .map_or(Answer::OutcomeUnknown, |job_state| Answer::State(*job_state)),
-        3 => Answer::Cancelled,
-        4 => Answer::Pending(reply.value),
-        5 => Answer::QueueNotFound,
-        6 => Answer::JobNotFound,
-        7 => Answer::Refused {
-            retry_after: Duration::from_millis(reply.value),
-            try_other_daemon: false,
-        },
-        9 => Answer::View(reply.text.clone()),
-        _ => Answer::OutcomeUnknown,
-    }
-}
-
 impl PendingRequests {
     /// Refuses the requests that no leader has received, as another daemon may serve them.
     pub fn refuse_unsent(&mut self, ctx: &mut Context) {
