--- a/crates/control/src/lead/recovery.rs
+++ b/crates/control/src/lead/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery of a pool's state from the journal rows in the store.
 //!
 //! The next page is requested before the last one is decoded. Rows are decoded and jobs are
-//! restored a few with each input, so that the leader stays responsive.
+//! restored a few after each batch of inputs, so that the leader stays responsive.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -22,10 +22,10 @@
 /// Timeout of a read of one page.
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// Bytes of rows after which decoding continues with the next input.
+/// Bytes of rows after which decoding continues after the next batch of inputs.
 const DECODED_BYTES_PER_INPUT: usize = 64 * 1024;
 
-/// Most jobs that are restored with each input.
+/// Most jobs that are restored after each batch of inputs.
 const RESTORED_JOBS_PER_INPUT: usize = 250;
 
 /// A recovery under way.
