--- a/crates/control/src/lead/recovery.rs
+++ b/crates/control/src/lead/recovery.rs
@@ -23,10 +23,10 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Bytes of rows after which decoding continues after the next batch of inputs.
-const DECODED_BYTES_PER_INPUT: usize = 64 * 1024;
+const DECODED_BYTES_PER_BATCH: usize = 64 * 1024;
 
 /// Most jobs that are restored after each batch of inputs.
-const RESTORED_JOBS_PER_INPUT: usize = 250;
+const RESTORED_JOBS_PER_BATCH: usize = 250;
 
 /// A recovery under way.
 #[derive(Debug)]
@@ -118,7 +118,7 @@
     /// Decodes some rows or, once all are decoded, returns some jobs to restore.
     pub fn advance(&mut self, ctx: &Context) -> Vec<(Name, RecoveredJob)> {
         let mut decoded = 0;
-        while decoded < DECODED_BYTES_PER_INPUT {
+        while decoded < DECODED_BYTES_PER_BATCH {
             let Some(row) = self.undecoded.pop_front() else { break };
             decoded += row.value.len();
             self.rows.push((row.key.clone(), row.value.len()));
@@ -133,7 +133,7 @@
             return Vec::new();
         }
         let mut slice = Vec::new();
-        while slice.len() < RESTORED_JOBS_PER_INPUT {
+        while slice.len() < RESTORED_JOBS_PER_BATCH {
             let Some(job) = self.jobs.pop_first() else {
                 self.is_done = true;
                 break;
