Hypotheses for TWICE on lossy paths; simulated paths that lose, delay and reorder

The simulation of the control plane delivered every order and renewal after 1 ms. It can now lose requests and answers, fail to connect, and delay each request and answer on its own, for chosen workers.

--- /dev/null
+++ b/crates/control/tests/paths.rs
@@ -0,0 +1,174 @@
+//! Orders, renewals, ended runs and acknowledgements on lossy paths to the workers.
+//!
+//! Requests and answers are lost, delayed and overtake each other; workers restart under their
+//! ids and leaders change meanwhile. The simulated workers record a task that runs twice.
+//! `BRONZERAIL_SCHEDULES` sets the number of seeds, `BRONZERAIL_SEED` the first seed.
+
+mod support;
+
+use std::time::Duration;
+
+use common::Name;
+use control::{Answer, Operation};
+use scheduler::JobState;
+use support::{PathFaults, Simulation, job, step};
+
+/// Default number of seeds, which CI runs.
+const DEFAULT_SEED_COUNT: u64 = 60;
+
+/// Number of nodes in a cell.
+const NODES: usize = 3;
+/// Number of workers in a cell.
+const WORKERS: u64 = 5;
+
+/// Time from the start in which paths are faulty, in ms.
+const FAULT_PHASE_MS: u64 = 15_000;
+
+/// Time after the faults within which all jobs must end.
+const RECOVERY_TIME: Duration = Duration::from_secs(40);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Reads a number from the environment.
+fn env_number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn worker_name(number: u64) -> Name {
+    Name::from(format!("w{number}").as_str())
+}
+
+/// Starts a cell with a leader and two workers, whose paths are lossy.
+fn start_cell() -> Simulation {
+    let mut sim = Simulation::new(1, 1, 2);
+    sim.run_time = Some(ms(3000));
+    sim.lossy_workers = sim.workers.keys().cloned().collect();
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    sim
+}
+
+/// Guards against a repeated start that finds no connection and is taken for the only one.
+///
+/// The answers to two sends are lost, a listing shows the run, and the third send fails.
+#[test]
+fn start_listed_then_not_connected_runs_once() {
+    let mut sim = start_cell();
+    sim.faults.path =
+        PathFaults { lost_answer_share: 1.0, spares_renewals: true, ..PathFaults::default() };
+    assert_eq!(sim.submit(job("j1", vec![step(1, 3000)])), Some(Answer::Accepted));
+    sim.run(ms(600));
+    sim.faults.path =
+        PathFaults { not_connected_share: 1.0, spares_renewals: true, ..PathFaults::default() };
+    sim.run(ms(1000));
+    sim.lossy_workers.clear();
+    assert!(sim.wait_for_state("j1", JobState::Completed, ms(10_000)));
+    assert_eq!((sim.violations.as_slice(), sim.started_runs), (&[][..], 1));
+}
+
+/// Random path faults of one seed.
+struct Schedule {
+    sim: Simulation,
+    submitted_jobs: u64,
+    /// Whether workers restart and leaders are killed.
+    has_restarts: bool,
+}
+
+impl Schedule {
+    fn new(seed: u64, has_restarts: bool) -> Self {
+        let mut sim = Simulation::new(seed, NODES, WORKERS as usize);
+        sim.rules = support::rules(seed.is_multiple_of(2));
+        Self { sim, submitted_jobs: 0, has_restarts }
+    }
+
+    fn submit(&mut self) {
+        self.submitted_jobs += 1;
+        let id = format!("j{}", self.submitted_jobs);
+        let mut steps = vec![step(1 + self.sim.random(3) as u32, 500)];
+        steps[0].is_gang = self.sim.random(4) == 0;
+        let node = self.sim.random(NODES as u64) as usize;
+        self.sim.call(node, Operation::Submit(job(&id, steps)));
+    }
+
+    /// Chooses new faults, or none, for the paths to some workers.
+    fn change_paths(&mut self) {
+        let share = |sim: &mut Simulation| sim.random(4) as f64 / 10.0;
+        self.sim.faults.path = PathFaults {
+            not_connected_share: share(&mut self.sim),
+            lost_request_share: share(&mut self.sim),
+            lost_answer_share: share(&mut self.sim),
+            max_delay: ms(self.sim.random(400)),
+            spares_renewals: self.sim.random(3) == 0,
+        };
+        self.sim.lossy_workers.clear();
+        for number in 0..WORKERS {
+            if self.sim.random(2) == 0 {
+                self.sim.lossy_workers.insert(worker_name(number));
+            }
+        }
+    }
+
+    fn restart_something(&mut self) {
+        if self.sim.random(2) == 0 {
+            let number = self.sim.random(WORKERS);
+            let worker = self.sim.workers.get_mut(&worker_name(number));
+            worker.expect("the worker exists").restart();
+        } else if let Some(leader) = self.sim.leader() {
+            self.sim.kill(leader);
+            self.sim.start(leader);
+        }
+    }
+
+    /// Runs the schedule and returns the violations found.
+    fn run_schedule(mut self) -> Vec<String> {
+        self.sim.run(ms(1000));
+        while self.sim.now < ms(FAULT_PHASE_MS) {
+            match self.sim.random(16) {
+                0..=7 => self.submit(),
+                8 => self.change_paths(),
+                9 if self.has_restarts => self.restart_something(),
+                _ => {}
+            }
+            let pause = self.sim.random(200);
+            self.sim.run(ms(pause));
+        }
+        self.sim.lossy_workers.clear();
+        self.sim.run(RECOVERY_TIME);
+        let mut violations = std::mem::take(&mut self.sim.violations);
+        for number in 1..=self.submitted_jobs {
+            let id = format!("j{number}");
+            let state = self.sim.state(&id);
+            let has_ended = state == Some(Answer::State(JobState::Completed));
+            if !has_ended && state != Some(Answer::JobNotFound) {
+                violations.push(format!("{id}: final state {state:?}"));
+            }
+        }
+        violations
+    }
+}
+
+/// Runs the schedules of consecutive seeds; none may violate an invariant.
+fn run_schedules(has_restarts: bool) {
+    let first = env_number("BRONZERAIL_SEED", 1);
+    let count = env_number("BRONZERAIL_SCHEDULES", DEFAULT_SEED_COUNT);
+    let mut failed = Vec::new();
+    for seed in first..first + count {
+        let violations = Schedule::new(seed, has_restarts).run_schedule();
+        if !violations.is_empty() {
+            failed.push((seed, violations));
+        }
+    }
+    assert!(failed.is_empty(), "{} of {count} seeds failed; first: {:#?}", failed.len(), failed[0]);
+}
+
+#[test]
+fn lossy_paths_tasks_run_once() {
+    run_schedules(false);
+}
+
+#[test]
+fn lossy_paths_and_restarts_tasks_run_once() {
+    run_schedules(true);
+}
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -12,7 +12,7 @@
     ActiveRun, FinishedRun, Listing, Outcome, Refusal, Registration, Resources, TaskKey,
 };
 
-use super::{Event, Simulation, ms};
+use super::{AnswerPath, Event, Simulation, ms};
 
 /// Most rows in a page.
 const PAGE_ROWS: usize = 500;
@@ -218,7 +218,7 @@
         node: usize,
         incarnation: u64,
         order: Action,
-        is_lost: bool,
+        answer: AnswerPath,
     ) {
         self.end_due_runs_on_workers();
         let now = self.now;
@@ -245,8 +245,8 @@
             }
             _ => return,
         };
-        if !is_lost {
-            let wait = if reply == OrderReply::OutcomeUnknown { ms(350) } else { ms(1) };
+        if let AnswerPath::After(delay) = answer {
+            let wait = if reply == OrderReply::OutcomeUnknown { ms(350) } else { delay };
             let input = Input::Order { call, reply };
             self.schedule(now + wait, Event::Input { node, incarnation, input });
         }
@@ -326,6 +326,7 @@
         incarnation: u64,
         mut order: Action,
         until: Duration,
+        answer: AnswerPath,
     ) {
         self.end_due_runs_on_workers();
         let now = self.now;
@@ -345,8 +346,10 @@
         let id = worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
         if !worker.is_reachable {
-            let input = Input::Renew { call, reply: RenewReply::Failed };
-            self.schedule(now + timeout, Event::Input { node, incarnation, input });
+            if answer != AnswerPath::Lost {
+                let input = Input::Renew { call, reply: RenewReply::Failed };
+                self.schedule(now + timeout, Event::Input { node, incarnation, input });
+            }
             return;
         }
         let reply = if fencing_token < worker.highest_fencing_token {
@@ -383,14 +386,14 @@
             }
             let Some(worker) = self.workers.get_mut(&id) else { return };
             if worker.finished.is_empty() && now < until {
-                let worker_incarnation = worker.incarnation;
+                let worker_incarnation = Some(worker.incarnation);
                 // Finished runs are acknowledged when the renewal arrives, not while it waits.
                 if let Action::Renew { acked_position, .. } = &mut order {
                     *acked_position = 0;
                 }
                 self.schedule(
                     now + ms(20),
-                    Event::RenewDue { node, incarnation, order, worker_incarnation, until },
+                    Event::RenewDue { node, incarnation, order, worker_incarnation, until, answer },
                 );
                 return;
             }
@@ -407,9 +410,9 @@
             };
             RenewReply::Renewed { clock_ms, listing }
         };
-        self.schedule(
-            now + ms(1),
-            Event::Input { node, incarnation, input: Input::Renew { call, reply } },
-        );
+        if let AnswerPath::After(delay) = answer {
+            let input = Input::Renew { call, reply };
+            self.schedule(now + delay, Event::Input { node, incarnation, input });
+        }
     }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -61,18 +61,57 @@
         node: usize,
         incarnation: u64,
         order: Action,
-        worker_incarnation: u64,
-        is_lost: bool,
+        /// Incarnation that the connection leads to; none if it is opened on delivery.
+        worker_incarnation: Option<u64>,
+        answer: AnswerPath,
     },
     RenewDue {
         node: usize,
         incarnation: u64,
         order: Action,
-        worker_incarnation: u64,
+        worker_incarnation: Option<u64>,
         until: Duration,
+        answer: AnswerPath,
     },
 }
 
+/// What becomes of a worker's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerPath {
+    /// It never arrives.
+    Lost,
+    /// It arrives after this time.
+    After(Duration),
+}
+
+/// How a request to a worker travels.
+#[derive(Debug)]
+enum RequestPath {
+    /// No connection is established, so that nothing is sent.
+    NotConnected,
+    /// It is sent and never arrives.
+    Lost,
+    /// It arrives after this time.
+    Delivered { after: Duration, answer: AnswerPath },
+}
+
+/// Faults of the paths between the nodes and some workers; none by default.
+///
+/// Each request and each answer is delayed on its own, so that they overtake each other.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PathFaults {
+    /// Share of requests for which no connection is established in time.
+    pub not_connected_share: f64,
+    /// Share of requests that are sent and never arrive.
+    pub lost_request_share: f64,
+    /// Share of answers that never arrive.
+    pub lost_answer_share: f64,
+    /// Longest delay of a request, and of an answer.
+    pub max_delay: Duration,
+    /// Whether renewals travel without faults.
+    pub spares_renewals: bool,
+}
+
 /// Process of a node, which may be dead or suspended.
 pub struct NodeSlot {
     pub node: Option<Node>,
@@ -112,6 +151,8 @@
     pub is_store_busy: bool,
     /// Whether no node can reach the store.
     pub is_store_down: bool,
+    /// Faults of the paths to the workers in [`Simulation::lossy_workers`].
+    pub path: PathFaults,
 }
 
 /// An advice service that handles the calls of each node one after the other.
@@ -170,6 +211,8 @@
     pub cut_from_store: HashSet<usize>,
     /// Nodes that cannot reach other nodes.
     pub cut_from_peers: HashSet<usize>,
+    /// Workers whose paths have the faults of [`FaultConfig::path`].
+    pub lossy_workers: HashSet<Name>,
     /// Time that nodes need to handle their inputs; none by default.
     pub costs: CostModel,
     /// Speed of nodes relative to the cost model; 1 for others.
@@ -232,6 +275,7 @@
             faults: FaultConfig::default(),
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
+            lossy_workers: HashSet::new(),
             costs: CostModel::default(),
             speeds: HashMap::new(),
             network: Network::default(),
@@ -424,22 +468,24 @@
                     self.schedule(at, Event::Input { node, incarnation, input });
                 }
             }
-            Event::Order { node, incarnation, order, worker_incarnation, is_lost } => {
+            Event::Order { node, incarnation, order, worker_incarnation, answer } => {
                 // An order to a worker process that died in the meantime never arrives.
-                if self.worker_incarnation(&order) == worker_incarnation {
-                    self.deliver_order(node, incarnation, order, is_lost);
+                if self.leads_to_worker(&order, worker_incarnation) {
+                    self.deliver_order(node, incarnation, order, answer);
                 } else if let Action::Start { call, timeout, .. }
                 | Action::Stop { call, timeout, .. } = order
-                    && !is_lost
+                    && answer != AnswerPath::Lost
                 {
                     let input = Input::Order { call, reply: control::OrderReply::OutcomeUnknown };
                     self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
                 }
             }
-            Event::RenewDue { node, incarnation, order, worker_incarnation, until } => {
-                if self.worker_incarnation(&order) == worker_incarnation {
-                    self.deliver_renewal(node, incarnation, order, until);
-                } else if let Action::Renew { call, .. } = order {
+            Event::RenewDue { node, incarnation, order, worker_incarnation, until, answer } => {
+                if self.leads_to_worker(&order, worker_incarnation) {
+                    self.deliver_renewal(node, incarnation, order, until, answer);
+                } else if let Action::Renew { call, .. } = order
+                    && answer != AnswerPath::Lost
+                {
                     let input = Input::Renew { call, reply: control::RenewReply::Failed };
                     self.schedule(self.now + ms(1), Event::Input { node, incarnation, input });
                 }
@@ -580,33 +626,84 @@
                 self.schedule(at, Event::Input { node, incarnation, input });
             }
             order @ (Action::Start { .. } | Action::Stop { .. }) => {
-                let is_late = self.chance(self.faults.late_order_share);
-                let (Action::Start { call, timeout, .. } | Action::Stop { call, timeout, .. }) =
-                    &order
-                else {
-                    return;
-                };
-                let (call, timeout) = (*call, *timeout);
-                let delay = if is_late { ms(2000 + self.random(10_000)) } else { ms(1) };
-                if is_late {
-                    let reply = control::OrderReply::OutcomeUnknown;
-                    let input = Input::Order { call, reply };
-                    self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
-                }
-                let worker_incarnation = self.worker_incarnation(&order);
-                let event =
-                    Event::Order { node, incarnation, order, worker_incarnation, is_lost: is_late };
-                self.schedule(self.now + delay, event);
+                self.send_order(node, incarnation, order);
             }
-            order @ Action::Renew { .. } => {
-                let Action::Renew { max_wait, .. } = &order else { return };
-                let until = self.now + *max_wait;
-                let worker_incarnation = self.worker_incarnation(&order);
-                self.schedule(
-                    self.now + ms(1),
-                    Event::RenewDue { node, incarnation, order, worker_incarnation, until },
-                );
+            order @ Action::Renew { .. } => self.send_renewal(node, incarnation, order),
+        }
+    }
+
+    /// Chooses how a request to a worker travels.
+    fn request_path(&mut self, id: &Name, timeout: Duration) -> RequestPath {
+        if !self.lossy_workers.contains(id) {
+            let answer = AnswerPath::After(ms(1));
+            return RequestPath::Delivered { after: ms(1), answer };
+        }
+        let path = self.faults.path;
+        if self.chance(path.not_connected_share) {
+            return RequestPath::NotConnected;
+        }
+        if self.chance(path.lost_request_share) {
+            return RequestPath::Lost;
+        }
+        let longest = path.max_delay.as_millis() as u64;
+        let (after, back) = (ms(1 + self.random(longest + 1)), ms(1 + self.random(longest + 1)));
+        let is_lost = self.chance(path.lost_answer_share) || after + back >= timeout;
+        let answer = if is_lost { AnswerPath::Lost } else { AnswerPath::After(back) };
+        RequestPath::Delivered { after, answer }
+    }
+
+    /// Sends a start or a stop to its worker.
+    fn send_order(&mut self, node: usize, incarnation: u64, order: Action) {
+        let (call, worker, timeout) = match &order {
+            Action::Start { call, start, timeout, .. } => (*call, &start.worker, *timeout),
+            Action::Stop { call, stop, timeout, .. } => (*call, &stop.worker, *timeout),
+            _ => return,
+        };
+        let is_lossy = self.lossy_workers.contains(worker);
+        let path = if self.chance(self.faults.late_order_share) {
+            let after = ms(2000 + self.random(10_000));
+            RequestPath::Delivered { after, answer: AnswerPath::Lost }
+        } else {
+            self.request_path(&worker.clone(), timeout)
+        };
+        let unanswered = match &path {
+            RequestPath::NotConnected => Some(control::OrderReply::Unreachable),
+            RequestPath::Lost | RequestPath::Delivered { answer: AnswerPath::Lost, .. } => {
+                Some(control::OrderReply::OutcomeUnknown)
             }
+            RequestPath::Delivered { .. } => None,
+        };
+        if let Some(reply) = unanswered {
+            let input = Input::Order { call, reply };
+            self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
+        }
+        if let RequestPath::Delivered { after, answer } = path {
+            let worker_incarnation = (!is_lossy).then(|| self.worker_incarnation(&order));
+            let event = Event::Order { node, incarnation, order, worker_incarnation, answer };
+            self.schedule(self.now + after, event);
+        }
+    }
+
+    /// Sends a renewal to its worker.
+    fn send_renewal(&mut self, node: usize, incarnation: u64, order: Action) {
+        let Action::Renew { call, ref worker, max_wait, timeout, .. } = order else { return };
+        let until = self.now + max_wait;
+        let is_lossy = self.lossy_workers.contains(worker) && !self.faults.path.spares_renewals;
+        let worker = worker.clone();
+        let path = if is_lossy {
+            self.request_path(&worker, timeout.saturating_sub(max_wait))
+        } else {
+            RequestPath::Delivered { after: ms(1), answer: AnswerPath::After(ms(1)) }
+        };
+        if !matches!(path, RequestPath::Delivered { answer: AnswerPath::After(_), .. }) {
+            let input = Input::Renew { call, reply: control::RenewReply::Failed };
+            self.schedule(self.now + timeout, Event::Input { node, incarnation, input });
+        }
+        if let RequestPath::Delivered { after, answer } = path {
+            let worker_incarnation = (!is_lossy).then(|| self.worker_incarnation(&order));
+            let event =
+                Event::RenewDue { node, incarnation, order, worker_incarnation, until, answer };
+            self.schedule(self.now + after, event);
         }
     }
 
@@ -681,6 +778,11 @@
         self.workers.get(id).map_or(0, |worker| worker.incarnation)
     }
 
+    /// Whether a request's connection leads to the worker's current incarnation.
+    fn leads_to_worker(&self, order: &Action, incarnation: Option<u64>) -> bool {
+        incarnation.is_none_or(|incarnation| self.worker_incarnation(order) == incarnation)
+    }
+
     fn is_store_up(&self, node: usize) -> bool {
         !self.faults.is_store_down && !self.cut_from_store.contains(&node)
     }
