A start's fate is decided from all of its sends

What callers saw: TWICE on lossy paths; a study ran on two workers, its result came twice. Change: scheduler::Fate counts open, unanswered and withdrawn sends. `reject_start` takes a NotStarted proof that only Fate can build; a listing ends a run only if no send can still take effect; a stop covers the sends that had ended before it was sent.

--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -1,14 +1,16 @@
 //! Orders to workers to start and stop runs.
 //!
-//! A start whose reply is lost is unconfirmed. It is sent again, which is idempotent at the
-//! worker; if no reply arrives, the run is stopped, and the worker then refuses a late start.
-//! The task and its capacity stay allocated until the worker confirms the outcome or its lease
-//! expires.
+//! A start whose reply is lost is sent again, which is idempotent at the worker; if no reply
+//! arrives, the run is stopped, and the worker then refuses a late start. The task and its
+//! capacity stay allocated until [`scheduler::Fate`] proves that the run has not started, or the
+//! worker no longer lists it, or its lease expires.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use scheduler::{Phase, Refusal, RunState, StartOrder, StopOrder};
+use scheduler::{
+    Assignment, Fate, NotStarted, Phase, Refusal, RunState, StartOrder, StopMark, StopOrder,
+};
 
 use crate::action::Action;
 use crate::event::{log_event, log_job_event};
@@ -41,8 +43,8 @@
 enum Pending {
     /// A start, and how often it was sent.
     Start { start: StartOrder, sends: u32 },
-    /// A stop.
-    Stop { stop: StopOrder },
+    /// A stop, and the sends of the start that it makes ineffective; none if the run is unknown.
+    Stop { stop: StopOrder, mark: Option<StopMark> },
 }
 
 /// Orders under way, and stops to retry.
@@ -92,6 +94,7 @@
         {
             assignment.state = RunState::Sent;
             assignment.changed_at = now;
+            assignment.fate.record_send();
         }
         let call = ctx.next_call_id();
         ctx.actions.push(Action::Start {
@@ -116,27 +119,36 @@
         is_first: bool,
         needs_ticket: bool,
     ) {
-        if is_first {
-            let refusal = if needs_ticket { Refusal::Ticket } else { Refusal::Withdrawn };
-            self.record_not_started(ctx, &start, refusal);
-        } else {
-            self.stop_unconfirmed_start(start);
+        let refusal = if is_first && needs_ticket { Refusal::Ticket } else { Refusal::Withdrawn };
+        self.settle_start(ctx, start, refusal);
+    }
+
+    /// Releases a run that has not started; stops it if it may have.
+    fn settle_start(&mut self, ctx: &mut Context, start: StartOrder, refusal: Refusal) {
+        match self.scheduler.not_started(&start) {
+            Some(proof) if refusal != Refusal::StaleRun => {
+                self.record_not_started(ctx, &start, proof, refusal);
+            }
+            // The worker's next listing decides about a run that it has confirmed.
+            _ if self.fate_mut(&start).is_some_and(|fate| fate.is_seen()) => {}
+            _ => self.scheduler.stop(start.key, start.run, start.worker),
         }
     }
 
     /// Logs and counts a start that did not happen, and releases its capacity.
-    fn record_not_started(&mut self, ctx: &mut Context, start: &StartOrder, refusal: Refusal) {
+    fn record_not_started(
+        &mut self,
+        ctx: &mut Context,
+        start: &StartOrder,
+        proof: NotStarted,
+        refusal: Refusal,
+    ) {
         ctx.meter.add(Counter::StartsRejected, refusal_label(refusal), 1);
         log_job_event!(ctx, &start.key.job, TaskNotStarted, "step" => start.key.step,
             "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
             "reason" => refusal_label(refusal), "epoch" => self.epoch);
         let store_clock_ms = self.store_time_ms(ctx.now);
-        self.scheduler.reject_start(start, refusal, ctx.now, store_clock_ms);
-    }
-
-    /// Stops a run that may or may not have started.
-    fn stop_unconfirmed_start(&mut self, start: StartOrder) {
-        self.scheduler.stop(start.key, start.run, start.worker);
+        self.scheduler.reject_start(start, proof, refusal, ctx.now, store_clock_ms);
     }
 
     /// Sends a stop.
@@ -145,6 +157,9 @@
         log_job_event!(ctx, &stop.key.job, TaskStopRequested, "step" => stop.key.step,
             "index" => stop.key.index, "run" => stop.run, "worker" => %stop.worker,
             "epoch" => self.epoch);
+        let assignment = self.scheduler.pool.get_mut(&stop.worker);
+        let assignment = assignment.and_then(|worker| worker.assignment_mut(&stop.key, stop.run));
+        let mark = assignment.map(|assignment| assignment.fate.mark_stop());
         let call = ctx.next_call_id();
         ctx.actions.push(Action::Stop {
             call,
@@ -153,7 +168,7 @@
             fencing_token: self.epoch,
             timeout: STOP_TIMEOUT,
         });
-        self.orders.pending.insert(call, Pending::Stop { stop });
+        self.orders.pending.insert(call, Pending::Stop { stop, mark });
     }
 
     /// Resends the failed stops that are due and still needed.
@@ -164,7 +179,12 @@
         for stop in due {
             let worker = self.scheduler.pool.get_mut(&stop.worker);
             let assignment = worker.and_then(|worker| worker.assignment_mut(&stop.key, stop.run));
-            if assignment.is_some_and(|assignment| assignment.state == RunState::Stopping) {
+            let needs_stop = |assignment: &mut Assignment| match assignment.state {
+                RunState::Stopping => true,
+                RunState::Stopped => assignment.fate.has_unanswered_send(),
+                _ => false,
+            };
+            if assignment.is_some_and(needs_stop) {
                 self.send_stop(ctx, stop);
             }
         }
@@ -174,7 +194,7 @@
     pub(super) fn apply_order_reply(&mut self, ctx: &mut Context, call: u64, reply: OrderReply) {
         match self.orders.pending.remove(&call) {
             Some(Pending::Start { start, sends }) => self.on_start_reply(ctx, start, sends, reply),
-            Some(Pending::Stop { stop }) => self.on_stop_reply(ctx, stop, &reply),
+            Some(Pending::Stop { stop, mark }) => self.on_stop_reply(ctx, stop, mark, &reply),
             None => ctx.load.count_late(Late::Order),
         }
     }
@@ -187,7 +207,6 @@
         reply: OrderReply,
     ) {
         let now = ctx.now;
-        let is_start_unconfirmed = self.is_start_unconfirmed(&start);
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.leases.update_clock(&start.worker, clock_ms, now);
@@ -199,11 +218,10 @@
                 if reason == Refusal::StaleToken {
                     self.journal.request_commit();
                 }
-                if is_start_unconfirmed || reason == Refusal::StaleRun {
-                    self.stop_unconfirmed_start(start);
-                } else {
-                    self.record_not_started(ctx, &start, reason);
+                if let Some(fate) = self.fate_mut(&start) {
+                    fate.record_without_effect(now);
                 }
+                self.settle_start(ctx, start, reason);
             }
             OrderReply::OtherIncarnation => {
                 log_event!(ctx, WorkerRunsAbandoned, "worker" => %start.worker,
@@ -211,27 +229,64 @@
                 self.scheduler.mark_unlisted(&start.worker);
                 self.abandon_runs(ctx, &start.worker);
             }
-            OrderReply::Unreachable if !is_start_unconfirmed => {
-                self.mark_unreachable(&start.worker, now);
-                self.record_not_started(ctx, &start, Refusal::Unhealthy);
+            OrderReply::Unreachable => {
+                if let Some(fate) = self.fate_mut(&start) {
+                    fate.record_without_effect(now);
+                }
+                if self.scheduler.not_started(&start).is_some() {
+                    self.mark_unreachable(&start.worker, now);
+                    self.settle_start(ctx, start, Refusal::Unhealthy);
+                } else {
+                    self.resend_start(ctx, start, sends);
+                }
             }
-            OrderReply::Unreachable | OrderReply::OutcomeUnknown => {
+            OrderReply::OutcomeUnknown => {
                 log_job_event!(ctx, &start.key.job, TaskStartUnanswered, "step" => start.key.step,
                     "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
                     "tries" => sends);
-                self.mark_start_unconfirmed(&start);
+                if let Some(fate) = self.fate_mut(&start) {
+                    fate.record_unanswered(now);
+                }
+                self.resend_start(ctx, start, sends);
+            }
+        }
+    }
+
+    /// Sends a start again whose run may have started; stops the run after the last send.
+    ///
+    /// A stop that was sent before does not cover a send that ended without an answer since.
+    fn resend_start(&mut self, ctx: &mut Context, start: StartOrder, sends: u32) {
+        let state = self.assignment_mut(&start).map(|assignment| assignment.state);
+        match state {
+            Some(RunState::Stopping | RunState::Stopped) => {
+                let StartOrder { key, run, worker } = start;
+                self.send_stop(ctx, StopOrder { key, run, worker });
+            }
+            Some(RunState::Sent) => {
                 let is_confirmed = self.unconfirmed_since.is_none()
-                    && self.journal.commit_age(now) < MAX_COMMIT_AGE_FOR_RESEND;
+                    && self.journal.commit_age(ctx.now) < MAX_COMMIT_AGE_FOR_RESEND;
                 if sends < MAX_START_SENDS && is_confirmed {
                     self.try_start(ctx, start, sends);
                 } else {
-                    self.mark_unreachable(&start.worker, now);
-                    self.stop_unconfirmed_start(start);
+                    self.mark_unreachable(&start.worker, ctx.now);
+                    self.settle_start(ctx, start, Refusal::Unhealthy);
                 }
             }
+            // The worker has listed the run since.
+            _ => {}
         }
     }
 
+    /// The assignment of a start's run; none if it has ended.
+    fn assignment_mut(&mut self, start: &StartOrder) -> Option<&mut Assignment> {
+        self.scheduler.pool.get_mut(&start.worker)?.assignment_mut(&start.key, start.run)
+    }
+
+    /// What is known of a start's sends; none if its run has ended.
+    fn fate_mut(&mut self, start: &StartOrder) -> Option<&mut Fate> {
+        self.assignment_mut(start).map(|assignment| &mut assignment.fate)
+    }
+
     /// Logs and counts a confirmed start, if it is the first confirmation.
     fn record_started(&self, ctx: &mut Context, start: &StartOrder) {
         let assignment = self.scheduler.pool.get(&start.worker);
@@ -255,24 +310,6 @@
             "epoch" => self.epoch);
     }
 
-    /// Whether the start may have taken effect at the worker without a confirmation.
-    fn is_start_unconfirmed(&self, start: &StartOrder) -> bool {
-        let worker = self.scheduler.pool.get(&start.worker);
-        let assignment = worker.and_then(|worker| worker.assignments.get(&start.key));
-        assignment.is_some_and(|assignment| {
-            assignment.run == start.run && assignment.is_start_unconfirmed
-        })
-    }
-
-    /// Marks the start as one that may have taken effect without a confirmation.
-    fn mark_start_unconfirmed(&mut self, start: &StartOrder) {
-        if let Some(worker) = self.scheduler.pool.get_mut(&start.worker)
-            && let Some(assignment) = worker.assignment_mut(&start.key, start.run)
-        {
-            assignment.is_start_unconfirmed = true;
-        }
-    }
-
     /// Treats a worker as unreachable until it answers its next renewal.
     fn mark_unreachable(&mut self, id: &str, now: Duration) {
         if let Some(worker) = self.scheduler.pool.get_mut(id) {
@@ -282,11 +319,19 @@
         self.leases.renew_soon(id, now);
     }
 
-    fn on_stop_reply(&mut self, ctx: &mut Context, stop: StopOrder, reply: &OrderReply) {
+    fn on_stop_reply(
+        &mut self,
+        ctx: &mut Context,
+        stop: StopOrder,
+        mark: Option<StopMark>,
+        reply: &OrderReply,
+    ) {
         match reply {
             OrderReply::Done { clock_ms } => {
                 self.leases.update_clock(&stop.worker, *clock_ms, ctx.now);
-                self.scheduler.confirm_stop(&stop, ctx.now);
+                if let Some(mark) = mark {
+                    self.scheduler.confirm_stop(&stop, mark, ctx.now);
+                }
                 self.leases.renew_soon(&stop.worker, ctx.now);
             }
             OrderReply::OtherIncarnation => {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 mod advice;
 mod estimate;
 mod explain;
+mod fate;
 mod job;
 mod placement;
 mod pool;
@@ -23,6 +24,7 @@
 
 pub use advice::{AdviceCapacity, CallClass};
 pub use explain::{Progress, WaitReason};
+pub use fate::{Fate, NotStarted, StopMark};
 pub use job::{Job, JobState, Phase, Task, TaskKey};
 pub use pool::Pool;
 pub use record::{
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -15,6 +15,7 @@
 use common::Name;
 
 use crate::advice::{AdviceCapacity, CallClass};
+use crate::fate::Fate;
 use crate::job::{Job, TaskKey};
 use crate::record::{Resources, Step};
 use crate::rules::Queue;
@@ -316,7 +317,7 @@
                 need: pending.spec.need,
                 state: RunState::Committing,
                 changed_at: self.now,
-                is_start_unconfirmed: false,
+                fate: Fate::default(),
             };
             if let Some(worker) = self.scheduler.pool.get_mut(&slot.id) {
                 worker.assign(key.clone(), assignment);
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -98,21 +98,36 @@
                 unknown_runs.push(StopOrder { key, run: run.run, worker: id.clone() });
                 continue;
             };
+            assignment.fate.record_listed();
             if matches!(assignment.state, RunState::Sent | RunState::Recovered) {
                 assignment.state = RunState::Running;
                 assignment.changed_at = now;
-                assignment.is_start_unconfirmed = false;
             }
             listed.insert(key);
         }
         worker.has_unknown_runs = has_unknown_runs;
         let has_ended = |assignment: &Assignment| match assignment.state {
             RunState::Recovered => true,
-            RunState::Running | RunState::Stopped => assignment.changed_at < sent,
-            // An unconfirmed start may have been sent to the new incarnation.
-            RunState::Stopping => is_new_incarnation && !assignment.is_start_unconfirmed,
+            RunState::Running | RunState::Stopped => {
+                assignment.changed_at < sent && assignment.fate.is_decided(sent)
+            }
+            RunState::Stopping => is_new_incarnation && assignment.fate.is_decided(sent),
             RunState::Committing | RunState::Sent => false,
         };
+        // An unanswered send may still start it, also in the worker's next incarnation.
+        let may_start_again = |assignment: &Assignment| {
+            assignment.state == RunState::Running && assignment.fate.has_unanswered_send()
+        };
+        for (key, assignment) in &mut worker.assignments {
+            if !listed.contains(key) && may_start_again(assignment) {
+                assignment.state = RunState::Stopping;
+                unknown_runs.push(StopOrder {
+                    key: key.clone(),
+                    run: assignment.run,
+                    worker: id.clone(),
+                });
+            }
+        }
         let ended_runs = worker
             .assignments
             .iter()
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use common::Name;
 
 use crate::estimate::Estimator;
+use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, TaskKey};
 use crate::pool::Pool;
 use crate::record::Submission;
@@ -176,7 +177,7 @@
             need,
             state: RunState::Recovered,
             changed_at: Duration::ZERO,
-            is_start_unconfirmed: false,
+            fate: Fate::default(),
         };
         if let Some(worker) = self.pool.get_mut(worker) {
             worker.assign(key, assignment);
@@ -314,7 +315,7 @@
     pub fn confirm_start(&mut self, start: &StartOrder, now: Duration) {
         let Some(worker) = self.pool.get_mut(&start.worker) else { return };
         let Some(assignment) = worker.assignment_mut(&start.key, start.run) else { return };
-        assignment.is_start_unconfirmed = false;
+        assignment.fate.record_started(now);
         if assignment.state == RunState::Sent {
             assignment.state = RunState::Running;
             assignment.changed_at = now;
@@ -329,10 +330,20 @@
         }
     }
 
-    /// Releases a run that did not start and can no longer start.
+    /// Proof that a run has not started; none if it may have, or if it is not assigned.
+    pub fn not_started(&self, start: &StartOrder) -> Option<NotStarted> {
+        let assignment = self.pool.get(&start.worker)?.assignments.get(&start.key)?;
+        if assignment.run != start.run || assignment.state == RunState::Recovered {
+            return None;
+        }
+        assignment.fate.not_started()
+    }
+
+    /// Releases a run that has not started and can no longer start.
     pub fn reject_start(
         &mut self,
         start: &StartOrder,
+        _proof: NotStarted,
         reason: Refusal,
         now: Duration,
         store_clock_ms: u64,
@@ -352,15 +363,15 @@
         self.finish_run(&start.key, start.run, Outcome::Stopped, now, store_clock_ms);
     }
 
-    /// Records that a worker confirmed a stop.
+    /// Records that a worker confirmed a stop that was sent with a mark.
     ///
-    /// The run has ended or can no longer start.
-    pub fn confirm_stop(&mut self, stop: &StopOrder, now: Duration) {
+    /// The run has ended or can no longer start, unless sends of its start are still open.
+    pub fn confirm_stop(&mut self, stop: &StopOrder, mark: StopMark, now: Duration) {
         let Some(worker) = self.pool.get_mut(&stop.worker) else { return };
         let Some(assignment) = worker.assignment_mut(&stop.key, stop.run) else { return };
         assignment.state = RunState::Stopped;
         assignment.changed_at = now;
-        assignment.is_start_unconfirmed = false;
+        assignment.fate.record_stopped(mark);
     }
 
     /// Applies the result of an advice call; `None` if the call failed.
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -5,6 +5,7 @@
 
 use common::Name;
 
+use crate::fate::Fate;
 use crate::job::TaskKey;
 use crate::record::{Resources, Step};
 use crate::rules::Queue;
@@ -69,8 +70,8 @@
         pub state: RunState,
         /// Time of the placement, or of the latest sent start or confirmation.
         pub changed_at: Duration,
-        /// Whether a start without a definite answer may still take effect.
-        pub is_start_unconfirmed: bool,
+        /// Sends of its start by this leader.
+        pub fate: Fate,
     }
 
     /// State of a worker.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -111,7 +111,8 @@
     submit(&mut scheduler, "j", vec![gang]);
     let starts = place(&mut scheduler, NOW);
     confirm_starts(&mut scheduler, &starts[..2]);
-    scheduler.reject_start(&starts[2], Refusal::NoCapacity, NOW, 0);
+    let proof = scheduler.not_started(&starts[2]).expect("it was not sent");
+    scheduler.reject_start(&starts[2], proof, Refusal::NoCapacity, NOW, 0);
     let stops = std::mem::take(&mut scheduler.stops);
     assert_eq!(stops.len(), 2);
     assert_eq!(place(&mut scheduler, NOW).len(), 0, "two members have not ended");
@@ -208,7 +209,8 @@
     let allowed = vec![(Name::new("w1"), Name::new("ticket"))];
     scheduler.apply_advice("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
     let starts = place(&mut scheduler, NOW);
-    scheduler.reject_start(&starts[0], Refusal::Ticket, NOW, 0);
+    let proof = scheduler.not_started(&starts[0]).expect("it was not sent");
+    scheduler.reject_start(&starts[0], proof, Refusal::Ticket, NOW, 0);
     assert_eq!(place(&mut scheduler, NOW).len(), 0);
     assert_eq!(scheduler.advice_calls.len(), 1);
 }
