--- a/crates/control/src/action.rs
+++ b/crates/control/src/action.rs
@@ -127,7 +127,12 @@
             /// End of the lease by the worker's clock, in ms; none to leave it unchanged.
             lease_end_ms: Option<u64>,
             /// Position up to which finished runs are acknowledged; 0 for none.
+            ///
+            /// Sent only on a connection to the process of `incarnation`, and otherwise left out:
+            /// a new incarnation would forget finished runs that the leader has not seen.
             acked_position: u64,
+            /// Incarnation that listed the acknowledged runs, in ms of Unix time.
+            incarnation: u64,
             /// Maximum time for which the worker waits for a run to finish.
             max_wait: Duration,
             /// Timeout for the answer.
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -33,11 +33,6 @@
 /// Longest time that the next renewal is held back until listed finished runs are durable.
 const ACK_COMMIT_WAIT: Duration = Duration::from_millis(500);
 
-/// Greatest age of a worker's latest reply at which its incarnation is assumed unchanged.
-///
-/// No task of a new incarnation can start and end within this time.
-const SAME_INCARNATION_WINDOW: Duration = Duration::from_millis(100);
-
 /// Slowest possible rate of a worker's clock, relative to the leader's.
 const MIN_CLOCK_RATE: f64 = 0.98;
 
@@ -88,9 +83,6 @@
     /// Latest lease end that may be in force, in the worker's ms.
     lease_end_ms: u64,
     /// Position to acknowledge with the next renewal; 0 for none.
-    ///
-    /// Sent only once: a new incarnation under the same id numbers its finished runs from the
-    /// start, so a repeated acknowledgement would make it drop runs that the leader has not seen.
     ack_position: u64,
     /// Highest listed position that is not acknowledged yet; 0 for none.
     unacked_position: u64,
@@ -362,9 +354,7 @@
         let Some(worker) = self.scheduler.pool.get(id) else { return };
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         let has_runs = !worker.assignments.is_empty();
-        let is_same_incarnation =
-            lease.clock.is_some_and(|clock| clock.received_at + SAME_INCARNATION_WINDOW >= ctx.now);
-        let ack = if is_same_incarnation { std::mem::take(&mut lease.ack_position) } else { 0 };
+        let ack = std::mem::take(&mut lease.ack_position);
         let is_settled =
             worker.has_current_token && lease.failures == 0 && lease.unacked_position <= ack;
         let max_wait = if is_settled && has_runs { LONG_POLL_WAIT } else { Duration::ZERO };
@@ -381,6 +371,7 @@
             fencing_token: self.epoch,
             lease_end_ms,
             acked_position: ack,
+            incarnation: lease.incarnation,
             max_wait,
             timeout: max_wait + RENEWAL_TIMEOUT_SLACK,
         });
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -337,6 +337,7 @@
             fencing_token,
             lease_end_ms,
             acked_position,
+            incarnation: acked_incarnation,
             timeout,
             ..
         } = order
@@ -352,6 +353,8 @@
             }
             return;
         }
+        let is_same_process = acked_incarnation == worker.incarnation;
+        let acked_position = if is_same_process { acked_position } else { 0 };
         let reply = if fencing_token < worker.highest_fencing_token {
             RenewReply::Fenced
         } else {
--- a/crates/scheduler/src/fate.rs
+++ b/crates/scheduler/src/fate.rs
@@ -84,8 +84,10 @@
     }
 
     /// Proof that the run has not started; none if a send may have taken effect or still may.
+    ///
+    /// A confirmed stop is no proof: the run may have ended before it.
     pub fn not_started(&self) -> Option<NotStarted> {
-        let is_certain = self.open_sends == 0 && !self.has_unanswered_send() && !self.is_seen;
+        let is_certain = self.open_sends == 0 && self.unanswered_sends == 0 && !self.is_seen;
         is_certain.then_some(NotStarted(()))
     }
 
