--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -79,6 +79,8 @@
         pub cursor: u64,
         /// Whether this is a full snapshot instead of a difference.
         pub is_snapshot: bool,
+        /// Whether further changes wait after the cursor.
+        pub has_more: bool,
         /// New rules; none if they have not changed.
         pub rules: Option<Rules>,
         /// Registrations of new and changed workers, or of all in a snapshot.
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -43,8 +43,8 @@
             }
         };
         let now = ctx.now;
-        let pause =
-            if target == WatchTarget::Workers { WORKERS_POLL_INTERVAL } else { Duration::ZERO };
+        let has_pause = target == WatchTarget::Workers && !change.has_more;
+        let pause = if has_pause { WORKERS_POLL_INTERVAL } else { Duration::ZERO };
         self.set_cursor(target, Some(change.cursor), now + pause);
         if let Some(rules) = change.rules
             && self.scheduler.rules.as_ref().is_none_or(|known| known.version < rules.version)
@@ -94,6 +94,9 @@
 
     /// Marks a worker as unlisted, and drops its lease if it holds no runs.
     fn unlist_worker(&mut self, ctx: &mut Context, id: &Name) {
+        if self.scheduler.pool.get(id).is_none_or(|worker| !worker.is_listed) {
+            return;
+        }
         self.needs_placement = true;
         log_event!(ctx, WorkerUnlisted, "worker" => %id);
         if self.scheduler.mark_unlisted(id) {
--- a/crates/control/tests/load.rs
+++ b/crates/control/tests/load.rs
@@ -120,6 +120,7 @@
     let change = Change {
         cursor: 1000,
         is_snapshot: false,
+        has_more: false,
         rules: None,
         registrations: (0..count).map(registration).collect(),
         removed: Vec::new(),
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -182,6 +182,7 @@
         Change {
             cursor: 1,
             is_snapshot: target == WatchTarget::Workers,
+            has_more: false,
             rules: (target == WatchTarget::Rules).then(rules),
             registrations: match target {
                 WatchTarget::Workers => (0..self.workers).map(registration).collect(),
--- a/crates/scheduler/src/validation.rs
+++ b/crates/scheduler/src/validation.rs
@@ -7,6 +7,9 @@
 /// Longest payload of a job, in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4000;
 
+/// Most tasks of a job.
+pub const MAX_TASKS: u64 = 10_000;
+
 /// Number of hexadecimal digits in a job id.
 pub const JOB_ID_DIGITS: usize = 16;
 
@@ -21,6 +24,8 @@
         NoSteps,
         /// The step with this index has no tasks.
         NoTasks(usize),
+        /// There are too many tasks in all.
+        TooManyTasks,
         /// The step with this index depends on itself or a later step.
         StepOrder(usize),
     }
@@ -35,6 +40,7 @@
             }
             Self::NoSteps => write!(f, "there are no steps"),
             Self::NoTasks(step) => write!(f, "step {step} has no tasks"),
+            Self::TooManyTasks => write!(f, "there are more than {MAX_TASKS} tasks"),
             Self::StepOrder(step) => {
                 write!(f, "step {step} waits for a step that is not before it")
             }
@@ -65,6 +71,9 @@
         if self.steps.is_empty() {
             return Err(SubmissionError::NoSteps);
         }
+        if self.steps.iter().map(|step| u64::from(step.count)).sum::<u64>() > MAX_TASKS {
+            return Err(SubmissionError::TooManyTasks);
+        }
         for (step_index, step) in self.steps.iter().enumerate() {
             if step.count == 0 {
                 return Err(SubmissionError::NoTasks(step_index));
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -44,10 +44,15 @@
 impl Store {
     /// Writes a row without conditions, as an operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row of any bytes without conditions.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
         rows.version += 1;
         let version = rows.version;
-        let value = Some(STANDARD.encode(value.to_string()));
+        let value = Some(STANDARD.encode(value));
         rows.rows.insert((table.into(), String::new(), key.into()), Row { value, version });
         self.changed.notify_all();
     }
