Steps ask about as many workers as they need in a round of several calls

What callers saw: gangs of 40 and more wait for tens of seconds while most room is free. Change: a round of calls at a time, each about 40 workers and by another daemon, whose tickets are valid together. Calls have a number, so that answers find theirs. How many gangs reserve room follows the pool's size, one for 16 workers.

--- a/crates/control/src/lead/advice.rs
+++ b/crates/control/src/lead/advice.rs
@@ -10,8 +10,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use common::Name;
-use scheduler::{AdviceCall, AdviceCapacity, CallClass, Phase, Scheduler};
+use scheduler::{AdviceCall, AdviceCapacity, AdviceKey, CallClass, Phase, Scheduler};
 
 use crate::action::Action;
 use crate::frame::{self, Body};
@@ -41,8 +40,7 @@
 struct PendingCall {
     /// Link of the follower that makes it; none for the leader itself.
     link: Option<u64>,
-    job: Name,
-    step: u32,
+    key: AdviceKey,
     /// Expected duration.
     expected_duration: Duration,
     sent: Duration,
@@ -131,7 +129,7 @@
         scheduler: &Scheduler,
     ) -> VecDeque<AdviceCall> {
         while let Some(advice_call) = queue.pop_front() {
-            let job = scheduler.jobs.get(&advice_call.job);
+            let job = scheduler.jobs.get(&advice_call.key.job);
             if job.is_none_or(|job| job.phase != Phase::Open) {
                 continue;
             }
@@ -174,10 +172,10 @@
             (self.backlog(daemon) + advice_call.expected_duration) * TIMEOUT_FACTOR + TIMEOUT_SLACK;
         let call = ctx.next_call_id();
         let deadline = ctx.now + timeout + RELAY_TIMEOUT_SLACK;
-        let AdviceCall { job, step, workers, expected_duration } = advice_call;
+        let AdviceCall { key, workers, expected_duration } = advice_call;
+        let (job, step) = (key.job.clone(), key.step);
         match daemon {
             None => {
-                let job = job.clone();
                 ctx.actions.push(Action::RequestAdvice { call, job, step, workers, timeout });
             }
             Some(link) => {
@@ -191,26 +189,26 @@
             }
         }
         let pending_call =
-            PendingCall { link: daemon, job, step, expected_duration, sent: ctx.now, deadline };
+            PendingCall { link: daemon, key, expected_duration, sent: ctx.now, deadline };
         self.pending.insert(call, pending_call);
     }
 
-    /// Removes the calls whose deadline has passed; returns their jobs and steps.
-    pub fn expire(&mut self, now: Duration) -> Vec<(Name, u32)> {
+    /// Removes the calls whose deadline has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<AdviceKey> {
         let expired = self.pending.extract_if(|_, call| call.deadline <= now);
-        expired.map(|(_, call)| (call.job, call.step)).collect()
+        expired.map(|(_, call)| call.key).collect()
     }
 
-    /// Removes a call that ended and records its duration; returns its job and step.
-    pub fn finish(&mut self, ctx: &Context, call: u64) -> Option<(Name, u32)> {
+    /// Removes a call that ended and records its duration.
+    pub fn finish(&mut self, ctx: &Context, call: u64) -> Option<AdviceKey> {
         let call = self.pending.remove(&call)?;
         ctx.meter.record_duration(Timing::Advice, ctx.now.saturating_sub(call.sent));
-        Some((call.job, call.step))
+        Some(call.key)
     }
 
-    /// Removes the calls of a follower that left; returns their jobs and steps.
-    pub fn drop_link(&mut self, link: u64) -> Vec<(Name, u32)> {
+    /// Removes the calls of a follower that left.
+    pub fn drop_link(&mut self, link: u64) -> Vec<AdviceKey> {
         let lost = self.pending.extract_if(|_, call| call.link == Some(link));
-        lost.map(|(_, call)| (call.job, call.step)).collect()
+        lost.map(|(_, call)| call.key).collect()
     }
 }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -361,20 +361,21 @@
         call: u64,
         result: Option<AdviceResult>,
     ) {
-        let Some((job, step)) = self.advice_calls.finish(ctx, call) else {
+        let Some(key) = self.advice_calls.finish(ctx, call) else {
             ctx.load.count_late(Late::Advice);
             return;
         };
         ctx.meter.add(Counter::Advice, if result.is_some() { "answered" } else { "failed" }, 1);
         if result.is_none() {
-            log_event!(ctx, AdviceFailed, "job" => %job, "step" => step);
+            log_event!(ctx, AdviceFailed, "job" => %key.job, "step" => key.step);
         }
-        let asked = self.scheduler.jobs.get(&*job).and_then(|job| job.steps.get(step as usize));
+        let job = self.scheduler.jobs.get(&key.job);
+        let asked = job.and_then(|job| job.steps.get(key.step as usize));
         if asked.is_some_and(|step| step.has_unused_tickets(ctx.now)) {
             ctx.load.count_late(Late::Tickets);
         }
         let allowed = result.map(|answer| (answer.allowed, answer.validity));
-        self.scheduler.apply_advice(&job, step, allowed, ctx.now);
+        self.scheduler.apply_advice(&key, allowed, ctx.now);
         self.needs_placement = true;
     }
 
@@ -388,8 +389,8 @@
             }
             PeerEvent::Refused | PeerEvent::Closed => {
                 self.peers.remove(link);
-                for (job, step) in self.advice_calls.drop_link(link) {
-                    self.scheduler.apply_advice(&job, step, None, ctx.now);
+                for key in self.advice_calls.drop_link(link) {
+                    self.scheduler.apply_advice(&key, None, ctx.now);
                 }
             }
             PeerEvent::Connected => self.peers.announce_on(ctx, link, self.epoch),
@@ -429,8 +430,8 @@
     fn check_peers(&mut self, ctx: &mut Context) {
         for link in self.peers.drop_silent(ctx.now, ctx.loop_clock.now()) {
             ctx.actions.push(Action::Close { link });
-            for (job, step) in self.advice_calls.drop_link(link) {
-                self.scheduler.apply_advice(&job, step, None, ctx.now);
+            for key in self.advice_calls.drop_link(link) {
+                self.scheduler.apply_advice(&key, None, ctx.now);
             }
         }
         self.peers.announce(ctx);
@@ -519,9 +520,10 @@
             self.placement_cost = ctx.load.attribute(Work::Placement);
         }
         ctx.load.attribute(Work::Rest);
-        for (job, step) in self.advice_calls.expire(ctx.now) {
-            log_event!(ctx, AdviceFailed, "job" => %job, "step" => step, "reason" => "no answer");
-            self.scheduler.apply_advice(&job, step, None, ctx.now);
+        for key in self.advice_calls.expire(ctx.now) {
+            log_event!(ctx, AdviceFailed, "job" => %key.job, "step" => key.step,
+                "reason" => "no answer");
+            self.scheduler.apply_advice(&key, None, ctx.now);
         }
         for advice_call in std::mem::take(&mut self.scheduler.advice_calls) {
             self.advice_calls.enqueue(advice_call);
--- a/crates/measure/src/pass.rs
+++ b/crates/measure/src/pass.rs
@@ -128,7 +128,7 @@
         for call in std::mem::take(&mut scheduler.advice_calls) {
             let allowed = call.workers.into_iter().step_by(2);
             let allowed = allowed.map(|id| (id, Name::new("ticket"))).collect();
-            scheduler.apply_advice(&call.job, call.step, Some((allowed, TICKET_VALIDITY)), now);
+            scheduler.apply_advice(&call.key, Some((allowed, TICKET_VALIDITY)), now);
         }
     }
     total / PASSES
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -65,7 +65,12 @@
 
     /// Whether a call of a class could start soon.
     pub(crate) fn has_free_daemon(&self, class: CallClass) -> bool {
-        self.waits[class as usize].iter().any(|wait| *wait <= MAX_CALL_WAIT)
+        self.free_daemons(class) > 0
+    }
+
+    /// Number of daemons on which a call of a class could start soon.
+    pub(crate) fn free_daemons(&self, class: CallClass) -> usize {
+        self.waits[class as usize].iter().filter(|wait| **wait <= MAX_CALL_WAIT).count()
     }
 
     /// Counts a step that needs a call; returns the number of those counted before.
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -150,8 +150,8 @@
         if candidates.is_empty() {
             return WaitReason::NoWorker;
         }
-        if let Some(workers) = &step.pending_advice {
-            return WaitReason::Advice(workers.len());
+        if !step.pending_advice.is_empty() {
+            return WaitReason::Advice(step.pending_advice.values().map(Vec::len).sum());
         }
         let may_run = |id: &Name| queue.advice.is_none() || step.is_allowed(id);
         let allowed: Vec<&Worker> =
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,7 +33,7 @@
 };
 pub use rules::{AdvicePolicy, Limits, Queue, Rules};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
-pub use scheduler::{AdviceCall, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
+pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
 pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState};
 pub use step::{Eligibility, StepState};
 pub use validation::{SubmissionError, is_job_id};
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -5,20 +5,24 @@
 
 use common::Name;
 
-use super::{GANG_ADVICE_DELAY, MAX_RESERVING_GANGS, Pass, PendingStep, Slot};
+use super::{GANG_ADVICE_DELAY, Pass, PendingStep, Slot};
 use crate::advice::CallClass;
 use crate::rules::AdvicePolicy;
-use crate::scheduler::AdviceCall;
+use crate::scheduler::{AdviceCall, AdviceKey};
 
-/// Limit on workers named in an advice call, which bounds its duration.
+/// Workers named in an advice call above which a step makes several calls at a time.
 ///
-/// Allowed workers that a step needs are named even beyond this limit.
-const MAX_WORKERS_PER_CALL: usize = 30;
+/// The base duration of a call is spent once for each call, and its tickets expire soon after the
+/// others' if they end at different times.
+const WORKERS_PER_CALL: usize = 40;
 
-/// Fewest unknown workers named in an advice call for a gang.
+/// Most workers that the advice service accepts in a call.
+const MAX_WORKERS_PER_CALL: usize = 100;
+
+/// Fewest unknown workers named in a round of calls for a gang.
 ///
 /// The base duration of a call dominates the added duration of each worker named.
-const MIN_WORKERS_PER_GANG_CALL: usize = 24;
+const MIN_WORKERS_PER_GANG_ROUND: usize = 24;
 
 /// Delay before a gang that reserves no capacity checks again whether advice is of use.
 const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
@@ -31,10 +35,13 @@
     pub(super) fn ensure_advice(&mut self, pending: &PendingStep<'_>) {
         let Some(advice) = &pending.queue.advice else { return };
         let Some(step) = self.step_state(pending) else { return };
-        let workers = match &step.pending_advice {
-            Some(named_workers) => named_workers.clone(),
-            None if step.advice_not_before > self.now => return,
-            None => self.request_advice(pending, advice),
+        let workers = if step.pending_advice.is_empty() {
+            if step.advice_not_before > self.now {
+                return;
+            }
+            self.request_advice(pending, advice)
+        } else {
+            step.pending_advice.values().flatten().cloned().collect()
         };
         self.reserve_for_advice(pending, &workers);
     }
@@ -57,7 +64,7 @@
                 let expected_use = &mut self.slots[slot].expected_use;
                 *expected_use = expected_use.plus(&share);
             }
-            if self.reserving_gangs < MAX_RESERVING_GANGS {
+            if self.reserving_gangs < self.max_reserving_gangs {
                 return;
             }
             slots = allowed;
@@ -65,16 +72,19 @@
         self.reserve(pending, &slots);
     }
 
-    /// Queues an advice call if it can start soon, and returns the workers that it names.
+    /// Queues a round of advice calls that can start soon, and returns the workers that they name.
+    ///
+    /// The calls of a round name about equally many workers, so that their tickets are valid at the
+    /// same time.
     pub(super) fn request_advice(
         &mut self,
         pending: &PendingStep<'_>,
         advice: &AdvicePolicy,
     ) -> Vec<Name> {
         let (id, step_index) = pending.key;
-        let workers = self.choose_advice_workers(pending);
+        let mut workers = self.choose_advice_workers(pending);
         if workers.is_empty() {
-            if self.reserving_gangs >= MAX_RESERVING_GANGS
+            if self.reserving_gangs >= self.max_reserving_gangs
                 && let Some(job) = self.scheduler.jobs.get_mut(id)
             {
                 let step = &mut job.steps[step_index as usize];
@@ -82,29 +92,33 @@
             }
             return workers;
         }
-        let expected_duration =
-            advice.base_duration + advice.duration_per_worker * workers.len() as u32;
-        let class = CallClass::of(expected_duration);
+        let duration =
+            |named: usize| advice.base_duration + advice.duration_per_worker * named as u32;
+        let class = CallClass::of(duration(workers.len().min(WORKERS_PER_CALL)));
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return Vec::new() };
         let step = &mut job.steps[step_index as usize];
-        if !self.advice_capacity.has_free_daemon(class) {
+        let free_daemons = self.advice_capacity.free_daemons(class);
+        if free_daemons == 0 {
             step.steps_ahead = Some(self.advice_capacity.refuse(class));
             return Vec::new();
         }
-        self.advice_capacity.assign(expected_duration);
+        let calls = workers.len().div_ceil(WORKERS_PER_CALL).min(free_daemons);
+        workers.truncate(calls * MAX_WORKERS_PER_CALL);
         self.steps_handled += 1;
-        step.pending_advice = Some(workers.clone());
-        let advice_call = AdviceCall {
-            job: id.clone(),
-            step: step_index,
-            workers: workers.clone(),
-            expected_duration,
-        };
-        self.scheduler.advice_calls.push(advice_call);
+        for named in workers.chunks(workers.len().div_ceil(calls)) {
+            let expected_duration = duration(named.len());
+            self.advice_capacity.assign(expected_duration);
+            step.last_advice_call += 1;
+            step.pending_advice.insert(step.last_advice_call, named.to_vec());
+            let key =
+                AdviceKey { job: id.clone(), step: step_index, number: step.last_advice_call };
+            let advice_call = AdviceCall { key, workers: named.to_vec(), expected_duration };
+            self.scheduler.advice_calls.push(advice_call);
+        }
         workers
     }
 
-    /// Chooses the workers of an advice call: allowed ones first, then unknown ones by capacity.
+    /// Chooses the workers of a round of advice calls: allowed ones first, then unknown ones by capacity.
     pub(super) fn choose_advice_workers(&self, pending: &PendingStep<'_>) -> Vec<Name> {
         let Some(step) = self.step_state(pending) else { return Vec::new() };
         let count = pending.waiting_tasks.len() as u32;
@@ -149,19 +163,20 @@
             let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
             (Reverse(places), expected_use.cpu)
         });
-        let tasks_per_worker = f64::from(unknown[0].0.clamp(1, count));
-        let mut new_workers =
-            (remaining / tasks_per_worker / share * ADVICE_MARGIN_FACTOR).ceil() as usize + 1;
-        if pending.spec.is_gang {
-            new_workers = new_workers.max(MIN_WORKERS_PER_GANG_CALL.min(unknown.len()));
+        let min_workers = if pending.spec.is_gang { MIN_WORKERS_PER_GANG_ROUND } else { 1 };
+        let wanted_places = remaining * ADVICE_MARGIN_FACTOR;
+        let mut expected_places = 0.0;
+        let mut new_workers = 0;
+        for (free_places, _) in &unknown {
+            if expected_places >= wanted_places && new_workers >= min_workers {
+                break;
+            }
+            // A full worker counts as one place: its runs end at some time.
+            expected_places += share * f64::from((*free_places).clamp(1, count));
+            new_workers += 1;
         }
-        let max_new = MAX_WORKERS_PER_CALL.saturating_sub(known.len()).max(1);
-        known.extend(
-            unknown
-                .into_iter()
-                .take(new_workers.min(max_new))
-                .map(|(_, slot)| self.slots[slot].id.clone()),
-        );
+        let chosen = unknown.into_iter().take(new_workers);
+        known.extend(chosen.map(|(_, slot)| self.slots[slot].id.clone()));
         known
     }
 }
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -4,7 +4,7 @@
 
 use common::Name;
 
-use super::{MAX_RESERVING_GANGS, Pass, PendingStep};
+use super::{Pass, PendingStep};
 
 /// Number of places on allowed workers that counts as enough, as a multiple of the gang's size.
 ///
@@ -25,7 +25,7 @@
         if pending.queue.advice.is_some() {
             self.ensure_advice(&pending);
         }
-        if self.reserving_gangs < MAX_RESERVING_GANGS && self.can_collect(&pending) {
+        if self.reserving_gangs < self.max_reserving_gangs && self.can_collect(&pending) {
             self.reserving_gangs += 1;
             self.reserve_for_gang(&pending);
         }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -23,8 +23,11 @@
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
 
-/// Most gangs per pass that may reserve capacity until all tasks fit.
-const MAX_RESERVING_GANGS: usize = 4;
+/// Fewest gangs per pass that may reserve capacity until all tasks fit.
+const MIN_RESERVING_GANGS: usize = 4;
+
+/// Workers of the pool for each gang that may reserve capacity.
+const WORKERS_PER_RESERVING_GANG: usize = 16;
 
 /// Delay after which a gang with enough candidates requests advice on more workers.
 ///
@@ -67,6 +70,8 @@
     start_arrival: Duration,
     /// Gangs that have reserved capacity so far.
     reserving_gangs: usize,
+    /// Most gangs that may reserve capacity.
+    max_reserving_gangs: usize,
     /// Steps that this pass has placed or requested advice for.
     steps_handled: usize,
     /// Maximum of each resource over all slots.
@@ -100,6 +105,8 @@
             return;
         }
         let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
+        let max_reserving_gangs =
+            (slots.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
         let mut pass = Pass {
             scheduler: self,
@@ -110,6 +117,7 @@
             now,
             start_arrival: now + write_delay,
             reserving_gangs: 0,
+            max_reserving_gangs,
             steps_handled: 0,
             largest_free: Resources::default(),
         };
@@ -162,9 +170,9 @@
             return;
         }
         if let Some(advice) = &queue.advice
-            && state.pending_advice.is_none()
+            && state.pending_advice.is_empty()
             && state.tickets_until <= self.start_arrival
-            && (!spec.is_gang || self.reserving_gangs >= MAX_RESERVING_GANGS)
+            && (!spec.is_gang || self.reserving_gangs >= self.max_reserving_gangs)
         {
             // Without tickets, a call or capacity to reserve, there is nothing to do.
             let class = CallClass::of(advice.base_duration);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -53,12 +53,21 @@
         pub run_time: Duration,
     }
 
-    /// A call to the advice service about one step.
-    pub struct AdviceCall {
+    /// Identifies a call to the advice service.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct AdviceKey {
         /// Id of the job.
         pub job: Name,
         /// Index of the step in the job.
         pub step: u32,
+        /// Number of the call among those of the step.
+        pub number: u32,
+    }
+
+    /// A call to the advice service about one step.
+    pub struct AdviceCall {
+        /// Identifies the call.
+        pub key: AdviceKey,
         /// Workers that it names.
         pub workers: Vec<Name>,
         /// Expected duration of the call.
@@ -377,14 +386,13 @@
     /// Applies the result of an advice call; `None` if the call failed.
     pub fn apply_advice(
         &mut self,
-        job: &str,
-        step_index: u32,
+        key: &AdviceKey,
         allowed: Option<(Vec<(Name, Name)>, Duration)>,
         now: Duration,
     ) {
-        let Some(job) = self.jobs.get_mut(job) else { return };
-        let Some(step) = job.steps.get_mut(step_index as usize) else { return };
-        let named_workers = step.pending_advice.take().unwrap_or_default();
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(step) = job.steps.get_mut(key.step as usize) else { return };
+        let Some(named_workers) = step.pending_advice.remove(&key.number) else { return };
         let Some((allowed, validity)) = allowed else {
             let doublings = step.advice_failures.min(MAX_ADVICE_RETRY_DOUBLINGS);
             step.advice_failures += 1;
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -1,6 +1,6 @@
 //! State of a step: its tasks and the advice on workers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use common::Name;
@@ -29,8 +29,10 @@
         pub failed_run: u32,
         /// Advice received, by worker id.
         pub eligibility: HashMap<Name, Eligibility>,
-        /// Workers named in the pending advice call; `None` without one.
-        pub pending_advice: Option<Vec<Name>>,
+        /// Workers named in the pending advice calls, by the number of the call.
+        pub pending_advice: BTreeMap<u32, Vec<Name>>,
+        /// Number of the latest advice call; 0 before the first.
+        pub last_advice_call: u32,
         /// Steps that the advice service handles before this one; `None` if it needs no call.
         pub steps_ahead: Option<usize>,
         /// Time until which some ticket may be valid.
@@ -52,7 +54,8 @@
             tasks,
             failed_run: 0,
             eligibility: no_workers,
-            pending_advice: None,
+            pending_advice: BTreeMap::new(),
+            last_advice_call: 0,
             steps_ahead: None,
             tickets_until: Duration::ZERO,
             advice_failures: 0,
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -4,7 +4,7 @@
 
 use common::Name;
 use scheduler::{AdviceCapacity, Resources, Scheduler, Step, Submission, WaitReason, is_job_id};
-use support::{NOW, advice_policy, ample_advice, secs, submit};
+use support::{NOW, advice_policy, ample_advice, answer_advice, secs, submit};
 
 /// A pool of two-core workers with one queue.
 fn pool(workers: &[&str], needs_advice: bool) -> Scheduler {
@@ -56,7 +56,7 @@
     assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::NoneAllowed));
     scheduler.plan(NOW, secs(0), ample_advice());
     assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::Advice(2)));
-    scheduler.apply_advice("j1", 0, Some((Vec::new(), secs(2))), NOW);
+    answer_advice(&mut scheduler, "j1", 0, Some((Vec::new(), secs(2))), NOW);
     assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::NoneAllowed));
 }
 
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use common::Name;
@@ -11,7 +11,8 @@
     RunState, Scheduler, StartOrder, Step, TaskKey,
 };
 use support::{
-    NO_DELAY, NOW, advice_policy, ample_advice, new_registration, pool, rules, secs, step, submit,
+    NO_DELAY, NOW, advice_policy, ample_advice, answer_advice, new_registration, pool, rules, secs,
+    step, submit,
 };
 
 fn place(scheduler: &mut Scheduler, now: Duration) -> Vec<StartOrder> {
@@ -181,7 +182,7 @@
     assert_eq!(place(&mut scheduler, NOW).len(), 0);
     assert!(scheduler.advice_calls.is_empty(), "one advice call at a time for a step");
     let allowed = vec![(Name::new("w2"), Name::new("ticket"))];
-    scheduler.apply_advice("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    answer_advice(&mut scheduler, "j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
     let starts = place(&mut scheduler, NOW);
     assert!(starts.iter().all(|start| &*start.worker == "w2"));
     assert_eq!(starts.len(), 2);
@@ -194,7 +195,7 @@
     place(&mut scheduler, NOW);
     scheduler.advice_calls.clear();
     let allowed = vec![(Name::new("w1"), Name::new("ticket"))];
-    scheduler.apply_advice("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    answer_advice(&mut scheduler, "j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
     assert_eq!(place(&mut scheduler, NOW + secs(2)).len(), 0);
     let advice_calls = std::mem::take(&mut scheduler.advice_calls);
     assert_eq!(advice_calls[0].workers, [Name::new("w1")]);
@@ -207,7 +208,7 @@
     place(&mut scheduler, NOW);
     scheduler.advice_calls.clear();
     let allowed = vec![(Name::new("w1"), Name::new("ticket"))];
-    scheduler.apply_advice("j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+    answer_advice(&mut scheduler, "j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
     let starts = place(&mut scheduler, NOW);
     let proof = scheduler.not_started(&starts[0]).expect("it was not sent");
     scheduler.reject_start(&starts[0], proof, Refusal::Ticket, NOW, 0);
@@ -331,7 +332,7 @@
         let allowed = ids.iter().map(|id| (Name::new(id), Name::new("t"))).collect();
         Some((allowed, Duration::from_millis(1500)))
     };
-    scheduler.apply_advice("busy", 0, tickets(&["w1", "w2", "w3", "w4", "w5"]), NOW);
+    answer_advice(&mut scheduler, "busy", 0, tickets(&["w1", "w2", "w3", "w4", "w5"]), NOW);
     let starts = place(&mut scheduler, NOW);
     confirm_starts(&mut scheduler, &starts);
     let first = starts.iter().find(|start| &*start.worker == "w5").expect("w5 has a run");
@@ -344,8 +345,8 @@
     assert_eq!(advice_calls.len(), 1);
     let allowed: Vec<&str> = vec!["w1", "w2"];
     scheduler.jobs.get_mut("gang").expect("the job is known").steps[0].pending_advice =
-        Some(vec![Name::new("w1"), Name::new("w2")]);
-    scheduler.apply_advice("gang", 0, tickets(&allowed), NOW);
+        BTreeMap::from([(1, vec![Name::new("w1"), Name::new("w2")])]);
+    answer_advice(&mut scheduler, "gang", 0, tickets(&allowed), NOW);
     assert_eq!(place(&mut scheduler, NOW).len(), 0);
     assert!(scheduler.advice_calls.is_empty(), "four places are enough candidates for two tasks");
 }
@@ -360,7 +361,7 @@
     }
     place(&mut scheduler, NOW);
     assert_eq!(scheduler.advice_calls.len(), 150);
-    assert_eq!(&*scheduler.advice_calls[0].job, "j000", "the highest rank is visited first");
+    assert_eq!(&*scheduler.advice_calls[0].key.job, "j000", "the highest rank is visited first");
 }
 
 // Guards against gangs that no room suffices for and that hold back others for ever.
@@ -376,12 +377,7 @@
         starts.extend(place(&mut scheduler, NOW + secs(tick)));
         for call in std::mem::take(&mut scheduler.advice_calls) {
             let tickets = vec![(Name::new("w1"), Name::new("t"))];
-            scheduler.apply_advice(
-                &call.job,
-                call.step,
-                Some((tickets, secs(2))),
-                NOW + secs(tick),
-            );
+            scheduler.apply_advice(&call.key, Some((tickets, secs(2))), NOW + secs(tick));
         }
     }
     assert_eq!(starts.iter().map(|start| &*start.key.job).collect::<Vec<_>>(), ["b"]);
@@ -398,7 +394,7 @@
         scheduler.plan(now, NO_DELAY, ample_advice());
         for call in std::mem::take(&mut scheduler.advice_calls) {
             calls += 1;
-            scheduler.apply_advice(&call.job, call.step, None, now);
+            scheduler.apply_advice(&call.key, None, now);
         }
     }
     assert!((5..=20).contains(&calls), "{calls} calls in ten seconds");
@@ -433,7 +429,7 @@
             Resources { cpu: 2000, mem: 0, gpus: 0 };
     }
     let tickets = allowed.into_iter().map(|id| (id, Name::new("t"))).collect();
-    scheduler.apply_advice("j1", 0, Some((tickets, secs(2))), NOW);
+    answer_advice(&mut scheduler, "j1", 0, Some((tickets, secs(2))), NOW);
     scheduler.plan(NOW + secs(1), NO_DELAY, ample_advice());
     assert!(scheduler.advice_calls.is_empty());
     scheduler.plan(NOW + secs(3), NO_DELAY, ample_advice());
@@ -441,7 +437,7 @@
         std::mem::take(&mut scheduler.advice_calls).pop().expect("advice is requested again");
     assert_eq!(advice_call.workers.len(), 4);
     let tickets = advice_call.workers.into_iter().take(2).map(|id| (id, Name::new("t"))).collect();
-    scheduler.apply_advice("j1", 0, Some((tickets, secs(2))), NOW + secs(3));
+    answer_advice(&mut scheduler, "j1", 0, Some((tickets, secs(2))), NOW + secs(3));
     assert_eq!(place(&mut scheduler, NOW + secs(3)).len(), 4);
 }
 
@@ -454,9 +450,9 @@
         submit(&mut scheduler, id, vec![Step { is_gang: true, ..step(4) }]);
         let gang = scheduler.jobs.get_mut(id).expect("the job is known");
         let named = ["w00", "w01", "w02", "w03"].map(Name::new);
-        gang.steps[0].pending_advice = Some(named.to_vec());
+        gang.steps[0].pending_advice = BTreeMap::from([(1, named.to_vec())]);
         let tickets = named.into_iter().map(|worker| (worker, Name::new("t"))).collect();
-        scheduler.apply_advice(id, 0, Some((tickets, Duration::from_millis(1500))), NOW);
+        answer_advice(&mut scheduler, id, 0, Some((tickets, Duration::from_millis(1500))), NOW);
     }
     scheduler
 }
@@ -466,7 +462,7 @@
     for tick in 0..=20 {
         scheduler.plan(NOW + Duration::from_millis(100) * tick, NO_DELAY, ample_advice());
     }
-    scheduler.advice_calls.drain(..).map(|call| call.job).collect()
+    scheduler.advice_calls.drain(..).map(|call| call.key.job).collect()
 }
 
 // Guards against gangs that wait for allowed workers that have left, while others are free.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -8,8 +8,8 @@
 
 use common::Name;
 use scheduler::{
-    AdviceCapacity, AdvicePolicy, CallClass, Limits, Queue, Registration, Resources, Rules,
-    Scheduler, Step, Submission,
+    AdviceCapacity, AdviceKey, AdvicePolicy, CallClass, Limits, Queue, Registration, Resources,
+    Rules, Scheduler, Step, Submission,
 };
 
 pub const NOW: Duration = Duration::from_secs(10);
@@ -79,6 +79,21 @@
     scheduler.submit(job, Name::new("q"), NOW, 0);
 }
 
+/// Answers the oldest pending advice call of a step.
+pub fn answer_advice(
+    scheduler: &mut Scheduler,
+    job: &str,
+    step: u32,
+    allowed: Option<(Vec<(Name, Name)>, Duration)>,
+    now: Duration,
+) {
+    let known = scheduler.jobs.get(job).expect("the job is known");
+    let pending = &known.steps[step as usize].pending_advice;
+    let (number, _) = pending.first_key_value().expect("advice was requested");
+    let key = AdviceKey { job: Name::new(job), step, number: *number };
+    scheduler.apply_advice(&key, allowed, now);
+}
+
 /// So many daemons that every call can start at once.
 pub fn ample_advice() -> AdviceCapacity {
     advice_daemons(1000)
--- a/crates/scheduler/tests/support/model.rs
+++ b/crates/scheduler/tests/support/model.rs
@@ -83,13 +83,13 @@
         while let Some(entry) = self.calls.first_entry().filter(|entry| entry.key().0 <= self.now) {
             let call = entry.remove();
             let is_allowed = |worker: &Name| {
-                let key = format!("{}.{worker}", call.job);
+                let key = format!("{}.{worker}", call.key.job);
                 common::stable_hash(key.as_bytes()) % 100 < self.size.allowed_percent
             };
             let allowed = call.workers.iter().filter(|worker| is_allowed(worker));
             let allowed = allowed.map(|worker| (worker.clone(), Name::new("t"))).collect();
             let answer = Some((allowed, slow_policy().validity));
-            self.scheduler.apply_advice(&call.job, call.step, answer, self.now);
+            self.scheduler.apply_advice(&call.key, answer, self.now);
         }
         while let Some(entry) = self.runs.first_entry().filter(|entry| entry.key().0 <= self.now) {
             let start = entry.remove();
