Jobs whose completion would be of no use are refused at once

Cause: the leader refuses by its own lag alone, whatever waits for the pool or for advice. Little's law for each queue; refused is what would complete after three times its target.

--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -9,7 +9,7 @@
 use crate::event::log_job_event;
 use crate::lead::{Leader, journal::Effect};
 use crate::node::Context;
-use crate::pending::refusal;
+use crate::pending::{refusal, spread_refusal};
 
 /// Origin of a request, to which the answer goes.
 #[derive(Debug, Clone)]
@@ -64,6 +64,13 @@
             (Some(false), _) => self.journal.defer(Effect::Answer(caller, Answer::Accepted)),
             (None, None) => self.send_answer(ctx, &caller, Answer::QueueNotFound),
             (None, Some(queue)) => {
+                if let Some(excess) = self.scheduler.excess_wait(&job, &queue, ctx.now) {
+                    log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
+                        "excess_wait_ms" => excess.as_millis() as u64, "epoch" => self.epoch);
+                    let answer = spread_refusal(ctx, excess);
+                    self.send_answer(ctx, &caller, answer);
+                    return;
+                }
                 let version = self.scheduler.rules.as_ref().map_or(0, |rules| rules.version);
                 log_job_event!(ctx, &job.id, JobAccepted, "queue" => %queue, "rules" => version,
                     "steps" => job.steps.len(), "epoch" => self.epoch);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 //! scheduler requested; stops are sent at once. All times are durations since the start of
 //! the leader's event loop.
 
+mod admission;
 mod advice;
 mod estimate;
 mod explain;
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -104,6 +104,7 @@
         if slots.is_empty() || self.rules.is_none() {
             return;
         }
+        self.admission.record_pass(now);
         let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
         let max_reserving_gangs =
             (slots.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -57,7 +57,7 @@
         if outcome == Outcome::Done && assignment.state == RunState::Running {
             self.record_run_time(key, run_time);
         }
-        self.mark_job_started(&key.job);
+        self.mark_job_started(&key.job, now);
         self.store_checkpoint(key, finished.run, &finished.checkpoint);
         self.finish_run(key, finished.run, outcome, now, store_clock_ms);
     }
@@ -141,7 +141,7 @@
             self.finish_run(&key, run, Outcome::LeaseExpired, now, store_clock_ms);
         }
         for key in listed {
-            self.mark_job_started(&key.job);
+            self.mark_job_started(&key.job, now);
         }
         self.stops.extend(unknown_runs);
         for run in &listing.running {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 use common::Name;
 
+use crate::admission::Admission;
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, TaskKey};
@@ -20,6 +21,9 @@
 /// Subtracted from a ticket's validity, to leave time for delivery to the worker.
 const TICKET_MARGIN: Duration = Duration::from_millis(120);
 
+/// Multiple of its target time after which a job's completion is of no use to its caller.
+const WORTHLESS_AFTER_TARGETS: u32 = 3;
+
 common::data! {
     /// An order to start a run, sent once the job's row is durable.
     pub struct StartOrder {
@@ -120,6 +124,8 @@
     pub steps_visited: u64,
     /// Observed run times and advice results.
     pub(crate) estimator: Estimator,
+    /// Jobs that wait for their first start.
+    pub(crate) admission: Admission,
     /// Open jobs by rank: priority, due time, id.
     pub(crate) ranked_jobs: BTreeSet<(u32, Duration, Name)>,
 }
@@ -137,6 +143,9 @@
         let id = job.id.clone();
         if job.phase == Phase::Open {
             self.ranked_jobs.insert(self.rank(&job));
+            if !job.has_started {
+                self.admission.add(&job.queue, job.arrived, &job.id);
+            }
         }
         for (step_index, step) in job.steps.iter().enumerate() {
             for (index, task) in step.tasks.iter().enumerate() {
@@ -149,6 +158,23 @@
         self.jobs.insert(id, job);
     }
 
+    /// How far beyond its slack a job would wait that is submitted now; `None` if it is of use.
+    ///
+    /// The slack is the time that the job's longest chain of steps leaves until its completion is
+    /// worthless.
+    pub fn excess_wait(
+        &mut self,
+        submission: &Submission,
+        queue: &Name,
+        now: Duration,
+    ) -> Option<Duration> {
+        let path = self.critical_path(submission, queue);
+        let rules = self.queue(queue)?;
+        let target = path.mul_f64(rules.target_factor) + rules.target_offset;
+        let slack = (target * WORTHLESS_AFTER_TARGETS).saturating_sub(path);
+        self.admission.excess_wait(queue, slack, now)
+    }
+
     /// Adds a new job and marks its row for writing.
     pub fn submit(
         &mut self,
@@ -209,16 +235,21 @@
     /// plus the queue's offset.
     fn compute_due(&self, job: &Job) -> Duration {
         let Some(queue) = self.queue(&job.queue) else { return job.arrived };
-        let mut path_lengths = vec![Duration::ZERO; job.submission.steps.len()];
-        for (step_index, step) in job.submission.steps.iter().enumerate() {
+        let critical_path = self.critical_path(&job.submission, &job.queue);
+        job.arrived + critical_path.mul_f64(queue.target_factor) + queue.target_offset
+    }
+
+    /// Expected time of the longest chain of steps.
+    fn critical_path(&self, submission: &Submission, queue: &str) -> Duration {
+        let mut path_lengths = vec![Duration::ZERO; submission.steps.len()];
+        for (step_index, step) in submission.steps.iter().enumerate() {
             let earliest_start =
                 step.after.iter().filter_map(|earlier| path_lengths.get(*earlier as usize));
             let earliest_start = earliest_start.max().copied().unwrap_or_default();
             path_lengths[step_index] =
-                earliest_start + self.estimator.run_time(&job.queue, step.estimate);
+                earliest_start + self.estimator.run_time(queue, step.estimate);
         }
-        let critical_path = path_lengths.into_iter().max().unwrap_or_default();
-        job.arrived + critical_path.mul_f64(queue.target_factor) + queue.target_offset
+        path_lengths.into_iter().max().unwrap_or_default()
     }
 
     /// Replaces the rules and recomputes the rank of each open job.
@@ -253,6 +284,9 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.phase = phase;
         job.ended_ms = store_clock_ms;
+        if !job.has_started {
+            self.admission.remove(&job.queue, job.arrived, &job.id);
+        }
         self.changed_jobs.insert(job.id.clone());
         let mut active_runs = Vec::new();
         for (step_index, step) in job.steps.iter().enumerate() {
@@ -329,13 +363,15 @@
             assignment.state = RunState::Running;
             assignment.changed_at = now;
         }
-        self.mark_job_started(&start.key.job);
+        self.mark_job_started(&start.key.job, now);
     }
 
     /// Records that a worker has started a task of a job.
-    pub(crate) fn mark_job_started(&mut self, job: &str) {
-        if let Some(job) = self.jobs.get_mut(job) {
-            job.has_started = true;
+    pub(crate) fn mark_job_started(&mut self, job: &str, now: Duration) {
+        if let Some(job) = self.jobs.get_mut(job)
+            && !std::mem::replace(&mut job.has_started, true)
+        {
+            self.admission.record_start(&job.queue, job.arrived, &job.id, now);
         }
     }
 
