--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -5,7 +5,7 @@
 
 use scheduler::Phase;
 
-use crate::event::log_job_event;
+use crate::event::{log_event, log_job_event};
 use crate::lead::Leader;
 use crate::meter::{Counter, Gauge, Timing};
 use crate::node::Context;
@@ -27,9 +27,12 @@
         let mut waits = HashMap::new();
         for id in overdue.map(|job| job.id.clone()).collect::<Vec<_>>() {
             let Some(reason) = self.scheduler.first_wait_reason(&id, ctx.now) else { continue };
-            if self.logged_waits.get(&id) != Some(&reason) {
+            let is_stuck = self.scheduler.is_stuck(&id, ctx.now);
+            let has_changed = self.logged_waits.get(&id) != Some(&reason);
+            // A job that waits for many times its target time is always logged.
+            if is_stuck || (has_changed && ctx.sampler.should_log(&id, ctx.now)) {
                 let ahead = self.scheduler.jobs_ahead_of(&id);
-                log_job_event!(ctx, &id, JobOverdue, "reason" => %reason, "ahead" => ahead,
+                log_event!(ctx, JobOverdue, "job" => %id, "reason" => %reason, "ahead" => ahead,
                     "epoch" => self.epoch);
             }
             waits.insert(id, reason);
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -189,3 +189,13 @@
     set_listed(&mut sim, true);
     assert!(sim.wait_for_state("j1", JobState::Completed, secs(8)));
 }
+
+/// Guards against a feed of workers that falls behind while it has more changes than fit in a page.
+#[test]
+fn worker_feed_with_more_pages_is_read_on_at_once() {
+    let mut sim = start_with_leader(9, 3, 4);
+    sim.run(secs(1));
+    sim.feed_pages = 20;
+    sim.run(secs(1));
+    assert_eq!(sim.feed_pages, 0);
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -213,6 +213,8 @@
     pub cut_from_peers: HashSet<usize>,
     /// Workers whose paths have the faults of [`FaultConfig::path`].
     pub lossy_workers: HashSet<Name>,
+    /// Pages of the feed of workers that wait after the current one.
+    pub feed_pages: u32,
     /// Time that nodes need to handle their inputs; none by default.
     pub costs: CostModel,
     /// Speed of nodes relative to the cost model; 1 for others.
@@ -276,6 +278,7 @@
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
             lossy_workers: HashSet::new(),
+            feed_pages: 0,
             costs: CostModel::default(),
             speeds: HashMap::new(),
             network: Network::default(),
@@ -615,6 +618,9 @@
                 } else {
                     control::WatchResult::Failed
                 };
+                if target == control::WatchTarget::Workers {
+                    self.feed_pages = self.feed_pages.saturating_sub(1);
+                }
                 let input = Input::Watch { call, target, result };
                 let wait = if cursor.is_none() { ms(5) } else { max_wait.max(ms(20)) };
                 self.schedule(self.now + wait, Event::Input { node, incarnation, input });
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Multiple of its target time after which a waiting job counts as stuck.
+const STUCK_AFTER_TARGETS: u32 = 5;
+
 impl fmt::Display for WaitReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -106,6 +109,14 @@
         jobs.filter(move |job| job.due_at < now && job.ready_steps().next().is_some())
     }
 
+    /// Whether an open job has waited for many times its target time.
+    pub fn is_stuck(&self, id: &str, now: Duration) -> bool {
+        self.jobs.get(id).is_some_and(|job| {
+            let target = job.due_at.saturating_sub(job.arrived);
+            now.saturating_sub(job.arrived) > target * STUCK_AFTER_TARGETS
+        })
+    }
+
     /// Number of open jobs of higher rank; 0 if the job is not open.
     pub fn jobs_ahead_of(&self, id: &str) -> usize {
         self.ranked_jobs.iter().position(|(_, _, open)| &**open == id).unwrap_or(0)
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -90,7 +90,7 @@
     for number in 0..100 {
         submit(&mut model.scheduler, &format!("old{number:03}"), gang());
     }
-    model.now = NOW + Duration::from_secs(60);
+    model.now = NOW + Duration::from_mins(1);
     model.tick();
     let job = Submission { id: "new".to_owned(), payload: String::new(), steps: gang() };
     assert_eq!(model.scheduler.excess_wait(&job, &Name::new("q"), model.now), None);
