--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -9,7 +9,7 @@
 use crate::event::log_job_event;
 use crate::lead::{Leader, journal::Effect};
 use crate::node::Context;
-use crate::pending::{refusal, spread_refusal};
+use crate::pending::{backlog_refusal, refusal};
 
 /// Origin of a request, to which the answer goes.
 #[derive(Debug, Clone)]
@@ -67,7 +67,7 @@
                 if let Some(excess) = self.scheduler.excess_wait(&job, &queue, ctx.now) {
                     log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
                         "excess_wait_ms" => excess.as_millis() as u64, "epoch" => self.epoch);
-                    let answer = spread_refusal(ctx, excess);
+                    let answer = backlog_refusal(ctx, excess);
                     self.send_answer(ctx, &caller, answer);
                     return;
                 }
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -36,6 +36,9 @@
 /// Longest wait that the retry time of a refusal follows.
 const MAX_RETRY_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest time after which refused callers return to a backlog, without the spread.
+const MAX_BACKLOG_RETRY_WAIT: Duration = Duration::from_secs(10);
+
 /// Maximum number of pending requests per daemon.
 const MAX_PENDING_REQUESTS: usize = 1000;
 
@@ -285,6 +288,13 @@
     Answer::Refused { retry_after: base + spread, try_other_daemon: false }
 }
 
+/// Returns a refusal that spreads the callers' return over the time after a backlog has shrunk.
+pub(crate) fn backlog_refusal(ctx: &mut Context, excess_wait: Duration) -> Answer {
+    let base = excess_wait.clamp(RETRY_AFTER, MAX_BACKLOG_RETRY_WAIT);
+    let spread = Duration::from_millis(ctx.random_below(base.as_millis() as u64));
+    Answer::Refused { retry_after: base + spread, try_other_daemon: false }
+}
+
 /// Link number that denotes a leader in the same process.
 const LOCAL_LEADER: u64 = u64::MAX;
 
