--- a/crates/control/tests/advice.rs
+++ b/crates/control/tests/advice.rs
@@ -66,7 +66,7 @@
     sim.run_time = Some(run_time);
     sim.rules = rules(true);
     // However long a job waits, its completion is of use, so that none is refused.
-    sim.rules.queues[0].target_offset = Duration::from_mins(10);
+    sim.rules.queues[0].target_offset = Duration::from_hours(1);
     let policies = vec![("s", slow_policy()), ("m", medium_policy()), ("f", fast_policy())];
     let template = sim.rules.queues.remove(0);
     for (priority, (id_prefix, policy)) in policies.iter().enumerate() {
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -78,7 +78,7 @@
     let mut sim = Simulation::new(seed, 3, 0);
     sim.rules = support::rules(true);
     // However long a job waits, its completion is of use, so that none is refused.
-    sim.rules.queues[0].target_offset = Duration::from_mins(10);
+    sim.rules.queues[0].target_offset = Duration::from_hours(1);
     sim.allowed_share = 0.5;
     sim.compaction_row_limit = COMPACTION_ROW_LIMIT;
     for number in 0..WORKERS {
