A listing that is older than a confirmed start stops nothing

Seen by reading: a run that was confirmed in answer to its second send was stopped if a listing that had been requested before did not show it, since its first send was still unanswered. A run was lost without need, never doubled.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -27,7 +27,7 @@
 /// Delay before a gang that reserves no capacity checks again whether advice is of use.
 const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
 
-/// Factor on the expected number of workers that an advice call must name.
+/// Factor on the expected number of places that a round of advice calls must yield.
 const ADVICE_MARGIN_FACTOR: f64 = 1.4;
 
 impl Pass<'_> {
@@ -118,7 +118,7 @@
         workers
     }
 
-    /// Chooses the workers of a round of advice calls: allowed ones first, then unknown ones by capacity.
+    /// Chooses the workers of a round of advice calls: allowed ones, then unknown ones by capacity.
     pub(super) fn choose_advice_workers(&self, pending: &PendingStep<'_>) -> Vec<Name> {
         let Some(step) = self.step_state(pending) else { return Vec::new() };
         let count = pending.waiting_tasks.len() as u32;
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -82,7 +82,7 @@
         store_clock_ms: u64,
     ) {
         let mut listed = BTreeSet::new();
-        let mut unknown_runs = Vec::new();
+        let mut stops = Vec::new();
         let Some(worker) = self.pool.get_mut(id) else { return };
         worker.has_current_token = true;
         worker.is_reachable = true;
@@ -95,7 +95,7 @@
             };
             let Some(assignment) = known else {
                 has_unknown_runs = true;
-                unknown_runs.push(StopOrder { key, run: run.run, worker: id.clone() });
+                stops.push(StopOrder { key, run: run.run, worker: id.clone() });
                 continue;
             };
             assignment.fate.record_listed();
@@ -116,16 +116,14 @@
         };
         // An unanswered send may still start it, also in the worker's next incarnation.
         let may_start_again = |assignment: &Assignment| {
-            assignment.state == RunState::Running && assignment.fate.has_unanswered_send()
+            assignment.state == RunState::Running
+                && assignment.changed_at < sent
+                && assignment.fate.has_unanswered_send()
         };
         for (key, assignment) in &mut worker.assignments {
             if !listed.contains(key) && may_start_again(assignment) {
                 assignment.state = RunState::Stopping;
-                unknown_runs.push(StopOrder {
-                    key: key.clone(),
-                    run: assignment.run,
-                    worker: id.clone(),
-                });
+                stops.push(StopOrder { key: key.clone(), run: assignment.run, worker: id.clone() });
             }
         }
         let ended_runs = worker
@@ -143,7 +141,7 @@
         for key in listed {
             self.mark_job_started(&key.job, now);
         }
-        self.stops.extend(unknown_runs);
+        self.stops.extend(stops);
         for run in &listing.running {
             if let Some(key) = &run.key {
                 self.store_checkpoint(key, run.run, &run.checkpoint);
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -523,3 +523,24 @@
     scheduler.pool.get_mut("w2").expect("the worker is registered").has_current_token = true;
     assert_eq!(place(&mut scheduler, NOW).len(), 1);
 }
+
+/// Guards against a stop of a confirmed run that a listing requested earlier does not show.
+#[test]
+fn listing_requested_before_confirmed_resend_stops_nothing() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    let starts = place(&mut scheduler, NOW);
+    let start = &starts[0];
+    let worker = scheduler.pool.get_mut("w1").expect("the worker is known");
+    let assignment = worker.assignment_mut(&start.key, start.run).expect("the run is assigned");
+    assignment.state = RunState::Sent;
+    assignment.fate.record_send();
+    assignment.fate.record_unanswered(NOW);
+    assignment.fate.record_send();
+    scheduler.confirm_start(start, NOW + secs(1));
+    let empty = Listing { incarnation: 1, running: Vec::new(), finished: Vec::new() };
+    scheduler.apply_listing(&start.worker, &empty, false, NOW, NOW + secs(2), 0);
+    assert!(scheduler.stops.is_empty(), "the listing may be older than the run");
+    scheduler.apply_listing(&start.worker, &empty, false, NOW + secs(2), NOW + secs(3), 0);
+    assert_eq!(scheduler.stops.len(), 1, "the first send may start the run again");
+}
