A late answer of a former incarnation, or at a former address, proves nothing about the present one

Found by reading: two places where "gone" was still concluded from an answer that says nothing about it. - The reply to an order that a former incarnation had carried out, arriving after the first list of the next, set the worker's clock ahead; its lease then looked expired after 4 s, while it lasts up to 10 s on the worker's own clock, and its runs were started elsewhere as well. - "Another incarnation answers" at an address that the worker has left ended its runs at the new one. Change: an order's reply sets the clock only if the order was sent after the incarnation's first list arrived; 421 counts only if the worker has not answered since the request was sent. Tests, seen failing (runs on two workers): late_answer_of_former_incarnation_leaves_lease, answer_at_former_address_leaves_runs. The simulated workers' clocks start anew with each incarnation, and they may restart at another address.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -80,6 +80,10 @@
     incarnation: u64,
     /// None until the worker's current incarnation has answered.
     clock: Option<WorkerClock>,
+    /// When the current incarnation's first list arrived; earlier orders may have reached another.
+    listed_since: Duration,
+    /// When the latest answer of the worker arrived; zero before the first.
+    last_answer: Duration,
     /// Latest lease end that may be in force, in the worker's ms.
     lease_end_ms: u64,
     /// Position to acknowledge with the next renewal; 0 for none.
@@ -198,16 +202,27 @@
         self.workers.get_mut(id)?.extend(now)
     }
 
-    /// Updates a worker's clock from an order reply, if that is later.
-    pub fn update_clock(&mut self, id: &str, clock_ms: u64, now: Duration) {
-        if let Some(lease) = self.get_mut(id)
-            && clock_ms > 0
+    /// Updates a worker's clock from the reply to an order sent at `sent`, if that is later.
+    ///
+    /// The reply to an order that was sent before the current incarnation was known may show the
+    /// clock of a former one.
+    pub fn update_clock(&mut self, id: &str, clock_ms: u64, sent: Duration, now: Duration) {
+        let Some(lease) = self.get_mut(id) else { return };
+        lease.last_answer = now;
+        if clock_ms > 0
+            && sent >= lease.listed_since
             && lease.clock.is_some_and(|clock| clock_ms > clock.clock_ms)
         {
             lease.clock = Some(WorkerClock { clock_ms, received_at: now });
         }
     }
 
+    /// Whether a worker has answered since `sent`, so that a reply to a request sent then does not
+    /// prove that it is gone.
+    pub fn has_answered_since(&self, id: &str, sent: Duration) -> bool {
+        self.workers.get(id).is_some_and(|lease| lease.last_answer > sent)
+    }
+
     /// Acknowledges finished runs up to a durable position with the worker's next renewal.
     pub fn acknowledge(&mut self, now: Duration, id: &str, incarnation: u64, position: u64) {
         if let Some(lease) = self.get_mut(id).filter(|lease| lease.incarnation == incarnation) {
@@ -243,6 +258,8 @@
             address,
             incarnation,
             clock: None,
+            listed_since: Duration::ZERO,
+            last_answer: Duration::ZERO,
             lease_end_ms: 0,
             ack_position: 0,
             unacked_position: 0,
@@ -390,6 +407,19 @@
         self.needs_placement = true;
     }
 
+    /// Abandons the runs of a worker in whose place another incarnation answered a request sent at
+    /// `sent`; false if the worker has answered since, perhaps at another address.
+    pub(super) fn abandon_if_gone(&mut self, ctx: &mut Context, id: &Name, sent: Duration) -> bool {
+        if self.leases.has_answered_since(id, sent) {
+            return false;
+        }
+        log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
+            "reason" => "another incarnation answers");
+        self.scheduler.mark_unlisted(id);
+        self.abandon_runs(ctx, id);
+        true
+    }
+
     /// Applies the reply to a renewal: the worker's lists, or a failure.
     pub(super) fn apply_renewal_reply(&mut self, ctx: &mut Context, call: u64, reply: RenewReply) {
         let Some(id) = self.leases.renewals.remove(&call) else {
@@ -407,10 +437,8 @@
                 self.journal.request_commit();
             }
             RenewReply::OtherIncarnation => {
-                log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
-                    "reason" => "another incarnation answers");
-                self.scheduler.mark_unlisted(&id);
-                self.abandon_runs(ctx, &id);
+                lease.next_renewal = ctx.now;
+                self.abandon_if_gone(ctx, &id, sent);
             }
             RenewReply::Failed => {
                 lease.failures += 1;
@@ -453,7 +481,9 @@
             log_event!(ctx, WorkerRecovered, "worker" => %id, "failures" => lease.failures);
         }
         lease.failures = 0;
+        lease.last_answer = now;
         if lease.clock.is_none() {
+            lease.listed_since = now;
             lease.lease_end_ms = clock_ms + ctx.config.max_lease.as_millis() as u64;
         }
         if lease.clock.is_none_or(|clock| clock_ms >= clock.clock_ms) {
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -50,8 +50,8 @@
 /// Orders under way, and stops to retry.
 #[derive(Debug, Default)]
 pub(crate) struct Orders {
-    /// Orders without a reply, by call number.
-    pending: HashMap<u64, Pending>,
+    /// Orders without a reply, by call number, with the time at which each was sent.
+    pending: HashMap<u64, (Duration, Pending)>,
     /// Stops that failed, with the time of their retry.
     stop_retries: Vec<(Duration, StopOrder)>,
 }
@@ -108,7 +108,7 @@
             ticket,
             timeout: START_TIMEOUT,
         });
-        self.orders.pending.insert(call, Pending::Start { start, sends: sends + 1 });
+        self.orders.pending.insert(call, (now, Pending::Start { start, sends: sends + 1 }));
     }
 
     /// Withdraws a start; stops the run if it was sent before.
@@ -168,7 +168,7 @@
             fencing_token: self.epoch,
             timeout: STOP_TIMEOUT,
         });
-        self.orders.pending.insert(call, Pending::Stop { stop, mark });
+        self.orders.pending.insert(call, (ctx.now, Pending::Stop { stop, mark }));
     }
 
     /// Resends the failed stops that are due and still needed.
@@ -193,8 +193,12 @@
     /// Applies the reply to a start or stop.
     pub(super) fn apply_order_reply(&mut self, ctx: &mut Context, call: u64, reply: OrderReply) {
         match self.orders.pending.remove(&call) {
-            Some(Pending::Start { start, sends }) => self.on_start_reply(ctx, start, sends, reply),
-            Some(Pending::Stop { stop, mark }) => self.on_stop_reply(ctx, stop, mark, &reply),
+            Some((sent, Pending::Start { start, sends })) => {
+                self.on_start_reply(ctx, start, sends, sent, reply);
+            }
+            Some((sent, Pending::Stop { stop, mark })) => {
+                self.on_stop_reply(ctx, stop, mark, sent, &reply);
+            }
             None => ctx.load.count_late(Late::Order),
         }
     }
@@ -204,17 +208,18 @@
         ctx: &mut Context,
         start: StartOrder,
         sends: u32,
+        sent: Duration,
         reply: OrderReply,
     ) {
         let now = ctx.now;
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.leases.update_clock(&start.worker, clock_ms, now);
+                self.leases.update_clock(&start.worker, clock_ms, sent, now);
                 self.record_started(ctx, &start);
                 self.scheduler.confirm_start(&start, now);
             }
             OrderReply::Refused { clock_ms, reason } => {
-                self.leases.update_clock(&start.worker, clock_ms, now);
+                self.leases.update_clock(&start.worker, clock_ms, sent, now);
                 if reason == Refusal::StaleToken {
                     self.journal.request_commit();
                 }
@@ -224,21 +229,12 @@
                 self.settle_start(ctx, start, reason);
             }
             OrderReply::OtherIncarnation => {
-                log_event!(ctx, WorkerRunsAbandoned, "worker" => %start.worker,
-                    "reason" => "another incarnation answers");
-                self.scheduler.mark_unlisted(&start.worker);
-                self.abandon_runs(ctx, &start.worker);
+                if !self.abandon_if_gone(ctx, &start.worker, sent) {
+                    self.on_start_without_effect(ctx, start, sends);
+                }
             }
             OrderReply::Unreachable => {
-                if let Some(fate) = self.fate_mut(&start) {
-                    fate.record_without_effect(now);
-                }
-                if self.scheduler.not_started(&start).is_some() {
-                    self.mark_unreachable(&start.worker, now);
-                    self.settle_start(ctx, start, Refusal::Unhealthy);
-                } else {
-                    self.resend_start(ctx, start, sends);
-                }
+                self.on_start_without_effect(ctx, start, sends);
             }
             OrderReply::OutcomeUnknown => {
                 log_job_event!(ctx, &start.key.job, TaskStartUnanswered, "step" => start.key.step,
@@ -252,6 +248,19 @@
         }
     }
 
+    /// Releases or resends a start of which nothing reached its worker.
+    fn on_start_without_effect(&mut self, ctx: &mut Context, start: StartOrder, sends: u32) {
+        if let Some(fate) = self.fate_mut(&start) {
+            fate.record_without_effect(ctx.now);
+        }
+        if self.scheduler.not_started(&start).is_some() {
+            self.mark_unreachable(&start.worker, ctx.now);
+            self.settle_start(ctx, start, Refusal::Unhealthy);
+        } else {
+            self.resend_start(ctx, start, sends);
+        }
+    }
+
     /// Sends a start again whose run may have started; stops the run after the last send.
     ///
     /// A stop that was sent before does not cover a send that ended without an answer since.
@@ -327,21 +336,21 @@
         ctx: &mut Context,
         stop: StopOrder,
         mark: Option<StopMark>,
+        sent: Duration,
         reply: &OrderReply,
     ) {
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.leases.update_clock(&stop.worker, *clock_ms, ctx.now);
+                self.leases.update_clock(&stop.worker, *clock_ms, sent, ctx.now);
                 if let Some(mark) = mark {
                     self.scheduler.confirm_stop(&stop, mark, ctx.now);
                 }
                 self.leases.renew_soon(&stop.worker, ctx.now);
             }
             OrderReply::OtherIncarnation => {
-                log_event!(ctx, WorkerRunsAbandoned, "worker" => %stop.worker,
-                    "reason" => "another incarnation answers");
-                self.scheduler.mark_unlisted(&stop.worker);
-                self.abandon_runs(ctx, &stop.worker);
+                if !self.abandon_if_gone(ctx, &stop.worker, sent) {
+                    self.orders.stop_retries.push((ctx.now + STOP_RETRY_DELAY, stop));
+                }
             }
             OrderReply::Refused { reason, .. } => {
                 if *reason == Refusal::StaleToken {
--- a/crates/control/tests/paths.rs
+++ b/crates/control/tests/paths.rs
@@ -71,6 +71,52 @@
     assert_eq!((sim.violations.as_slice(), sim.started_runs), (&[][..], 1));
 }
 
+/// Guards against the clock of a former incarnation that makes the lease of the next look expired.
+#[test]
+fn late_answer_of_former_incarnation_leaves_lease() {
+    let mut sim = start_cell();
+    sim.run_time = Some(ms(8000));
+    sim.run(ms(20_000));
+    sim.faults.path =
+        PathFaults { answer_delay: ms(300), spares_renewals: true, ..PathFaults::default() };
+    sim.call(0, Operation::Submit(job("j1", vec![step(1, 8000)])));
+    sim.run_until(ms(100), |sim| sim.started_runs == 1);
+    let (now, name) = (sim.now, worker_name(0));
+    sim.workers.get_mut(&name).expect("the worker exists").restart(now);
+    sim.run(ms(320));
+    sim.lossy_workers.clear();
+    assert!(sim.run_until(ms(3000), |sim| sim.started_runs == 2));
+    sim.run(ms(500));
+    sim.workers.get_mut(&name).expect("the worker exists").is_reachable = false;
+    sim.run(ms(20_000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+/// Guards against an answer at a worker's former address that ends the runs at its present one.
+#[test]
+fn answer_at_former_address_leaves_runs() {
+    for offset in 0..100 {
+        let mut sim = start_cell();
+        sim.run(ms(offset * 5));
+        sim.faults.path =
+            PathFaults { request_delay: ms(340), spares_renewals: true, ..PathFaults::default() };
+        sim.call(0, Operation::Submit(job("j1", vec![step(1, 3000)])));
+        sim.run(ms(30));
+        sim.lossy_workers.clear();
+        let (now, name) = (sim.now, worker_name(0));
+        let worker = sim.workers.get_mut(&name).expect("the worker exists");
+        worker.restart(now);
+        worker.address = Name::new("w0-2");
+        sim.run(ms(200));
+        sim.call(0, Operation::Submit(job("j2", vec![step(1, 3000)])));
+        sim.run(ms(20_000));
+        assert_eq!(sim.violations, Vec::<String>::new(), "offset {offset}");
+        for id in ["j1", "j2"] {
+            assert_eq!(sim.state(id), Some(Answer::State(JobState::Completed)), "{id}");
+        }
+    }
+}
+
 /// Random path faults of one seed.
 struct Schedule {
     sim: Simulation,
@@ -106,6 +152,7 @@
             lost_answer_share: share(&mut self.sim),
             max_delay: ms(self.sim.random(400)),
             spares_renewals: self.sim.random(3) == 0,
+            ..PathFaults::default()
         };
         self.sim.lossy_workers.clear();
         for number in 0..WORKERS {
@@ -118,9 +165,13 @@
     fn restart_something(&mut self) {
         if self.sim.random(2) == 0 {
             let name = worker_name(self.sim.random(WORKERS));
+            let (has_new_address, now) = (self.sim.random(2) == 0, self.sim.now);
             let worker = self.sim.workers.get_mut(&name).expect("the worker exists");
-            worker.restart();
+            worker.restart(now);
             worker.is_reachable = false;
+            if has_new_address {
+                worker.address = Name::from(format!("{name}-{}", worker.incarnation).as_str());
+            }
             self.restarting.push((self.sim.now + WORKER_RESTART_TIME, name));
         } else if let Some(leader) = self.sim.leader() {
             self.sim.kill(leader);
--- a/crates/control/tests/schedules.rs
+++ b/crates/control/tests/schedules.rs
@@ -158,9 +158,9 @@
                 self.heal_times.push(until);
             }
             8 => {
-                let worker = self.random_worker();
+                let (worker, now) = (self.random_worker(), self.sim.now);
                 let worker = self.sim.workers.get_mut(&worker).expect("the worker exists");
-                worker.restart();
+                worker.restart(now);
             }
             9 => {
                 let worker = self.random_worker();
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -83,6 +83,10 @@
 #[derive(Debug)]
 pub struct FakeWorker {
     pub id: Name,
+    /// Where it accepts orders; another worker answers at its former addresses.
+    pub address: Name,
+    /// When its incarnation started; its clock counts from then.
+    started_at: Duration,
     pub capacity: u32,
     pub incarnation: u64,
     pub is_listed: bool,
@@ -104,6 +108,8 @@
 impl FakeWorker {
     pub fn new(id: Name, capacity: u32) -> Self {
         Self {
+            address: id.clone(),
+            started_at: Duration::ZERO,
             id,
             capacity,
             incarnation: 1,
@@ -122,11 +128,16 @@
         }
     }
 
-    /// Restarts the worker under the same id; its runs are lost.
-    pub fn restart(&mut self) {
+    /// Restarts the worker under the same id and address; its runs are lost, its clock starts anew.
+    pub fn restart(&mut self, now: Duration) {
         let incarnation = self.incarnation + 1;
-        let id = self.id.clone();
-        *self = Self { incarnation, ..Self::new(id, self.capacity) };
+        let (id, address) = (self.id.clone(), self.address.clone());
+        *self = Self { incarnation, address, started_at: now, ..Self::new(id, self.capacity) };
+    }
+
+    /// Reading of its clock, in ms.
+    fn clock_ms(&self, now: Duration) -> u64 {
+        now.saturating_sub(self.started_at).as_millis() as u64
     }
 
     /// Removes the worker for good; its runs are lost.
@@ -152,8 +163,7 @@
 
     /// Ends runs that are finished or whose lease has expired.
     fn end_due_runs(&mut self, now: Duration) {
-        let clock = now.as_millis() as u64;
-        if clock > self.lease_end_ms {
+        if self.clock_ms(now) > self.lease_end_ms {
             for (_, has_expired) in self.end_times.values_mut() {
                 *has_expired = true;
             }
@@ -176,7 +186,7 @@
         Registration {
             id: self.id.clone(),
             incarnation: self.incarnation,
-            address: self.id.clone(),
+            address: self.address.clone(),
             service: Name::new("service"),
             zone: Name::new("z"),
             labels: Vec::new(),
@@ -224,12 +234,14 @@
         self.end_due_runs_on_workers();
         let now = self.now;
         let (call, reply) = match order {
-            Action::Start { call, start, fencing_token, lease_end_ms, .. } => {
-                (call, self.start_run(&start, fencing_token, lease_end_ms))
+            Action::Start { call, start, address, fencing_token, lease_end_ms, .. } => {
+                (call, self.start_run(&start, &address, fencing_token, lease_end_ms))
             }
-            Action::Stop { call, stop, fencing_token, .. } => {
+            Action::Stop { call, stop, address, fencing_token, .. } => {
                 let Some(worker) = self.workers.get_mut(&stop.worker) else { return };
-                let reply = if !worker.is_reachable {
+                let reply = if worker.address != address {
+                    OrderReply::OtherIncarnation
+                } else if !worker.is_reachable {
                     OrderReply::OutcomeUnknown
                 } else if fencing_token < worker.highest_fencing_token {
                     OrderReply::Refused { clock_ms: 0, reason: Refusal::StaleToken }
@@ -240,7 +252,7 @@
                     }
                     let highest = worker.highest_runs.entry(stop.key.clone()).or_insert(0);
                     *highest = stop.run.max(*highest);
-                    OrderReply::Done { clock_ms: now.as_millis() as u64 }
+                    OrderReply::Done { clock_ms: worker.clock_ms(now) }
                 };
                 (call, reply)
             }
@@ -256,11 +268,11 @@
     fn start_run(
         &mut self,
         start: &scheduler::StartOrder,
+        address: &Name,
         fencing_token: u64,
         lease_end_ms: u64,
     ) -> OrderReply {
         let now = self.now;
-        let clock_ms = now.as_millis() as u64;
         let length = self.run_time.unwrap_or_else(|| Self::run_duration(&start.key));
         let key = (start.key.job.clone(), start.key.step, start.worker.clone());
         let has_ticket = self
@@ -270,9 +282,13 @@
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return OrderReply::OutcomeUnknown;
         };
+        if worker.address != *address {
+            return OrderReply::OtherIncarnation;
+        }
         if !worker.is_reachable {
             return OrderReply::OutcomeUnknown;
         }
+        let clock_ms = worker.clock_ms(now);
         if fencing_token < worker.highest_fencing_token {
             return OrderReply::Refused { clock_ms, reason: Refusal::StaleToken };
         }
@@ -331,10 +347,10 @@
     ) {
         self.end_due_runs_on_workers();
         let now = self.now;
-        let clock_ms = now.as_millis() as u64;
         let Action::Renew {
             call,
             ref worker,
+            ref address,
             fencing_token,
             lease_end_ms,
             acked_position,
@@ -347,6 +363,14 @@
         };
         let id = worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
+        if worker.address != *address {
+            if let AnswerPath::After(delay) = answer {
+                let input = Input::Renew { call, reply: RenewReply::OtherIncarnation };
+                self.schedule(now + delay, Event::Input { node, incarnation, input });
+            }
+            return;
+        }
+        let clock_ms = worker.clock_ms(now);
         if !worker.is_reachable {
             if answer != AnswerPath::Lost {
                 let input = Input::Renew { call, reply: RenewReply::Failed };
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -108,6 +108,10 @@
     pub lost_answer_share: f64,
     /// Longest delay of a request, and of an answer.
     pub max_delay: Duration,
+    /// Added to the delay of each request.
+    pub request_delay: Duration,
+    /// Added to the delay of each answer.
+    pub answer_delay: Duration,
     /// Whether renewals travel without faults.
     pub spares_renewals: bool,
 }
@@ -652,7 +656,8 @@
             return RequestPath::Lost;
         }
         let longest = path.max_delay.as_millis() as u64;
-        let (after, back) = (ms(1 + self.random(longest + 1)), ms(1 + self.random(longest + 1)));
+        let after = path.request_delay + ms(1 + self.random(longest + 1));
+        let back = path.answer_delay + ms(1 + self.random(longest + 1));
         let is_lost = self.chance(path.lost_answer_share) || after + back >= timeout;
         let answer = if is_lost { AnswerPath::Lost } else { AnswerPath::After(back) };
         RequestPath::Delivered { after, answer }
