--- a/crates/scheduler/tests/fate.rs
+++ b/crates/scheduler/tests/fate.rs
@@ -8,6 +8,14 @@
     Duration::from_millis(ms)
 }
 
+/// A start with one send, which got no answer within 350 ms.
+fn unanswered() -> Fate {
+    let mut fate = Fate::default();
+    fate.record_send();
+    fate.record_unanswered(ms(350));
+    fate
+}
+
 #[test]
 fn refused_and_unsent_starts_have_not_started() {
     let mut fate = Fate::default();
@@ -21,9 +29,7 @@
 /// Guards against a further send without effect that decides about an unanswered one.
 #[test]
 fn unanswered_send_then_refused_one_may_have_started() {
-    let mut fate = Fate::default();
-    fate.record_send();
-    fate.record_unanswered(ms(350));
+    let mut fate = unanswered();
     fate.record_send();
     fate.record_without_effect(ms(400));
     assert!(fate.not_started().is_none());
@@ -43,9 +49,7 @@
 /// Guards against a stop that is taken for proof that the run never started.
 #[test]
 fn confirmed_stop_is_no_proof() {
-    let mut fate = Fate::default();
-    fate.record_send();
-    fate.record_unanswered(ms(350));
+    let mut fate = unanswered();
     let mark = fate.mark_stop();
     fate.record_stopped(mark);
     assert!(fate.not_started().is_none(), "the run may have ended before the stop");
