Jobs that no worker can run, and pauses of starts, no longer close a queue

Change: waiting jobs that later ones have overtaken do not count; the rate of the last 10 s counts if it is higher; a queue that refuses accepts a job each second, so that it learns when starts resume. Tests, seen failing: jobs_that_no_worker_can_run_leave_queue_open, jobs_after_pause_of_starts_are_accepted.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -1,31 +1,54 @@
-//! Predicts how long a new job waits for its first start, and refuses jobs that would be late.
+//! Predicts how long a new job waits for its first start, and refuses jobs that would be of no use.
 //!
-//! By Little's law a job waits for the number of waiting jobs of its queue, divided by the rate at
-//! which they start, whatever limits that rate: the pool, the advice service or the leader. The
-//! rate lags behind a load that grows, so a prediction counts only once a quarter of the waiting
-//! jobs has waited for longer than the time over which the rate is measured.
+//! By Little's law a job waits for the number of waiting jobs ahead of it in its queue, divided by
+//! the rate at which they start, whatever limits that rate: the pool, the advice service or the
+//! leader. Waiting jobs that later ones have overtaken do not count, as they wait for something
+//! else. The rate lags behind a load that grows, so a prediction counts only once a quarter of the
+//! jobs ahead has waited for longer than the time over which the rate is measured. A queue that
+//! refuses jobs still accepts one at intervals, so that it learns when jobs start again.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use common::Name;
 
-/// Time over which starts are counted.
+/// Time over which the present rate of starts is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 
-/// Share of the waiting jobs, as a divisor, that must have waited long.
+/// Time over which starts are remembered; their rate counts if the present one is lower.
+const RATE_MEMORY: Duration = Duration::from_secs(10);
+
+/// Share of the jobs ahead, as a divisor, that must have waited long.
 const AGED_DIVISOR: usize = 4;
 
 /// Wait after which a job has waited long; the rate has caught up with a new load by then.
 const LONG_WAIT: Duration = RATE_WINDOW;
 
+/// Number of latest starts whose median arrival separates overtaken jobs from those ahead.
+const OVERTAKING_STARTS: usize = 16;
+
+/// Interval at which a queue accepts a job whatever the prediction.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// First start of a job.
+#[derive(Debug)]
+struct Start {
+    at: Duration,
+    /// When the job arrived.
+    arrived: Duration,
+}
+
 /// Jobs of one queue that wait for their first start, and the latest starts.
 #[derive(Debug, Default)]
 struct Flow {
     /// Waiting jobs by their arrival.
     waiting: BTreeSet<(Duration, Name)>,
-    /// Times of first starts within the window.
-    starts: VecDeque<Duration>,
+    /// First starts within the memory, the latest last.
+    starts: VecDeque<Start>,
+    /// Arrival before which waiting jobs have been overtaken.
+    overtaken: Duration,
+    /// Arrival of the latest job.
+    last_arrival: Duration,
 }
 
 /// Waiting jobs and first starts of all queues.
@@ -46,14 +69,15 @@
     pub fn add(&mut self, queue: &Name, arrived: Duration, id: &Name) {
         let flow = self.flows.entry(queue.clone()).or_default();
         flow.waiting.insert((arrived, id.clone()));
+        flow.last_arrival = flow.last_arrival.max(arrived);
     }
 
     /// Records the first start of a job.
     pub fn record_start(&mut self, queue: &Name, arrived: Duration, id: &Name, now: Duration) {
         self.remove(queue, arrived, id);
-        let Some(flow) = self.flows.get_mut(queue) else { return };
-        flow.starts.push_back(now);
-        flow.forget_starts(now);
+        if let Some(flow) = self.flows.get_mut(queue) {
+            flow.record_start(Start { at: now, arrived });
+        }
     }
 
     /// Removes a job that no longer waits.
@@ -72,20 +96,41 @@
     ) -> Option<Duration> {
         let has_full_window = self.since.is_some_and(|since| since + RATE_WINDOW <= now);
         let flow = self.flows.get_mut(queue).filter(|_| has_full_window)?;
+        if flow.last_arrival + PROBE_INTERVAL <= now {
+            return None;
+        }
         flow.forget_starts(now);
-        let rate = flow.starts.len().max(1) as f64 / RATE_WINDOW.as_secs_f64();
-        let wait = Duration::from_secs_f64(flow.waiting.len() as f64 / rate);
+        let ahead = || flow.waiting.range((flow.overtaken, Name::default())..);
+        let count = ahead().count();
+        let wait = Duration::from_secs_f64(count as f64 / flow.rate(now));
         let excess = wait.checked_sub(slack)?;
-        let aged = flow.waiting.iter().nth(flow.waiting.len() / AGED_DIVISOR);
-        let has_aged = aged.is_some_and(|(arrived, _)| *arrived + LONG_WAIT <= now);
+        let has_aged =
+            ahead().nth(count / AGED_DIVISOR).is_some_and(|(at, _)| *at + LONG_WAIT <= now);
         has_aged.then_some(excess)
     }
 }
 
 impl Flow {
+    fn record_start(&mut self, start: Start) {
+        self.forget_starts(start.at);
+        self.starts.push_back(start);
+        let latest = self.starts.iter().rev().take(OVERTAKING_STARTS);
+        let mut arrivals: Vec<Duration> = latest.map(|start| start.arrived).collect();
+        let middle = arrivals.len() / 2;
+        self.overtaken = *arrivals.select_nth_unstable(middle).1;
+    }
+
     fn forget_starts(&mut self, now: Duration) {
-        while self.starts.front().is_some_and(|start| *start + RATE_WINDOW < now) {
+        while self.starts.front().is_some_and(|start| start.at + RATE_MEMORY < now) {
             self.starts.pop_front();
         }
     }
+
+    /// Starts a second, at least one in the window.
+    fn rate(&self, now: Duration) -> f64 {
+        let in_window =
+            self.starts.iter().rev().take_while(|start| start.at + RATE_WINDOW >= now).count();
+        let present = in_window.max(1) as f64 / RATE_WINDOW.as_secs_f64();
+        present.max(self.starts.len() as f64 / RATE_MEMORY.as_secs_f64())
+    }
 }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -29,10 +29,11 @@
 fn offer(model: &mut Model, per_second: u32, span: Duration) -> Vec<(Name, Duration)> {
     let mut accepted = Vec::new();
     let (start, mut offered) = (model.now, 0);
+    let prefix = start.as_millis();
     while model.now < start + span {
         while model.now >= start + Duration::from_secs(offered) / per_second {
             offered += 1;
-            let id = format!("j{offered:05}");
+            let id = format!("j{prefix}-{offered:05}");
             let job = Submission { id: id.clone(), payload: String::new(), steps: gang() };
             let queue = Name::new("q");
             if model.scheduler.excess_wait(&job, &queue, model.now).is_none() {
@@ -95,3 +96,47 @@
     let job = Submission { id: "new".to_owned(), payload: String::new(), steps: gang() };
     assert_eq!(model.scheduler.excess_wait(&job, &Name::new("q"), model.now), None);
 }
+
+/// Pattern: a queue holds many jobs that no worker can run.
+///
+/// Guards against a queue that such jobs close for all others, for good.
+#[test]
+fn jobs_that_no_worker_can_run_leave_queue_open() {
+    for has_earlier_load in [false, true] {
+        let mut model = Model::new(Size { daemons: 30, ..FEW_DAEMONS });
+        if has_earlier_load {
+            offer(&mut model, 4, Duration::from_secs(5));
+        }
+        for number in 0..100 {
+            let mut wide = step(1);
+            wide.need.cpu = 1_000_000;
+            let id = format!("x{number:03}");
+            let job = Submission { id, payload: String::new(), steps: vec![wide] };
+            model.scheduler.submit(job, Name::new("q"), model.now, 0);
+        }
+        for _ in 0..1500 {
+            model.tick();
+        }
+        // The first few are accepted one by one, until some have started.
+        offer(&mut model, 4, Duration::from_secs(4));
+        let offered = 4 * 15;
+        assert_eq!(offer(&mut model, 4, Duration::from_secs(15)).len(), offered);
+    }
+}
+
+/// Pattern: nothing starts for some seconds, as while the store does not answer.
+///
+/// Guards against refusals because of a rate that was measured during the pause.
+#[test]
+fn jobs_after_pause_of_starts_are_accepted() {
+    let mut model = Model::new(Size { daemons: 30, ..FEW_DAEMONS });
+    offer(&mut model, 5, Duration::from_secs(10));
+    for number in 0..20 {
+        let id = format!("p{number:02}");
+        let job = Submission { id, payload: String::new(), steps: gang() };
+        model.scheduler.submit(job, Name::new("q"), model.now, 0);
+        model.now += Duration::from_millis(200);
+    }
+    let offered = 5 * 5;
+    assert_eq!(offer(&mut model, 5, Duration::from_secs(5)).len(), offered);
+}
