A stored row with too many tasks is invalid; tests of limits

Found by a test: the number of tasks in a job's stored row was allocated as it stands, so that one damaged row would end each leader that reads it (206 GB for two steps of 4,294,967,295 tasks). Change: rows of more than a million tasks are invalid, as other damaged ones. Tests, seen failing: restore_too_many_tasks_is_invalid.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -6,6 +6,7 @@
 
 use crate::record::{JobRecord, QueueRecord, StepRecord, Submission, TaskRecord};
 use crate::step::StepState;
+use crate::validation::MAX_STORED_TASKS;
 
 common::key! {
     /// Lifecycle phase of a job.
@@ -156,6 +157,9 @@
     /// Creates a job from its row; `None` if the row is inconsistent.
     pub fn from_record(record: JobRecord, arrived: Duration) -> Option<Self> {
         let phase = Phase::from_number(record.phase)?;
+        if record.submission.task_count() > MAX_STORED_TASKS {
+            return None;
+        }
         let is_open = phase == Phase::Open;
         if is_open && record.steps.len() != record.submission.steps.len() {
             return None;
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -13,6 +13,7 @@
 use crate::record::{
     ChangeRecord, EndedRecord, FullRecord, QueueEntry, Segment, Submission, TaskStates,
 };
+use crate::validation::MAX_STORED_TASKS;
 
 /// Most bytes that a record's or name's tag and length take in a segment.
 const FIELD_OVERHEAD_BYTES: usize = 6;
@@ -354,6 +355,9 @@
 ) -> Option<Job> {
     let phase = Phase::from_number(record.phase)?;
     let queue = queues.get(record.queue as usize)?;
+    if record.submission.task_count() > MAX_STORED_TASKS {
+        return None;
+    }
     let name = Name::new(&queue.name);
     let mut job = Job::new(record.submission, name, Duration::ZERO, record.arrived_ms);
     job.queue_rules.clone_from(&queue.rules);
--- a/crates/scheduler/src/validation.rs
+++ b/crates/scheduler/src/validation.rs
@@ -10,6 +10,9 @@
 /// Most tasks of a job.
 pub const MAX_TASKS: u64 = 10_000;
 
+/// Most tasks of a job in a stored row; earlier builds accepted more than [`MAX_TASKS`].
+pub const MAX_STORED_TASKS: u64 = 1_000_000;
+
 /// Number of hexadecimal digits in a job id.
 pub const JOB_ID_DIGITS: usize = 16;
 
@@ -56,6 +59,11 @@
 }
 
 impl Submission {
+    /// Number of tasks in all steps.
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Validates the format; capacity and queue are not checked.
     ///
     /// # Errors
@@ -71,7 +79,7 @@
         if self.steps.is_empty() {
             return Err(SubmissionError::NoSteps);
         }
-        if self.steps.iter().map(|step| u64::from(step.count)).sum::<u64>() > MAX_TASKS {
+        if self.task_count() > MAX_TASKS {
             return Err(SubmissionError::TooManyTasks);
         }
         for (step_index, step) in self.steps.iter().enumerate() {
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -111,6 +111,9 @@
         error(job(id, vec![self_dependent])),
         "step 0 waits for a step that is not before it"
     );
+    assert_eq!(job(id, vec![step(4000, 1), step(6000, 1)]).validate(), Ok(()));
+    let too_many = job(id, vec![step(u32::MAX, 1), step(u32::MAX, 1)]);
+    assert_eq!(error(too_many), "there are more than 10000 tasks");
     let too_long = Submission { payload: "x".repeat(4001), ..job(id, vec![step(1, 1)]) };
     assert_eq!(error(too_long), "the payload is longer than 4000 bytes");
 }
--- a/crates/scheduler/tests/segment.rs
+++ b/crates/scheduler/tests/segment.rs
@@ -156,3 +156,51 @@
     job.drop_details();
     assert!(JobDiff::since(&reduced, &job).is_empty());
 }
+
+/// Guards against a row whose number of tasks takes up the memory of the leader that reads it.
+#[test]
+fn restore_too_many_tasks_is_invalid() {
+    let mut builder = SegmentBuilder::default();
+    builder.add(&JobDiff::full(&new_job("a")));
+    let mut segment = Segment::decode(&*builder.finish()).expect("the segment decodes");
+    segment.full[0].submission.steps[0].count = u32::MAX;
+    let mut invalid = Vec::new();
+    segment.restore(|restored, _, _| match restored {
+        Restored::Invalid(id) => invalid.push(id),
+        Restored::Job(_) | Restored::Change(_) => panic!("the record is not valid"),
+    });
+    assert_eq!(invalid, ["a"]);
+}
+
+/// Guards against a damaged row that ends the leader which reads it, or takes up its memory.
+#[test]
+fn segment_random_changes_return() {
+    let mut random = Random(11);
+    let mut job = new_job("a");
+    change_tasks(&mut job, &mut random);
+    let mut builder = SegmentBuilder::default();
+    builder.add(&JobDiff::full(&job));
+    let valid = builder.finish();
+    let mut restored_jobs = 0;
+    for _ in 0..20_000 {
+        let mut bytes = valid.clone();
+        for _ in 0..1 + random.below(4) {
+            let at = random.below(bytes.len() as u64) as usize;
+            match random.below(3) {
+                0 => bytes[at] = random.below(256) as u8,
+                1 => drop(bytes.remove(at)),
+                _ => bytes.insert(at, random.below(256) as u8),
+            }
+        }
+        let Ok(segment) = Segment::decode(&*bytes) else { continue };
+        segment.restore(|restored, _, _| match restored {
+            Restored::Job(job) => {
+                let tasks: usize = job.steps.iter().map(|step| step.tasks.len()).sum();
+                assert!(tasks <= 1_000_000, "{tasks} tasks");
+                restored_jobs += 1;
+            }
+            Restored::Change(_) | Restored::Invalid(_) => {}
+        });
+    }
+    assert!(restored_jobs > 0, "some rows stay valid");
+}
