Tests of the lines that are always logged

The decision about a start moves into the sampler, so that it can be tested. sampler_logs_second_starts_when_flooded fails without the rule.

--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -313,8 +313,7 @@
         if start.run == 1 && start.key.step == 0 && start.key.index == 0 {
             ctx.meter.record_duration(Timing::FirstStart, age);
         }
-        // A task that is started again is always logged.
-        if start.run > 1 || ctx.sampler.should_log(&start.key.job, ctx.now) {
+        if ctx.sampler.should_log_start(&start.key.job, start.run, ctx.now) {
             log_event!(ctx, TaskStarted, "job" => %start.key.job, "step" => start.key.step,
                 "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
                 "took_ms" => took.as_millis() as u64, "age_ms" => age.as_millis() as u64,
--- a/crates/control/src/sampler.rs
+++ b/crates/control/src/sampler.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether to log the start of a run; later runs of a task are always logged.
+    pub fn should_log_start(&mut self, job: &str, run: u32, now: Duration) -> bool {
+        self.should_log(job, now) || run > 1
+    }
+
     /// Whether to log a line about a job; counts the line.
     pub fn should_log(&mut self, job: &str, now: Duration) -> bool {
         if now >= self.period_start + BUDGET_PERIOD {
--- a/crates/control/tests/sample.rs
+++ b/crates/control/tests/sample.rs
@@ -44,6 +44,19 @@
     assert!(logged.iter().all(|lines| *lines == 10));
 }
 
+/// Guards against a task that runs twice without a line about its second start.
+#[test]
+fn sampler_logs_second_starts_when_flooded() {
+    let mut sampler = Sampler::new();
+    log_lines(&mut sampler, 5000, 10);
+    let now = ms(9950);
+    let job = |number: u32| format!("{number:016x}");
+    let first = (0..200).filter(|number| sampler.should_log_start(&job(*number), 1, now)).count();
+    let second = (0..200).filter(|number| sampler.should_log_start(&job(*number), 2, now)).count();
+    assert!(first < 200, "the budget is used up");
+    assert_eq!(second, 200);
+}
+
 #[test]
 fn sampler_limits_lines_when_flooded() {
     let mut sampler = Sampler::new();
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -95,6 +95,17 @@
     assert_eq!(overdue, [Name::new("j2")]);
 }
 
+/// Guards against a job that waits for many times its target without a line that says why.
+#[test]
+fn job_is_stuck_after_five_targets() {
+    let mut scheduler = pool(&["w1"], false);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    let target = scheduler.jobs["j1"].due_at.checked_sub(NOW).unwrap();
+    assert!(!scheduler.is_stuck("j1", NOW + target * 5));
+    assert!(scheduler.is_stuck("j1", NOW + target * 5 + secs(1)));
+    assert!(!scheduler.is_stuck("none", NOW + target * 100));
+}
+
 #[test]
 fn validate_reports_first_error() {
     let job = |id: &str, steps| Submission { id: id.to_owned(), payload: String::new(), steps };
--- a/crates/scheduler/tests/segment.rs
+++ b/crates/scheduler/tests/segment.rs
@@ -184,7 +184,7 @@
     let mut restored_jobs = 0;
     for _ in 0..20_000 {
         let mut bytes = valid.clone();
-        for _ in 0..1 + random.below(4) {
+        for _ in 0..=random.below(4) {
             let at = random.below(bytes.len() as u64) as usize;
             match random.below(3) {
                 0 => bytes[at] = random.below(256) as u8,
