A waiting step names the worker that it waits for, and until when

What callers saw: explain and the line about an overdue job gave a reason, but not the worker; it said "about to be placed" also where the room is reserved for another job, where the workers with room have as many tasks of the step as it allows, and where the tickets have expired. Change: a step without room names the worker whose runs give it room, by their estimates, and the time until then; one without a worker names the first that leaves quarantine. Three reasons more: reserved, with the job and a worker; limit per worker; expired tickets. The last pass's reservations are kept for this. Tests: wait_without_room_names_worker_that_frees_it_first, wait_of_gang_names_worker_whose_room_completes_it, wait_without_worker_names_first_out_of_quarantine, wait_for_reserved_room_names_job, wait_for_spread_names_limit, wait_after_tickets_expired. Placement decides as before.

--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use scheduler::Phase;
+use scheduler::{Phase, Wait};
 
 use crate::event::{log_event, log_job_event};
 use crate::lead::Leader;
@@ -16,6 +16,9 @@
 /// Most overdue jobs examined per check; each requires a pass over all workers.
 const MAX_WAITS_PER_CHECK: usize = 20;
 
+/// Most stuck jobs per check whose awaited worker is logged; each requires a pass over all runs.
+const MAX_AWAITED_PER_CHECK: usize = 5;
+
 impl Leader {
     /// Logs what each overdue job waits for, and again when that changes.
     pub(super) fn log_waits(&mut self, ctx: &mut Context) {
@@ -25,17 +28,23 @@
         self.waits_logged_at = ctx.now;
         let overdue = self.scheduler.overdue_jobs(ctx.now).take(MAX_WAITS_PER_CHECK);
         let mut waits = HashMap::new();
+        let mut examined = 0;
         for id in overdue.map(|job| job.id.clone()).collect::<Vec<_>>() {
             let Some(reason) = self.scheduler.first_wait_reason(&id, ctx.now) else { continue };
             let is_stuck = self.scheduler.is_stuck(&id, ctx.now);
             let has_changed = self.logged_waits.get(&id) != Some(&reason);
+            let mut wait = Wait { reason, awaited: None };
+            if is_stuck && examined < MAX_AWAITED_PER_CHECK {
+                examined += 1;
+                wait = self.scheduler.first_wait(&id, ctx.now).unwrap_or(wait);
+            }
             // A job that waits for many times its target time is always logged.
             if is_stuck || (has_changed && ctx.sampler.should_log(&id, ctx.now)) {
                 let ahead = self.scheduler.jobs_ahead_of(&id);
-                log_event!(ctx, JobOverdue, "job" => %id, "reason" => %reason, "ahead" => ahead,
+                log_event!(ctx, JobOverdue, "job" => %id, "reason" => %wait, "ahead" => ahead,
                     "epoch" => self.epoch);
             }
-            waits.insert(id, reason);
+            waits.insert(id, wait.reason);
         }
         self.logged_waits = waits;
     }
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -1,4 +1,6 @@
 //! Reasons why the tasks of a job wait, for callers and operators.
+//!
+//! `room` tells which worker a step without room waits for.
 
 use std::fmt;
 use std::time::Duration;
@@ -6,7 +8,7 @@
 use common::Name;
 
 use crate::job::Job;
-use crate::record::{Resources, Step};
+use crate::record::Resources;
 use crate::scheduler::Scheduler;
 use crate::step::StepState;
 use crate::worker::Worker;
@@ -40,10 +42,37 @@
             /// Number of tasks of the gang.
             size: u32,
         },
+        /// The workers with room have as many tasks of the step as it allows.
+        Spread(u32),
+        /// The room is reserved for a job of higher rank.
+        Reserved {
+            /// Id of the job that it is reserved for.
+            job: Name,
+            /// Id of one of the workers with room.
+            worker: Name,
+        },
+        /// The tickets for workers with room have expired.
+        Ticket,
         /// Capacity is available; the next scheduling pass decides.
         NextPass,
     }
 
+    /// A worker that a step waits for.
+    pub struct Awaited {
+        /// Id of the worker.
+        pub worker: Name,
+        /// Time until it is expected to have room, by the estimates of its runs.
+        pub after: Duration,
+    }
+
+    /// What the waiting tasks of a step wait for.
+    pub struct Wait {
+        /// Why they are not placed.
+        pub reason: WaitReason,
+        /// The worker that they wait for, if they wait for one.
+        pub awaited: Option<Awaited>,
+    }
+
     /// Progress of a step, as numbers of tasks.
     pub struct Progress {
         /// Number of all tasks.
@@ -54,8 +83,8 @@
         pub placed: usize,
         /// Most failed runs of any one task.
         pub failed_runs: u32,
-        /// Why the other tasks wait; `None` if none waits.
-        pub wait_reason: Option<WaitReason>,
+        /// What the other tasks wait for; `None` if none waits.
+        pub wait: Option<Wait>,
     }
 }
 
@@ -79,11 +108,30 @@
             Self::Gang { places, size } => {
                 write!(f, "gang collects room: {places} of {size} places are free")
             }
+            Self::Spread(most) => {
+                write!(f, "workers with room have {most} tasks of the step, as many as it allows")
+            }
+            Self::Reserved { job, worker } => {
+                write!(f, "room is reserved for job {job}, as on worker {worker}")
+            }
+            Self::Ticket => write!(f, "tickets for workers with room have expired"),
             Self::NextPass => write!(f, "about to be placed"),
         }
     }
 }
 
+impl fmt::Display for Wait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.reason)?;
+        match &self.awaited {
+            Some(Awaited { worker, after }) => {
+                write!(f, "; worker {worker} is expected to have room in {} ms", after.as_millis())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
 impl Scheduler {
     /// Progress of each step of a job; `None` if the job is unknown.
     pub fn explain(&self, id: &str, now: Duration) -> Option<Vec<Progress>> {
@@ -103,6 +151,15 @@
         Some(self.wait_reason(job, step_index, &job.steps[step_index], now))
     }
 
+    /// What the first ready step waits for; `None` without a ready step.
+    ///
+    /// Examines each run on the workers that may run the step.
+    pub fn first_wait(&self, id: &str, now: Duration) -> Option<Wait> {
+        let job = self.jobs.get(id)?;
+        let step_index = job.ready_steps().next()?;
+        Some(self.wait(job, step_index, &job.steps[step_index], now))
+    }
+
     /// Open jobs past their target completion time with ready steps, by rank.
     pub fn overdue_jobs(&self, now: Duration) -> impl Iterator<Item = &Job> {
         let jobs = self.ranked_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
@@ -137,10 +194,23 @@
             done: count(|task| task.is_done),
             placed: count(|task| task.worker.is_some()),
             failed_runs: step.tasks.iter().map(|task| task.failed_runs).max().unwrap_or(0),
-            wait_reason: step.has_waiting().then(|| self.wait_reason(job, step_index, step, now)),
+            wait: step.has_waiting().then(|| self.wait(job, step_index, step, now)),
         }
     }
 
+    /// What the waiting tasks of a step wait for.
+    fn wait(&self, job: &Job, step_index: usize, step: &StepState, now: Duration) -> Wait {
+        let reason = self.wait_reason(job, step_index, step, now);
+        let awaited = match &reason {
+            WaitReason::NoWorker => self.next_released_worker(job, step_index, now),
+            WaitReason::Gang { .. } | WaitReason::NoCapacity { .. } | WaitReason::Spread(_) => {
+                self.next_worker_with_room(job, step_index, now)
+            }
+            _ => None,
+        };
+        Wait { reason, awaited }
+    }
+
     /// Why the waiting tasks of a step are not placed.
     fn wait_reason(
         &self,
@@ -157,45 +227,70 @@
         }
         let Some(queue) = self.queue(&job.queue) else { return WaitReason::NoQueue };
         let is_candidate = |worker: &&Worker| worker.is_usable(now) && worker.can_run(queue, spec);
-        let candidates: Vec<&Worker> = self.pool.iter().filter(is_candidate).collect();
-        if candidates.is_empty() {
+        if !self.pool.iter().any(|worker| is_candidate(&worker)) {
             return WaitReason::NoWorker;
         }
         if !step.pending_advice.is_empty() {
             return WaitReason::Advice(step.pending_advice.values().map(Vec::len).sum());
         }
-        let may_run = |id: &Name| queue.advice.is_none() || step.is_allowed(id);
-        let allowed: Vec<&Worker> =
-            candidates.into_iter().filter(|worker| may_run(&worker.registration.id)).collect();
+        let allowed = self.allowed_workers(job, step_index, now);
         let reason = if allowed.is_empty() {
             WaitReason::NoneAllowed
         } else {
-            capacity_wait_reason(spec, &allowed)
+            self.room_wait_reason(job, step_index, &allowed, now)
         };
         match (reason, step.steps_ahead) {
-            (WaitReason::NoneAllowed | WaitReason::NextPass, Some(ahead)) => {
+            (WaitReason::NoneAllowed | WaitReason::Ticket | WaitReason::NextPass, Some(ahead)) => {
                 WaitReason::AdviceService(ahead)
             }
             (reason, _) => reason,
         }
     }
-}
 
-/// Why a step waits although `allowed` workers accept tasks.
-fn capacity_wait_reason(spec: &Step, allowed: &[&Worker]) -> WaitReason {
-    let free: Vec<Resources> = allowed.iter().map(|worker| worker.free()).collect();
-    if spec.is_gang {
-        let size = spec.count;
-        let places = free.iter().map(|capacity| spec.need.max_copies_in(capacity).min(size)).sum();
-        return if places < size {
-            WaitReason::Gang { places, size }
-        } else {
-            WaitReason::NextPass
+    /// Why a step waits although `allowed` workers accept tasks.
+    fn room_wait_reason(
+        &self,
+        job: &Job,
+        step_index: usize,
+        allowed: &[&Worker],
+        now: Duration,
+    ) -> WaitReason {
+        let spec = &job.submission.steps[step_index];
+        let size = if spec.is_gang { spec.count } else { 1 };
+        let key = (&job.id, step_index as u32);
+        let places = |free: &dyn Fn(&Worker) -> Resources| {
+            let places = allowed.iter().map(|worker| worker.places(key, spec, &free(worker)));
+            places.fold(0, u32::saturating_add)
         };
+        let free_places = places(&Worker::free);
+        if free_places < size {
+            if spec.is_gang {
+                return WaitReason::Gang { places: free_places, size };
+            }
+            if allowed.iter().any(|worker| spec.need.fits_in(&worker.free())) {
+                return WaitReason::Spread(spec.spread);
+            }
+            let most_free = allowed.iter().map(|worker| worker.free().cpu).max().unwrap_or(0);
+            return WaitReason::NoCapacity { cpu: spec.need.cpu, most_free };
+        }
+        if places(&|worker| self.unreserved(worker, &job.id)) < size {
+            let reserver = allowed.iter().find_map(|worker| {
+                let reserver = self.reserver(&worker.registration.id, &job.id)?;
+                Some((reserver.clone(), worker.registration.id.clone()))
+            });
+            if let Some((job, worker)) = reserver {
+                return WaitReason::Reserved { job, worker };
+            }
+        }
+        let step = &job.steps[step_index];
+        let has_ticket = |worker: &Worker| step.ticket(&worker.registration.id, now).is_some();
+        let needs_ticket = self.queue(&job.queue).is_some_and(|queue| queue.advice.is_some());
+        let with_ticket = |worker: &Worker| {
+            if has_ticket(worker) { worker.free() } else { Resources::default() }
+        };
+        if needs_ticket && places(&with_ticket) < size {
+            return WaitReason::Ticket;
+        }
+        WaitReason::NextPass
     }
-    if free.iter().any(|capacity| spec.need.fits_in(capacity)) {
-        return WaitReason::NextPass;
-    }
-    let most_free = free.iter().map(|capacity| capacity.cpu).max().unwrap_or(0);
-    WaitReason::NoCapacity { cpu: spec.need.cpu, most_free }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod reconcile;
 mod record;
+mod room;
 mod rules;
 mod runs;
 mod scheduler;
@@ -24,7 +25,7 @@
 mod worker;
 
 pub use advice::{AdviceCapacity, CallClass};
-pub use explain::{Progress, WaitReason};
+pub use explain::{Awaited, Progress, Wait, WaitReason};
 pub use fate::{Fate, NotStarted, StopMark};
 pub use job::{Job, JobState, Phase, Task, TaskKey};
 pub use pool::Pool;
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -39,11 +39,15 @@
 
 /// Free capacity of one worker during a pass.
 #[derive(Debug)]
-struct Slot {
-    id: Name,
+pub(crate) struct Slot {
+    pub(crate) id: Name,
     free_capacity: Resources,
     /// Capacity that gangs whose calls are under way are expected to use, not reserved.
     expected_use: Resources,
+    /// Capacity reserved for jobs, which `free_capacity` no longer contains.
+    pub(crate) reserved: Resources,
+    /// The first job that capacity was reserved for.
+    pub(crate) reserved_for: Option<Name>,
 }
 
 /// Slots whose workers have a service and a label.
@@ -99,8 +103,11 @@
             id: worker.registration.id.clone(),
             free_capacity: worker.free(),
             expected_use: Resources::default(),
+            reserved: Resources::default(),
+            reserved_for: None,
         });
         let slots: Vec<_> = slots.collect();
+        self.last_slots.clear();
         if slots.is_empty() || self.rules.is_none() {
             return;
         }
@@ -125,10 +132,12 @@
         pass.update_largest_free();
         for id in ranked {
             if pass.steps_handled >= MAX_STEPS_PER_PASS {
-                return;
+                break;
             }
             pass.place_job(&id);
         }
+        let slots = pass.slots;
+        self.last_slots = slots;
     }
 }
 
@@ -270,24 +279,16 @@
         slots
     }
 
-    /// Number of tasks that the step's limit per worker still allows on a slot.
-    fn remaining_spread(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
-        if pending.spec.spread == 0 {
-            return u32::MAX;
-        }
-        let placed = self.scheduler.pool.get(&self.slots[slot].id).map_or(0, |worker| {
-            let same_step = |key: &&TaskKey| key.job == *pending.key.0 && key.step == pending.key.1;
-            worker.assignments.keys().filter(same_step).count() as u32
-        });
-        pending.spec.spread.saturating_sub(placed)
-    }
-
     /// Number of tasks of a step that fit on a slot.
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
-        match pending.spec.need.max_copies_in(&self.slots[slot].free_capacity) {
-            0 => 0,
-            copies => copies.min(self.remaining_spread(pending, slot)),
+        let slot = &self.slots[slot];
+        let copies = pending.spec.need.max_copies_in(&slot.free_capacity);
+        if copies == 0 || pending.spec.spread == 0 {
+            return copies;
         }
+        let worker = self.scheduler.pool.get(&slot.id);
+        worker
+            .map_or(copies, |worker| copies.min(worker.remaining_spread(pending.key, pending.spec)))
     }
 
     /// The feasible slot with the least free CPU, preferably with the affinity label.
@@ -342,8 +343,14 @@
         let mut remaining = pending.waiting_tasks.len() as u32;
         for slot in slots {
             let taken = self.fitting_tasks(pending, *slot).min(remaining);
-            let free = &mut self.slots[*slot].free_capacity;
-            *free = free.minus(&pending.spec.need.times(taken));
+            if taken == 0 {
+                continue;
+            }
+            let capacity = pending.spec.need.times(taken);
+            let slot = &mut self.slots[*slot];
+            slot.free_capacity = slot.free_capacity.minus(&capacity);
+            slot.reserved = slot.reserved.plus(&capacity);
+            slot.reserved_for.get_or_insert_with(|| pending.key.0.clone());
             remaining -= taken;
             if remaining == 0 {
                 return;
--- /dev/null
+++ b/crates/scheduler/src/room.rs
@@ -0,0 +1,128 @@
+//! Room on the workers that a step may use: whom it is reserved for and when it comes.
+
+use std::time::Duration;
+
+use common::Name;
+
+use crate::explain::Awaited;
+use crate::job::{Job, TaskKey};
+use crate::record::Resources;
+use crate::scheduler::Scheduler;
+use crate::worker::{Assignment, Worker};
+
+/// What a worker has left for tasks of one step.
+struct Room {
+    free: Resources,
+    /// Number of tasks that the step's limit per worker allows.
+    spread: u32,
+}
+
+impl Scheduler {
+    /// Workers that accept tasks of a step now, by id.
+    pub(crate) fn allowed_workers(
+        &self,
+        job: &Job,
+        step_index: usize,
+        now: Duration,
+    ) -> Vec<&Worker> {
+        let Some(queue) = self.queue(&job.queue) else { return Vec::new() };
+        let spec = &job.submission.steps[step_index];
+        let step = &job.steps[step_index];
+        let is_allowed = |worker: &&Worker| {
+            worker.is_usable(now)
+                && worker.can_run(queue, spec)
+                && (queue.advice.is_none() || step.is_allowed(&worker.registration.id))
+        };
+        self.pool.iter().filter(is_allowed).collect()
+    }
+
+    /// Free capacity of a worker that the last pass did not reserve for jobs other than `own`.
+    pub(crate) fn unreserved(&self, worker: &Worker, own: &str) -> Resources {
+        let free = worker.free();
+        match self.reservation(&worker.registration.id) {
+            Some((first, capacity)) if **first != *own => free.minus(capacity),
+            _ => free,
+        }
+    }
+
+    /// The job other than `own` that the last pass first reserved a worker's capacity for.
+    pub(crate) fn reserver(&self, worker: &str, own: &str) -> Option<&Name> {
+        let (first, _) = self.reservation(worker)?;
+        (**first != *own).then_some(first)
+    }
+
+    /// The worker whose runs, by their estimates, end last of those that a step needs to end.
+    pub(crate) fn next_worker_with_room(
+        &self,
+        job: &Job,
+        step_index: usize,
+        now: Duration,
+    ) -> Option<Awaited> {
+        let spec = &job.submission.steps[step_index];
+        let size = if spec.is_gang { spec.count } else { 1 };
+        let key = (&job.id, step_index as u32);
+        let allowed = self.allowed_workers(job, step_index, now);
+        let mut rooms: Vec<Room> = allowed
+            .iter()
+            .map(|worker| Room { free: worker.free(), spread: worker.remaining_spread(key, spec) })
+            .collect();
+        let places = |room: &Room| spec.need.max_copies_in(&room.free).min(room.spread).min(size);
+        let mut total: u32 = rooms.iter().map(places).sum();
+        let mut ends = Vec::new();
+        for (index, worker) in allowed.iter().enumerate() {
+            let runs = worker.assignments.iter();
+            ends.extend(runs.map(|(task, run)| (self.expected_end(task, run), index, task, run)));
+        }
+        ends.sort_unstable_by_key(|(end, index, ..)| (*end, *index));
+        for (end, index, task, run) in ends {
+            let room = &mut rooms[index];
+            total -= places(room);
+            room.free = room.free.plus(&run.need);
+            if task.job == *key.0 && task.step == key.1 {
+                room.spread = room.spread.saturating_add(1);
+            }
+            total += places(room);
+            if total >= size {
+                let worker = allowed[index].registration.id.clone();
+                return Some(Awaited { worker, after: end.saturating_sub(now) });
+            }
+        }
+        None
+    }
+
+    /// The worker whose quarantine ends first, of those that could run a step.
+    pub(crate) fn next_released_worker(
+        &self,
+        job: &Job,
+        step_index: usize,
+        now: Duration,
+    ) -> Option<Awaited> {
+        let queue = self.queue(&job.queue)?;
+        let spec = &job.submission.steps[step_index];
+        let quarantined = self.pool.iter().filter(|worker| {
+            let until = worker.quarantined_until;
+            until > now && worker.is_usable(until) && worker.can_run(queue, spec)
+        });
+        let next = quarantined.min_by_key(|worker| worker.quarantined_until)?;
+        Some(Awaited {
+            worker: next.registration.id.clone(),
+            after: next.quarantined_until.saturating_sub(now),
+        })
+    }
+
+    /// First job and capacity that the last pass reserved on a worker.
+    fn reservation(&self, worker: &str) -> Option<(&Name, &Resources)> {
+        let index = self.last_slots.binary_search_by(|slot| (*slot.id).cmp(worker)).ok()?;
+        let slot = &self.last_slots[index];
+        Some((slot.reserved_for.as_ref()?, &slot.reserved))
+    }
+
+    /// When a run is expected to end, by its estimate.
+    fn expected_end(&self, key: &TaskKey, run: &Assignment) -> Duration {
+        let run_time = self.jobs.get(&key.job).and_then(|job| {
+            let spec = job.submission.steps.get(key.step as usize)?;
+            Some(self.estimator.run_time(&job.queue, spec.estimate))
+        });
+        run.changed_at + run_time.unwrap_or_default()
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, TaskKey};
+use crate::placement::Slot;
 use crate::pool::Pool;
 use crate::record::Submission;
 use crate::rules::{Queue, Rules};
@@ -126,6 +127,8 @@
     pub(crate) estimator: Estimator,
     /// Jobs that wait for their first start.
     pub(crate) admission: Admission,
+    /// Usable workers and what was reserved on them at the end of the last pass, by id.
+    pub(crate) last_slots: Vec<Slot>,
     /// Open jobs by rank: priority, due time, id.
     pub(crate) ranked_jobs: BTreeSet<(u32, Duration, Name)>,
 }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -150,6 +150,24 @@
         self.assignments.get_mut(key).filter(|assignment| assignment.run == run)
     }
 
+    /// Number of tasks of a step, given as job id and index, that `free` capacity would hold here.
+    pub fn places(&self, key: (&Name, u32), step: &Step, free: &Resources) -> u32 {
+        match step.need.max_copies_in(free) {
+            0 => 0,
+            copies => copies.min(self.remaining_spread(key, step)),
+        }
+    }
+
+    /// Number of tasks that the limit per worker of a step, given as job id and index, still allows.
+    pub(crate) fn remaining_spread(&self, (job, step_index): (&Name, u32), step: &Step) -> u32 {
+        if step.spread == 0 {
+            return u32::MAX;
+        }
+        let same_step = |key: &&TaskKey| key.job == *job && key.step == step_index;
+        let placed = self.assignments.keys().filter(same_step).count() as u32;
+        step.spread.saturating_sub(placed)
+    }
+
     /// Records a successful run, which ends any quarantine.
     pub fn record_success(&mut self) {
         self.consecutive_failures = 0;
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use common::Name;
-use scheduler::{AdviceCapacity, Resources, Scheduler, Step, Submission, WaitReason, is_job_id};
+use scheduler::{
+    AdviceCapacity, Resources, Scheduler, Step, Submission, Wait, WaitReason, is_job_id,
+};
 use support::{NOW, advice_policy, ample_advice, answer_advice, secs, submit};
 
 /// A pool of two-core workers with one queue.
@@ -79,8 +81,9 @@
     submit(&mut scheduler, "j1", vec![step(2, 1000), last]);
     scheduler.plan(NOW, secs(0), ample_advice());
     let steps = scheduler.explain("j1", NOW).expect("j1 was submitted");
-    assert_eq!((steps[0].tasks, steps[0].placed, &steps[0].wait_reason), (2, 2, &None));
-    assert_eq!(steps[1].wait_reason, Some(WaitReason::EarlierStep(0)));
+    assert_eq!((steps[0].tasks, steps[0].placed, &steps[0].wait), (2, 2, &None));
+    let earlier_step = Wait { reason: WaitReason::EarlierStep(0), awaited: None };
+    assert_eq!(steps[1].wait, Some(earlier_step));
     assert!(scheduler.explain("j2", NOW).is_none());
 }
 
@@ -95,6 +98,91 @@
     assert_eq!(overdue, [Name::new("j2")]);
 }
 
+/// The worker that a job waits for, and the time in ms until it is expected to have room.
+fn awaited(scheduler: &Scheduler, id: &str) -> Option<(String, u128)> {
+    let awaited = scheduler.first_wait(id, NOW)?.awaited?;
+    Some((awaited.worker.to_string(), awaited.after.as_millis()))
+}
+
+#[test]
+fn wait_without_room_names_worker_that_frees_it_first() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![Step { estimate: 4000, ..step(1, 1500) }]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    submit(&mut scheduler, "j2", vec![Step { estimate: 3000, ..step(1, 1500) }]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    submit(&mut scheduler, "j3", vec![step(1, 1000)]);
+    submit(&mut scheduler, "j4", vec![step(1, 2500)]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    assert_eq!(awaited(&scheduler, "j3"), Some(("w2".to_owned(), 3000)));
+    assert_eq!(awaited(&scheduler, "j4"), None, "no worker is large enough");
+    let wait = scheduler.first_wait("j3", NOW).expect("the job waits");
+    assert_eq!(
+        wait.to_string(),
+        "no room: a task needs 1000 mcpu, 500 are free at most; worker w2 is expected to have room \
+         in 3000 ms"
+    );
+}
+
+#[test]
+fn wait_of_gang_names_worker_whose_room_completes_it() {
+    let mut scheduler = pool(&["w1", "w2", "w3"], false);
+    for (id, estimate) in [("j1", 2000), ("j2", 5000), ("j3", 3000)] {
+        submit(&mut scheduler, id, vec![Step { estimate, ..step(1, 1500) }]);
+        scheduler.plan(NOW, secs(0), ample_advice());
+    }
+    submit(&mut scheduler, "j4", vec![Step { is_gang: true, ..step(4, 1000) }]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    assert_eq!(wait_reason(&scheduler, "j4"), Some(WaitReason::Gang { places: 0, size: 4 }));
+    assert_eq!(awaited(&scheduler, "j4"), Some(("w3".to_owned(), 3000)));
+}
+
+#[test]
+fn wait_without_worker_names_first_out_of_quarantine() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    for (id, until) in [("w1", 8), ("w2", 5)] {
+        let worker = scheduler.pool.get_mut(id).expect("the worker is registered");
+        worker.quarantined_until = NOW + secs(until);
+    }
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::NoWorker));
+    assert_eq!(awaited(&scheduler, "j1"), Some(("w2".to_owned(), 5000)));
+}
+
+#[test]
+fn wait_for_reserved_room_names_job() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![step(2, 1000)]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    submit(&mut scheduler, "j2", vec![Step { is_gang: true, ..step(3, 1000) }]);
+    submit(&mut scheduler, "j3", vec![step(1, 1000)]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    assert_eq!(wait_reason(&scheduler, "j2"), Some(WaitReason::Gang { places: 2, size: 3 }));
+    let reserved = WaitReason::Reserved { job: Name::new("j2"), worker: Name::new("w2") };
+    assert_eq!(wait_reason(&scheduler, "j3"), Some(reserved));
+}
+
+#[test]
+fn wait_for_spread_names_limit() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![Step { spread: 1, ..step(3, 500) }]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::Spread(1)));
+    assert_eq!(awaited(&scheduler, "j1"), Some(("w1".to_owned(), 1000)));
+}
+
+#[test]
+fn wait_after_tickets_expired() {
+    let mut scheduler = pool(&["w1"], true);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    scheduler.plan(NOW, secs(0), ample_advice());
+    let allowed = vec![(Name::new("w1"), Name::new("t"))];
+    answer_advice(&mut scheduler, "j1", 0, Some((allowed, secs(2))), NOW);
+    assert_eq!(wait_reason(&scheduler, "j1"), Some(WaitReason::NextPass));
+    let later = scheduler.first_wait_reason("j1", NOW + secs(3));
+    assert_eq!(later, Some(WaitReason::Ticket));
+}
+
 /// Guards against a job that waits for many times its target without a line that says why.
 #[test]
 fn job_is_stuck_after_five_targets() {
