--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod cost;
 pub mod fakes;
+mod waits;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -259,6 +260,7 @@
     last_accepted_link: u64,
     succeeded_tasks: HashSet<TaskKey>,
     last_start: HashMap<TaskKey, Duration>,
+    wait_check: waits::WaitCheck,
 }
 
 fn ms(ms: u64) -> Duration {
@@ -311,6 +313,7 @@
             last_accepted_link: 1,
             succeeded_tasks: HashSet::new(),
             last_start: HashMap::new(),
+            wait_check: waits::WaitCheck::default(),
         };
         for number in 0..workers {
             let id = Name::from(format!("w{number}").as_str());
@@ -444,6 +447,7 @@
             if let Some(event) = self.queued_events.remove(&id) {
                 self.process_event(event);
             }
+            self.check_waits();
         }
         self.now = end;
     }
