A leader checks the steps of jobs that other daemons pass on

A request with two steps of 4,294,967,295 tasks, as a daemon of another version may pass on, made the leader ask for 206 GB and end, and so each next leader. Simulated connections to addresses that no daemon has are refused.

--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -7,6 +7,7 @@
 
 use crate::action::Action;
 use crate::config::Capacity;
+use crate::event::log_event;
 use crate::frame::{Advice, Announcement, Body, Heartbeat, Hello, Members, RequestLimits, Welcome};
 use crate::input::AdviceResult;
 use crate::lead::{Leader, requests::Caller};
@@ -276,6 +277,8 @@
                 match decode_request(request) {
                     Some(call) => self.handle_request(ctx, Caller::Peer { link, id, queued }, call),
                     None => {
+                        log_event!(ctx, RequestRefused, "link" => link,
+                            "reason" => "unknown operation or invalid job");
                         ctx.send(
                             link,
                             Body::Reply(encode_reply(id, &crate::Answer::OutcomeUnknown, queued)),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -34,8 +34,8 @@
 pub use config::{Capacity, Config};
 pub use event::Event;
 pub use frame::{
-    Advice, AdviceRequest, Body, Frame, Heartbeat, Hello, Members, Reply, Request, RequestLimits,
-    Resignation, Ticket, Welcome,
+    Advice, AdviceRequest, Announcement, Body, Frame, Heartbeat, Hello, Members, Reply, Request,
+    RequestLimits, Resignation, Ticket, Welcome,
 };
 pub use head::Head;
 pub use input::{AdviceResult, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -32,10 +32,15 @@
     Request { id, host, path, op, job, submission, queue }
 }
 
-/// Decodes a peer's request; none if its operation is unknown to this version.
+/// Decodes a peer's request; none if this version does not know its operation, or if its job is
+/// not one that a daemon of this version accepts.
 pub(crate) fn decode_request(request: Request) -> Option<CallerRequest> {
     let op = match request.op {
-        1 => Operation::Submit(request.submission.unwrap_or_default()),
+        1 => {
+            let submission = request.submission?;
+            submission.validate_steps().ok()?;
+            Operation::Submit(submission)
+        }
         2 => Operation::GetState(Name::new(&request.job)),
         3 => Operation::Cancel(Name::new(&request.job)),
         4 => Operation::CountPending,
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -17,8 +17,8 @@
 
 use common::Name;
 use control::{
-    Action, Answer, Backlog, CallerRequest, Capacity, Config, Input, Node, Operation, PeerEvent,
-    QueuedInput, Role, Target,
+    Action, Answer, Backlog, CallerRequest, Capacity, Config, Frame, Input, Node, Operation,
+    PeerEvent, QueuedInput, Role, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -390,6 +390,18 @@
         self.schedule(self.now, Event::Input { node: number, incarnation, input: Input::Stop });
     }
 
+    /// Delivers a frame to a node on each of its links.
+    pub fn deliver(&mut self, node: usize, frame: &Frame) {
+        let incarnation = self.slots[node].incarnation;
+        let own = self.links.keys().filter(|(owner, _)| *owner == node);
+        let mut links: Vec<u64> = own.map(|(_, link)| *link).collect();
+        links.sort_unstable();
+        for link in links {
+            let input = Input::Peer { link, event: PeerEvent::Frame(frame.clone()) };
+            self.schedule(self.now, Event::Input { node, incarnation, input });
+        }
+    }
+
     pub fn suspend(&mut self, number: usize) {
         self.slots[number].is_suspended = true;
     }
@@ -810,7 +822,12 @@
     }
 
     fn connect(&mut self, node: usize, incarnation: u64, link: u64, address: &str) {
-        let other: usize = address[1..].parse().expect("addresses end in a number");
+        let other: Option<usize> = address.get(1..).and_then(|number| number.parse().ok());
+        let Some(other) = other.filter(|other| *other < self.slots.len()) else {
+            let input = Input::Peer { link, event: PeerEvent::Refused };
+            self.schedule(self.now + ms(1), Event::Input { node, incarnation, input });
+            return;
+        };
         if self.is_link_cut(node, other) {
             return;
         }
--- a/crates/scheduler/src/validation.rs
+++ b/crates/scheduler/src/validation.rs
@@ -76,6 +76,15 @@
         if self.payload.len() > MAX_PAYLOAD_BYTES {
             return Err(SubmissionError::PayloadTooLong);
         }
+        self.validate_steps()
+    }
+
+    /// Validates the numbers of tasks and the order of the steps.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`SubmissionError`] found.
+    pub fn validate_steps(&self) -> Result<(), SubmissionError> {
         if self.steps.is_empty() {
             return Err(SubmissionError::NoSteps);
         }
