A head row with the largest numbers does not end the daemons that read it

Found by a test: the time of the last release in the head row, near the largest number, overflowed when a leader looked whether it may hand over; an epoch of the largest number overflowed in a claim. Builds with checks end at that, release builds count on from zero: a claim for epoch 0, which workers refuse. Test, seen failing ("attempt to add with overflow"): head_row_largest_numbers_daemons_go_on.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -440,6 +440,10 @@
         if self.is_stopping || matches!(self.stage, Stage::Claiming { .. }) {
             return;
         }
+        let Some(next_epoch) = epoch.checked_add(1) else {
+            log_event!(ctx, RowIgnored, "key" => HEAD_KEY, "reason" => "no epoch is higher");
+            return;
+        };
         if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
             ctx.actions.push(Action::Close { link });
         }
@@ -447,7 +451,7 @@
         let head = Head {
             slow_ms: former.map_or(0, |(known, _)| known.slow_ms),
             promotion_ms: former.map_or(0, |(known, _)| known.promotion_ms),
-            epoch: epoch + 1,
+            epoch: next_epoch,
             member: ctx.config.member.to_string(),
             address: ctx.config.peer_address.to_string(),
             incarnation: ctx.config.incarnation,
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -492,8 +492,11 @@
     }
 
     /// Whether less than `cooldown` has passed since a store time in ms; 0 stands for never.
+    ///
+    /// A time that lies further ahead than `cooldown` is not one that a daemon wrote.
     fn is_cooling_down(&self, now: Duration, since_ms: u64, cooldown: Duration) -> bool {
-        since_ms > 0 && self.store_time_ms(now) < since_ms + cooldown.as_millis() as u64
+        let elapsed_ms = self.store_time_ms(now).abs_diff(since_ms);
+        since_ms > 0 && elapsed_ms < cooldown.as_millis() as u64
     }
 
     /// Runs placement when it is due, and carries out what the scheduler requests.
--- a/crates/control/tests/odd_frames.rs
+++ b/crates/control/tests/odd_frames.rs
@@ -149,3 +149,28 @@
         }
     }
 }
+
+/// Guards against a head row with the largest numbers that ends each daemon which claims on it.
+#[test]
+fn head_row_largest_numbers_daemons_go_on() {
+    for field in 0..4 {
+        let mut sim = start_cell(field);
+        let (valid, version) = sim.store.rows.get("head").cloned().expect("the head row exists");
+        let mut head = Head::from_row(&valid).expect("the row is a head");
+        let number = match field {
+            0 => &mut head.commit,
+            1 => &mut head.slow_ms,
+            2 => &mut head.promotion_ms,
+            _ => &mut head.epoch,
+        };
+        *number = u64::MAX;
+        sim.store.rows.insert("head".into(), (head.to_row(), version + 1));
+        sim.store.version += 1;
+        if field < 3 {
+            assert_serves(&mut sim, "last");
+        } else {
+            sim.run(ms(5000));
+            assert!(sim.leader().is_none(), "no later epoch exists");
+        }
+    }
+}
