--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -274,16 +274,13 @@
             }
             Body::Request(request) if self.is_serving() => {
                 let (id, queued) = (request.id, ctx.load.input_age());
-                match decode_request(request) {
-                    Some(call) => self.handle_request(ctx, Caller::Peer { link, id, queued }, call),
-                    None => {
-                        log_event!(ctx, RequestRefused, "link" => link,
-                            "reason" => "unknown operation or invalid job");
-                        ctx.send(
-                            link,
-                            Body::Reply(encode_reply(id, &crate::Answer::OutcomeUnknown, queued)),
-                        );
-                    }
+                if let Some(call) = decode_request(request) {
+                    self.handle_request(ctx, Caller::Peer { link, id, queued }, call);
+                } else {
+                    log_event!(ctx, RequestRefused, "link" => link,
+                        "reason" => "unknown operation or invalid job");
+                    let reply = encode_reply(id, &crate::Answer::OutcomeUnknown, queued);
+                    ctx.send(link, Body::Reply(reply));
                 }
             }
             Body::Advice(advice) => self.handle_advice(ctx, &advice),
