--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -19,13 +19,10 @@
 /// Most workers that the advice service accepts in a call.
 const MAX_WORKERS_PER_CALL: usize = 100;
 
-/// Fewest unknown workers named in a round of calls for a gang or a wide step.
+/// Fewest unknown workers named in a round of calls for a gang.
 ///
 /// The base duration of a call dominates the added duration of each worker named.
-const MIN_WORKERS_PER_ROUND: usize = 24;
-
-/// Fewest waiting tasks of a wide step.
-const WIDE_STEP_TASKS: u32 = 4;
+const MIN_WORKERS_PER_GANG_ROUND: usize = 24;
 
 /// Delay before a gang that reserves no capacity checks again whether advice is of use.
 const GANG_RECHECK_DELAY: Duration = Duration::from_millis(100);
@@ -85,7 +82,7 @@
         advice: &AdvicePolicy,
     ) -> Vec<Name> {
         let (id, step_index) = pending.key;
-        let mut workers = self.choose_advice_workers(pending, advice);
+        let mut workers = self.choose_advice_workers(pending);
         if workers.is_empty() {
             if self.reserving_gangs >= self.max_reserving_gangs
                 && let Some(job) = self.scheduler.jobs.get_mut(id)
@@ -122,14 +119,7 @@
     }
 
     /// Chooses the workers of a round of advice calls: allowed ones, then unknown ones by capacity.
-    ///
-    /// For gangs, and for wide steps whose calls are not fast, it names workers that are full now as
-    /// well: room frees within the time that tickets are valid, and a denial holds from then on.
-    pub(super) fn choose_advice_workers(
-        &self,
-        pending: &PendingStep<'_>,
-        advice: &AdvicePolicy,
-    ) -> Vec<Name> {
+    pub(super) fn choose_advice_workers(&self, pending: &PendingStep<'_>) -> Vec<Name> {
         let Some(step) = self.step_state(pending) else { return Vec::new() };
         let count = pending.waiting_tasks.len() as u32;
         let (mut known, mut known_places) = (Vec::new(), 0);
@@ -147,14 +137,12 @@
         if has_candidates && self.now < step.last_advice_at + GANG_ADVICE_DELAY {
             return Vec::new();
         }
-        let is_gang = pending.spec.is_gang;
-        let is_wide =
-            count >= WIDE_STEP_TASKS && CallClass::of(advice.base_duration) != CallClass::Fast;
         let mut unknown = Vec::new();
         for slot in pending.candidates.slots.iter().copied() {
             let free_places = self.fitting_tasks(pending, slot);
             let id = &self.slots[slot].id;
-            if (free_places > 0 || is_gang || is_wide) && !step.eligibility.contains_key(id) {
+            // A gang reserves capacity over time, so workers that are full now count too.
+            if (free_places > 0 || pending.spec.is_gang) && !step.eligibility.contains_key(id) {
                 unknown.push((free_places, slot));
             }
         }
@@ -168,22 +156,19 @@
             }
         }
         if unknown.is_empty() {
-            return if is_gang { Vec::new() } else { known };
+            return if pending.spec.is_gang { Vec::new() } else { known };
         }
         unknown.sort_by_key(|(_, slot)| {
             let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
             let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
             (Reverse(places), expected_use.cpu)
         });
-        let min_workers = if is_gang || is_wide { MIN_WORKERS_PER_ROUND } else { 1 };
+        let min_workers = if pending.spec.is_gang { MIN_WORKERS_PER_GANG_ROUND } else { 1 };
         let wanted_places = remaining * ADVICE_MARGIN_FACTOR;
         let mut expected_places = 0.0;
         let mut new_workers = 0;
         for (free_places, _) in &unknown {
-            let is_enough = expected_places >= wanted_places && new_workers >= min_workers;
-            let is_full_beyond_minimum =
-                !is_gang && *free_places == 0 && new_workers >= MIN_WORKERS_PER_ROUND;
-            if is_enough || is_full_beyond_minimum {
+            if expected_places >= wanted_places && new_workers >= min_workers {
                 break;
             }
             // A full worker counts as one place: its runs end at some time.
