--- /dev/null
+++ b/review/standin/record.rs
@@ -0,0 +1,38 @@
+//! The record of a run: what was sent, answered and run, with the time since its start.
+
+use std::fs::File;
+use std::io::Write;
+use std::sync::Mutex;
+use std::time::Instant;
+
+pub struct Record {
+    started: Instant,
+    file: Mutex<(File, u64)>,
+}
+
+/// Lines of one kind that are written before only each hundredth is.
+const SAMPLED_LINES: u64 = 20;
+
+impl Record {
+    pub fn create(path: &std::path::Path) -> Self {
+        let file = File::create(path).expect("a writable folder");
+        Self { started: Instant::now(), file: Mutex::new((file, 0)) }
+    }
+
+    pub fn write(&self, line: &str) {
+        let mut file = self.file.lock().unwrap();
+        drop(writeln!(file.0, "{:9.3} {line}", self.started.elapsed().as_secs_f64()));
+    }
+
+    /// Writes the first lines, then each hundredth.
+    pub fn write_sampled(&self, line: &str) {
+        let count = {
+            let mut file = self.file.lock().unwrap();
+            file.1 += 1;
+            file.1
+        };
+        if count <= SAMPLED_LINES || count % 100 == 0 {
+            self.write(&format!("{line} (number {count})"));
+        }
+    }
+}
