review: tasks run twice when a worker has more than 500 ends

The store is down for 4.2 s while many short tasks end. A worker lists 500 ends at a time; the leader takes the runs whose ends are not listed yet for lapsed and starts their tasks again.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -31,6 +31,7 @@
         "cancel" => cancel(record, folder, has_trouble),
         "rows" => rows(record, folder, has_trouble),
         "kind" => kind(record, folder, has_trouble),
+        "ends" => ends(record, folder, has_trouble),
         "gang" => gang(record, folder, has_trouble),
         _ => None,
     }
@@ -160,7 +161,7 @@
     let (store, server) = Store::start(record);
     cell::put_config(&store);
     let first = Worker::start("i-1", 16_000, &["a", "r1-1"], &store, record, true);
-    let others: Vec<_> = (2..=6)
+    let others: Vec<_> = (2..=8)
         .map(|number| {
             let kind = if number <= 2 { "a" } else { "b" };
             Worker::start(&format!("i-{number}"), 16_000, &[kind, "r1-1"], &store, record, true)
@@ -243,3 +244,56 @@
     ));
     Some(lost == 0)
 }
+
+/// TWICE: the store is down for a while, while many short tasks of a worker end.
+fn ends(record: &Arc<Record>, folder: &Path, has_trouble: bool) -> Option<bool> {
+    let (store, server) = Store::start(record);
+    cell::put_config(&store);
+    let workers: Vec<_> = (1..=6)
+        .map(|number| {
+            Worker::start(&format!("i-{number}"), 32_000, &["a", "r1-1"], &store, record, false)
+        })
+        .collect();
+    let cell = Cell::start(3, server.address, folder, record);
+    // Nine jobs of 400 tasks: 180 of 192 cores, up to 640 tasks a worker, of 2 to 6 s.
+    let job = r#"{"spec":"ms=2000 every=1 spread=3000","steps":[{"count":400,"cpu":40,"mem_mb":128,"estimate_ms":4000}]}"#;
+    let ids: Vec<String> = (0..9).map(|number| format!("00000000000000d{number}")).collect();
+    for (number, id) in ids.iter().enumerate() {
+        cell.request(number % 3, "POST", id, job).filter(|(status, _)| *status == 200)?;
+        sleep(0.05);
+    }
+    sleep(0.6);
+    let counts = |what: &str| {
+        let counts: Vec<usize> = workers.iter().map(|worker| worker.running().len()).collect();
+        record.write(&format!("{what}; tasks at work on each worker: {counts:?}"));
+    };
+    counts("before the disruption");
+    if has_trouble {
+        store.set_down(true);
+    }
+    sleep(4.2);
+    if has_trouble {
+        store.set_down(false);
+    }
+    counts("after it");
+    for id in &ids {
+        let until = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < until {
+            let state = cell.request_until_done("GET", id, "", Duration::from_secs(4));
+            if state.is_some_and(|body| body.get("state").text() == "completed") {
+                break;
+            }
+            sleep(0.5);
+        }
+    }
+    sleep(2.0);
+    let ledger = record.ledger.lock().unwrap();
+    let repeated = ledger.repeated();
+    record.write(&format!(
+        "{} tasks have ended done; started again after such an end, which was taken note of: {} {:?}",
+        ledger.done.len(),
+        repeated.len(),
+        repeated.iter().take(5).collect::<Vec<_>>()
+    ));
+    Some(repeated.is_empty())
+}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in of the platform's store: versioned rows, conditional transactions, a feed of changes.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,8 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     started: Instant,
+    /// Whether every call is answered 503.
+    is_down: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -52,6 +55,7 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            is_down: AtomicBool::new(false),
             record: Arc::clone(record),
         });
         let own = Arc::clone(&store);
@@ -59,6 +63,12 @@
         (store, server)
     }
 
+    /// Lets the store refuse all calls, or serve again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     /// Writes a row as the operator or an executor does.
     pub fn put(&self, table: &str, key: &str, value: &Json) {
         let mut rows = self.rows.lock().unwrap();
@@ -70,6 +80,9 @@
     }
 
     fn handle(&self, request: &Request) -> (u16, Json) {
+        if self.is_down.load(Ordering::SeqCst) {
+            return (503, Json::Null);
+        }
         match request.call.as_str() {
             "POST /api/rows-tx" => self.commit(&request.body),
             "GET /api/rows-get" => self.read(request),
@@ -160,7 +173,7 @@
             let is_new = |(key, row): &(&Key, &Row)| key.0 == table && row.version > after;
             let mut found: Vec<(&Key, &Row)> = rows.rows.iter().filter(is_new).collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !found.is_empty() || left.is_zero() {
+            if !found.is_empty() || left.is_zero() || self.is_down.load(Ordering::SeqCst) {
                 found.sort_by_key(|(_, row)| row.version);
                 let list = found.into_iter().map(|(key, row)| to_json(key, row)).collect();
                 return (200, self.answer(&rows, list, false));
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -176,6 +176,15 @@
                 let how = if *is_done { "done" } else { "lapsed" };
                 state.end(task, how);
                 self.note(|| format!("{} ends {task}: {how}", self.id));
+                if *is_done {
+                    let end = (self.id.clone(), state.last_number, false);
+                    self.record.ledger.lock().unwrap().done.entry(task.clone()).or_insert(end);
+                }
+            }
+            if has_lapsed && !state.ends.is_empty() {
+                // What is taken note of after a lapse does not count.
+                let is_kept = |end: &(String, u64, bool)| end.0 != self.id || end.2;
+                self.record.ledger.lock().unwrap().done.retain(|_, end| is_kept(end));
             }
             drop(state);
             if !due.is_empty() {
@@ -276,7 +285,10 @@
             }
             "POST /api/hold" => {
                 let seen = body.get("last_seen").number().unwrap_or(0);
-                state.ends.retain(|end| end.number > seen);
+                let (noted, ends) =
+                    std::mem::take(&mut state.ends).into_iter().partition(|end| end.number <= seen);
+                state.ends = ends;
+                self.take_note(noted);
                 let wait = body.get("wait_ms").number().unwrap_or(0).min(2000);
                 let until = Instant::now() + Duration::from_millis(wait);
                 let born = state.born_ms;
@@ -293,6 +305,19 @@
         }
     }
 
+    /// Records ends that the system has taken note of.
+    fn take_note(&self, ends: Vec<End>) {
+        let mut ledger = self.record.ledger.lock().unwrap();
+        for end in ends {
+            if let Some(done) = ledger.done.get_mut(&end.task)
+                && done.0 == self.id
+                && done.1 == end.number
+            {
+                done.2 = true;
+            }
+        }
+    }
+
     fn start_run(&self, state: &mut State, body: &Json) -> (u16, Json) {
         let (task, run_id) = (body.get("task").text(), body.get("run_id").number().unwrap_or(0));
         let answer = object([("timestamp_ms", state.clock_ms().into())]);
@@ -321,6 +346,16 @@
         {
             ms = 1500 + index * 7919 % spread;
         }
+        let mut ledger = self.record.ledger.lock().unwrap();
+        if let Some((worker, number, is_noted)) = ledger.done.get(task) {
+            self.record.write_sampled(&format!(
+                "{} starts {task} run {run_id}, which has ended done at {worker} (end {number}, \
+                 taken note of: {is_noted})",
+                self.id
+            ));
+            ledger.started_again.push((task.to_owned(), self.id.clone()));
+        }
+        drop(ledger);
         let now = Instant::now();
         let run = Run {
             run_id,
