--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -32,6 +32,7 @@
         "rows" => rows(record, folder, has_trouble),
         "kind" => kind(record, folder, has_trouble),
         "ends" => ends(record, folder, has_trouble),
+        "sick" => sick(record, folder, has_trouble),
         "gang" => gang(record, folder, has_trouble),
         _ => None,
     }
@@ -297,3 +298,37 @@
     ));
     Some(repeated.is_empty())
 }
+
+/// No rule by the pages' length of the disruption: one worker refuses all starts for 6.5 s.
+///
+/// Holds if each job has begun within 3 s.
+fn sick(record: &Arc<Record>, folder: &Path, has_trouble: bool) -> Option<bool> {
+    let (store, server) = Store::start(record);
+    cell::put_config(&store);
+    let workers: Vec<_> = (0..10)
+        .map(|number| {
+            Worker::start(&format!("i-{number}"), 16_000, &["a", "r1-1"], &store, record, false)
+        })
+        .collect();
+    let cell = Cell::start(3, server.address, folder, record);
+    workers[0].set_sick(has_trouble);
+    let job =
+        r#"{"spec":"ms=20000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":20000}]}"#;
+    for number in 0..6 {
+        let id = format!("00000000000000e{number}");
+        cell.request(number % 3, "POST", &id, job).filter(|(status, _)| *status == 200)?;
+    }
+    let at_work = || workers.iter().map(|worker| worker.running().len()).sum::<usize>();
+    let mut begun = Vec::new();
+    for second in 1..=9 {
+        sleep(1.0);
+        begun.push(at_work());
+        if second == 6 {
+            sleep(0.5);
+            let refused = workers[0].set_sick(false);
+            record.write(&format!("the worker recovers; it has refused {refused} starts"));
+        }
+    }
+    record.write(&format!("of 6 jobs, at work after each second: {begun:?}"));
+    Some(begun[2] == 6)
+}
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -1,7 +1,7 @@
 //! Stand-in of an executor: runs tasks under a lease, lists running and ended runs.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -62,6 +62,9 @@
     state: Mutex<State>,
     changed: Condvar,
     is_up: AtomicBool,
+    /// Whether it answers each start 503, as an unhealthy executor does.
+    is_sick: AtomicBool,
+    refused: AtomicU64,
     store: Arc<Store>,
     record: Arc<Record>,
     pub server: std::sync::OnceLock<Arc<Server>>,
@@ -137,6 +140,8 @@
             state: Mutex::new(new_state(labels)),
             changed: Condvar::new(),
             is_up: AtomicBool::new(true),
+            is_sick: AtomicBool::new(false),
+            refused: AtomicU64::new(0),
             store: Arc::clone(store),
             record: Arc::clone(record),
             server: std::sync::OnceLock::new(),
@@ -246,6 +251,12 @@
         self.server().open();
     }
 
+    /// Lets the worker refuse all starts, or take them again; returns those that it has refused.
+    pub fn set_sick(&self, is_sick: bool) -> u64 {
+        self.is_sick.store(is_sick, Ordering::SeqCst);
+        self.refused.load(Ordering::SeqCst)
+    }
+
     /// Runs at work, by task.
     pub fn running(&self) -> BTreeMap<String, Run> {
         self.state.lock().unwrap().running.clone()
@@ -267,6 +278,10 @@
             state.lease_end_ms = state.lease_end_ms.max(end.min(longest));
         }
         match request.call.as_str() {
+            "POST /api/run-start" if self.is_sick.load(Ordering::SeqCst) => {
+                self.refused.fetch_add(1, Ordering::SeqCst);
+                (503, Json::Null)
+            }
             "POST /api/run-start" => self.start_run(&mut state, body),
             "POST /api/run-stop" => {
                 let (task, run) =
