--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -38,9 +38,10 @@
     record: Arc<Record>,
 }
 
-fn free_port(ip: Ipv4Addr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound socket").port()
+/// Free ports of an address, all different.
+fn free_ports(ip: Ipv4Addr) -> [u16; 4] {
+    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound socket").port())
 }
 
 /// Writes the first configuration, with one queue.
@@ -90,8 +91,7 @@
         let first = 20 + (std::process::id() % 200) as u8;
         for number in 0..count {
             let ip = Ipv4Addr::new(127, 0, 20 + number as u8, first);
-            let (callers, readiness, peers, control) =
-                (free_port(ip), free_port(ip), free_port(ip), free_port(ip));
+            let [callers, readiness, peers, control] = free_ports(ip);
             let name = format!("frontend-bilbao-a-{}", number + 1);
             let settings = cell.folder.join(format!("{name}.toml"));
             std::fs::write(
@@ -112,7 +112,13 @@
         }
         let until = Instant::now() + Duration::from_secs(20);
         while !(0..count).all(|number| cell.is_ready(number)) {
-            assert!(Instant::now() < until, "the daemons are not ready");
+            if Instant::now() > until {
+                for daemon in &cell.daemons {
+                    let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+                    record.write(&format!("log of {}:\n{log}", daemon.name));
+                }
+                panic!("the daemons are not ready");
+            }
             std::thread::sleep(Duration::from_millis(50));
         }
         cell.record.write("all daemons are ready");
