--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -170,8 +170,8 @@
         .collect();
     let cell = Cell::start(3, server.address, folder, record);
     // Jobs that require kind `a` and take a whole worker of it for a while; some always wait.
-    let job = r#"{"spec":"ms=1500 label=a","steps":[{"count":1,"cpu":16000,"mem_mb":1024,"estimate_ms":1500,"requirements":"a"}]}"#;
-    for round in 0..6 {
+    let job = r#"{"spec":"ms=1500 label=a","steps":[{"count":2,"cpu":7500,"mem_mb":17000,"estimate_ms":1500,"requirements":"a"}]}"#;
+    for round in 0..4 {
         for number in 0..6 {
             let id = format!("00000000000{round:02x}{number:03x}");
             cell.request(number % 3, "POST", &id, job).filter(|(status, _)| *status == 200)?;
@@ -203,14 +203,14 @@
         .collect();
     let cell = Cell::start(3, server.address, folder, record);
     if has_trouble {
-        // Seven tasks of a whole worker each, on six workers.
-        let hopeless = r#"{"spec":"ms=500","steps":[{"count":7,"cpu":16000,"mem_mb":1024,"estimate_ms":500,"all_or_nothing":true}]}"#;
+        // Thirteen tasks of 7.5 cores, of which a worker of 16 cores holds two, on six workers.
+        let hopeless = r#"{"spec":"ms=500","steps":[{"count":13,"cpu":7500,"mem_mb":17000,"estimate_ms":500,"all_or_nothing":true}]}"#;
         cell.request(0, "POST", "00000000000000aa", hopeless)
             .filter(|(status, _)| *status == 200)?;
         sleep(0.3);
     }
     let small =
-        r#"{"spec":"ms=500","steps":[{"count":2,"cpu":1000,"mem_mb":256,"estimate_ms":500}]}"#;
+        r#"{"spec":"ms=500","steps":[{"count":2,"cpu":1400,"mem_mb":4000,"estimate_ms":500}]}"#;
     let ids: Vec<String> = (0..20).map(|number| format!("000000000000b0{number:02x}")).collect();
     let mut accepted = Vec::new();
     for (number, id) in ids.iter().enumerate() {
@@ -256,12 +256,11 @@
         })
         .collect();
     let cell = Cell::start(3, server.address, folder, record);
-    // Nine jobs of 400 tasks: 180 of 192 cores, up to 640 tasks a worker, of 2 to 6 s.
-    let job = r#"{"spec":"ms=2000 every=1 spread=3000","steps":[{"count":400,"cpu":40,"mem_mb":128,"estimate_ms":4000}]}"#;
-    let ids: Vec<String> = (0..9).map(|number| format!("00000000000000d{number}")).collect();
+    // Sixty jobs of 60 tasks of 0.04 cores: up to 800 tasks a worker, of 2 to 5 s.
+    let job = r#"{"spec":"ms=2000 every=1 spread=3000","steps":[{"count":60,"cpu":40,"mem_mb":128,"estimate_ms":4000}]}"#;
+    let ids: Vec<String> = (0..60).map(|number| format!("00000000000000{number:02}")).collect();
     for (number, id) in ids.iter().enumerate() {
         cell.request(number % 3, "POST", id, job).filter(|(status, _)| *status == 200)?;
-        sleep(0.05);
     }
     sleep(0.6);
     let counts = |what: &str| {
