Each leader stops the runs that stored jobs have given up

Cause: only the change of a job's phase ordered stops, and these orders were in that leader's memory. The next leader restored the runs of the cancelled job, and the first list that showed them made them running ones. Ruled out: a cancellation that is answered before it is stored; the next leader reports the job as cancelled. Change: at each list of a worker, runs of cancelled, failed or unknown jobs and of gangs that lost a member are stopped. This works as the list is the one thing that each leader sees before such a run can go on.

--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -258,3 +258,32 @@
     }
     assert_eq!(sim.store.epoch(), epoch + 1);
 }
+
+/// Whether a worker runs a task of a job.
+fn is_running(sim: &Simulation, id: &str) -> bool {
+    sim.workers.values().any(|worker| worker.running.keys().any(|key| &*key.job == id))
+}
+
+// Guards against a cancelled job's runs that go on if the leader ends before their worker is
+// reachable again.
+#[test]
+fn cancelled_job_is_stopped_by_next_leader() {
+    let mut sim = start_with_leader(15, 5);
+    sim.run_time = Some(ms(60_000));
+    assert_eq!(sim.submit(job("j1", vec![step(2, 60_000)])), Some(Answer::Accepted));
+    assert!(sim.run_until(ms(3000), |sim| is_running(sim, "j1")));
+    for worker in sim.workers.values_mut() {
+        worker.is_reachable = false;
+    }
+    let token = sim.call(0, Operation::Cancel(common::Name::new("j1")));
+    sim.run(ms(400));
+    assert_eq!(sim.answers.get(&token), Some(&Answer::Cancelled));
+    let leader = sim.leader().expect("a node leads");
+    sim.kill(leader);
+    assert!(other_leader(&mut sim, leader, ms(1500)).is_some());
+    for worker in sim.workers.values_mut() {
+        worker.is_reachable = true;
+    }
+    assert!(is_running(&sim, "j1"), "no lease has expired yet");
+    assert!(sim.run_until(ms(2000), |sim| !is_running(sim, "j1")), "the runs go on");
+}
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -189,6 +189,23 @@
         self.steps.iter().any(|step| step.tasks.iter().any(|task| task.worker.is_some()))
     }
 
+    /// Whether a run of one of its tasks must be stopped: the job was cancelled or failed, or
+    /// another member of the task's gang has ended without success.
+    pub(crate) fn has_given_up(&self, key: &TaskKey, run: u32) -> bool {
+        match self.phase {
+            Phase::Cancelled | Phase::Failed => true,
+            Phase::Completed => false,
+            Phase::Open => {
+                let step = key.step as usize;
+                let spec = self.submission.steps.get(step);
+                let is_broken = |step: &StepState| {
+                    step.tasks.iter().any(|task| task.run == run && task.is_waiting())
+                };
+                spec.is_some_and(|spec| spec.is_gang) && self.steps.get(step).is_some_and(is_broken)
+            }
+        }
+    }
+
     /// Whether its record must tell its submission and tasks.
     pub(crate) fn needs_details(&self) -> bool {
         self.phase == Phase::Open || self.has_runs()
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -71,7 +71,9 @@
 
     /// Compares the runs that a worker lists with the runs assigned to it.
     ///
-    /// Unlisted runs that must have ended count as expired leases; unknown runs are stopped.
+    /// Unlisted runs that must have ended count as expired leases. Unknown runs are stopped, and so
+    /// are those that their jobs have given up: a former leader's orders to stop them may not have
+    /// arrived.
     fn reconcile_runs(
         &mut self,
         id: &Name,
@@ -84,6 +86,7 @@
         let mut listed = BTreeSet::new();
         let mut stops = Vec::new();
         let Some(worker) = self.pool.get_mut(id) else { return };
+        let jobs = &self.jobs;
         worker.has_current_token = true;
         worker.is_reachable = true;
         let mut has_unknown_runs = false;
@@ -103,6 +106,11 @@
                 assignment.state = RunState::Running;
                 assignment.changed_at = now;
             }
+            let is_unwanted = jobs.get(&key.job).is_none_or(|job| job.has_given_up(&key, run.run));
+            if assignment.state == RunState::Running && is_unwanted {
+                assignment.state = RunState::Stopping;
+                stops.push(StopOrder { key: key.clone(), run: run.run, worker: id.clone() });
+            }
             listed.insert(key);
         }
         worker.has_unknown_runs = has_unknown_runs;
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -266,6 +266,56 @@
     assert_eq!((restarts[0].key.index, restarts[0].run), (starts[1].key.index, 2));
 }
 
+/// A pool in which the next leader knows only a job's record, and the listing of `w1`, which lists
+/// its runs in `starts`.
+fn take_over(former: &Scheduler, id: &str, starts: &[StartOrder]) -> (Scheduler, Listing) {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    let record = former.jobs[id].record();
+    scheduler.add_job(scheduler::Job::from_record(record, NOW).expect("the record is valid"));
+    let own = starts.iter().filter(|start| &*start.worker == "w1");
+    let running = own.map(|start| ActiveRun {
+        key: Some(start.key.clone()),
+        run: start.run,
+        checkpoint: Name::default(),
+        percent: 0,
+    });
+    let listing = Listing { incarnation: 1, running: running.collect(), finished: Vec::new() };
+    (scheduler, listing)
+}
+
+// Guards against tasks of a cancelled or failed job that run on after a change of leader.
+#[test]
+fn listing_stops_runs_of_job_ended_under_previous_leader() {
+    for phase in [Phase::Cancelled, Phase::Failed] {
+        let mut first = pool(&["w1", "w2"], None);
+        submit(&mut first, "j", vec![step(2)]);
+        let starts = place(&mut first, NOW);
+        confirm_starts(&mut first, &starts);
+        first.cancel("j", 0);
+        first.jobs.get_mut("j").expect("the job is known").phase = phase;
+        let (mut second, listing) = take_over(&first, "j", &starts);
+        second.apply_listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
+        assert_eq!(second.stops.len(), listing.running.len(), "{phase:?}");
+        second.apply_listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
+        assert_eq!(second.stops.len(), listing.running.len(), "each run is stopped once");
+    }
+}
+
+// Guards against gang members that wait for an ended one after a change of leader.
+#[test]
+fn listing_stops_rest_of_gang_broken_under_previous_leader() {
+    let mut first = pool(&["w1", "w2"], None);
+    submit(&mut first, "j", vec![Step { is_gang: true, ..step(3) }]);
+    let starts = place(&mut first, NOW);
+    confirm_starts(&mut first, &starts);
+    let ended = starts.iter().find(|start| &*start.worker == "w2").expect("w2 has a member");
+    end_run(&mut first, ended, Outcome::LeaseExpired);
+    let (mut second, listing) = take_over(&first, "j", &starts);
+    second.apply_listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
+    assert!(!listing.running.is_empty());
+    assert_eq!(second.stops.len(), listing.running.len());
+}
+
 #[test]
 fn reported_state_follows_durable_phase() {
     let mut scheduler = pool(&["w1"], None);
