Only a complete list of a worker proves that a run has ended

Evidence: in a cell whose workers list 500 ended runs at a time, just the runs beyond the first 500 are started again (300 of 800 on one worker). Cause: a run that a worker listed neither as active nor as ended counted as ended by its lease. Ended runs are listed 500 at a time and acknowledged after a commit only, so that without the store the others were missing. Ruled out: ends that were listed during the outage and forgotten; the first 500 of each worker ran once. An acknowledgement brings the next ends, so that the capacity is held until each of them is known. The stand-ins list 500 ends at a time like the platform.

--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -199,3 +199,24 @@
     sim.run(secs(1));
     assert_eq!(sim.feed_pages, 0);
 }
+
+// Guards against ended runs that are started again, as a worker has more of them than it lists.
+#[test]
+fn store_outage_with_many_ended_runs_runs_none_twice() {
+    let mut sim = start_with_leader(21, 3, 1);
+    sim.workers.values_mut().for_each(|worker| worker.capacity = 2_000_000);
+    sim.run_time = Some(secs(2));
+    sim.run(secs(1));
+    for number in 0..20 {
+        let submission = job(&format!("j{number}"), vec![step(40, 2000)]);
+        sim.call(0, Operation::Submit(submission));
+    }
+    assert!(sim.run_until(secs(1), |sim| sim.started_runs == 800));
+    sim.faults.is_store_down = true;
+    sim.run(Duration::from_millis(4200));
+    sim.faults.is_store_down = false;
+    for number in 0..20 {
+        assert!(sim.wait_for_state(&format!("j{number}"), JobState::Completed, secs(10)));
+    }
+    assert_eq!((sim.started_runs, &sim.violations), (800, &Vec::new()));
+}
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -17,6 +17,9 @@
 /// Most rows in a page.
 const PAGE_ROWS: usize = 500;
 
+/// Most finished runs that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 #[derive(Debug, Default)]
 pub struct FakeStore {
     pub rows: BTreeMap<Name, (Vec<u8>, u64)>,
@@ -434,7 +437,8 @@
             let listing = Listing {
                 incarnation: worker.incarnation,
                 running: running.collect(),
-                finished: worker.finished.clone(),
+                finished: worker.finished.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                is_complete: worker.finished.len() < MAX_LISTED_ENDS,
             };
             RenewReply::Renewed { clock_ms, listing }
         };
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -164,7 +164,7 @@
 
     fn renewal_reply(&self, call: u64, worker: &Name) -> Input {
         let running = self.runs.get(worker).cloned().unwrap_or_default();
-        let listing = Listing { incarnation: 1, running, finished: Vec::new() };
+        let listing = Listing { incarnation: 1, running, finished: Vec::new(), is_complete: true };
         Input::Renew { call, reply: RenewReply::Renewed { clock_ms: self.clock_ms(), listing } }
     }
 
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -71,9 +71,9 @@
 
     /// Compares the runs that a worker lists with the runs assigned to it.
     ///
-    /// Unlisted runs that must have ended count as expired leases. Unknown runs are stopped, and so
-    /// are those that their jobs have given up: a former leader's orders to stop them may not have
-    /// arrived.
+    /// Runs that must have ended and that a complete list lacks count as expired leases. Unknown
+    /// runs are stopped, and so are those that their jobs have given up: a former leader's orders
+    /// to stop them may not have arrived.
     fn reconcile_runs(
         &mut self,
         id: &Name,
@@ -122,6 +122,7 @@
             RunState::Stopping => is_new_incarnation && assignment.fate.is_decided(sent),
             RunState::Committing | RunState::Sent => false,
         };
+        let is_missing = |key: &TaskKey| listing.is_complete && !listed.contains(key);
         // An unanswered send may still start it, also in the worker's next incarnation.
         let may_start_again = |assignment: &Assignment| {
             assignment.state == RunState::Running
@@ -129,7 +130,7 @@
                 && assignment.fate.has_unanswered_send()
         };
         for (key, assignment) in &mut worker.assignments {
-            if !listed.contains(key) && may_start_again(assignment) {
+            if is_missing(key) && may_start_again(assignment) {
                 assignment.state = RunState::Stopping;
                 stops.push(StopOrder { key: key.clone(), run: assignment.run, worker: id.clone() });
             }
@@ -137,7 +138,7 @@
         let ended_runs = worker
             .assignments
             .iter()
-            .filter(|(key, assignment)| !listed.contains(*key) && has_ended(assignment));
+            .filter(|(key, assignment)| is_missing(key) && has_ended(assignment));
         let ended_runs: Vec<_> =
             ended_runs.map(|(key, assignment)| (key.clone(), assignment.run)).collect();
         for (key, run) in &ended_runs {
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -55,7 +55,10 @@
         pub incarnation: u64,
         /// Active runs.
         pub running: Vec<ActiveRun>,
-        /// Finished runs that were not acknowledged.
+        /// Finished runs that were not acknowledged, or the first of them.
         pub finished: Vec<FinishedRun>,
+        /// Whether each run that the worker knows is listed. If not, one that is missing may be
+        /// active or have ended with any outcome.
+        pub is_complete: bool,
     }
 }
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -48,7 +48,12 @@
                 percent: 10,
             }
         });
-    let listing = Listing { incarnation: 1, running: running.collect(), finished: vec![finished] };
+    let listing = Listing {
+        incarnation: 1,
+        running: running.collect(),
+        finished: vec![finished],
+        is_complete: true,
+    };
     scheduler.apply_listing(&start.worker, &listing, false, NOW + secs(1), NOW + secs(1), 0);
 }
 
@@ -259,7 +264,8 @@
         checkpoint: Name::default(),
         percent: 0,
     };
-    let listing = Listing { incarnation: 1, running: vec![run], finished: Vec::new() };
+    let listing =
+        Listing { incarnation: 1, running: vec![run], finished: Vec::new(), is_complete: true };
     second.apply_listing(&starts[0].worker, &listing, false, NOW, NOW, 0);
     let restarts = place(&mut second, NOW);
     assert_eq!(restarts.len(), 1);
@@ -279,7 +285,12 @@
         checkpoint: Name::default(),
         percent: 0,
     });
-    let listing = Listing { incarnation: 1, running: running.collect(), finished: Vec::new() };
+    let listing = Listing {
+        incarnation: 1,
+        running: running.collect(),
+        finished: Vec::new(),
+        is_complete: true,
+    };
     (scheduler, listing)
 }
 
@@ -301,6 +312,33 @@
     }
 }
 
+// Guards against tasks that run twice as a worker lists only the first of many ended runs.
+#[test]
+fn incomplete_list_ends_no_run_that_it_lacks() {
+    let mut first = pool(&["w1"], None);
+    submit(&mut first, "j", vec![step(2)]);
+    let starts = place(&mut first, NOW);
+    confirm_starts(&mut first, &starts);
+    let (next, _) = take_over(&first, "j", &starts);
+    let empty =
+        Listing { incarnation: 1, running: Vec::new(), finished: Vec::new(), is_complete: false };
+    for mut scheduler in [first, next] {
+        scheduler.apply_listing(&Name::new("w1"), &empty, false, NOW + secs(1), NOW + secs(1), 0);
+        assert_eq!(place(&mut scheduler, NOW + secs(2)).len(), 0, "both may have succeeded");
+        assert_eq!(scheduler.pool.get("w1").expect("the worker is known").assignments.len(), 2);
+        let complete = Listing { is_complete: true, ..empty.clone() };
+        scheduler.apply_listing(
+            &Name::new("w1"),
+            &complete,
+            false,
+            NOW + secs(2),
+            NOW + secs(2),
+            0,
+        );
+        assert_eq!(place(&mut scheduler, NOW + secs(3)).len(), 2);
+    }
+}
+
 // Guards against gang members that wait for an ended one after a change of leader.
 #[test]
 fn listing_stops_rest_of_gang_broken_under_previous_leader() {
@@ -346,7 +384,8 @@
     let mut scheduler = pool(&["w1"], None);
     let key = TaskKey { job: Name::new("x"), step: 0, index: 0 };
     let run = ActiveRun { key: Some(key), run: 3, checkpoint: Name::default(), percent: 0 };
-    let listing = Listing { incarnation: 1, running: vec![run], finished: Vec::new() };
+    let listing =
+        Listing { incarnation: 1, running: vec![run], finished: Vec::new(), is_complete: true };
     scheduler.apply_listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
     assert_eq!(scheduler.stops.len(), 1);
     submit(&mut scheduler, "j", vec![step(1)]);
@@ -367,7 +406,8 @@
     let mut later = pool(&["w1"], None);
     later.set_rules(rules_without_queue);
     later.add_job(scheduler::Job::from_record(record, NOW).expect("the record is valid"));
-    let listing = Listing { incarnation: 1, running: Vec::new(), finished: Vec::new() };
+    let listing =
+        Listing { incarnation: 1, running: Vec::new(), finished: Vec::new(), is_complete: true };
     later.apply_listing(&Name::new("w1"), &listing, false, NOW, NOW, 0);
     assert_eq!(place(&mut later, NOW).len(), 1);
 }
@@ -588,7 +628,8 @@
     assignment.fate.record_unanswered(NOW);
     assignment.fate.record_send();
     scheduler.confirm_start(start, NOW + secs(1));
-    let empty = Listing { incarnation: 1, running: Vec::new(), finished: Vec::new() };
+    let empty =
+        Listing { incarnation: 1, running: Vec::new(), finished: Vec::new(), is_complete: true };
     scheduler.apply_listing(&start.worker, &empty, false, NOW, NOW + secs(2), 0);
     assert!(scheduler.stops.is_empty(), "the listing may be older than the run");
     scheduler.apply_listing(&start.worker, &empty, false, NOW + secs(2), NOW + secs(3), 0);
--- a/crates/scheduler/tests/support/model.rs
+++ b/crates/scheduler/tests/support/model.rs
@@ -133,8 +133,12 @@
             checkpoint: Name::default(),
             percent: 0,
         });
-        let listing =
-            Listing { incarnation: 1, running: running.collect(), finished: vec![finished] };
+        let listing = Listing {
+            incarnation: 1,
+            running: running.collect(),
+            finished: vec![finished],
+            is_complete: true,
+        };
         self.scheduler.apply_listing(&start.worker, &listing, false, self.now, self.now, 0);
     }
 
--- a/crates/standin/src/platform/worker.rs
+++ b/crates/standin/src/platform/worker.rs
@@ -14,6 +14,9 @@
 /// Longest lease that a call can set, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// Most ended runs that a renewal lists.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Processor share that each task takes, in thousandths of a core.
 const TASK_CPU_MILLICORES: u32 = 1000;
 
@@ -195,7 +198,7 @@
         }
         let running = state.running.iter().map(|(task, run)| json!([task, run.run_id, "", 50]));
         let running: Vec<Value> = running.collect();
-        let finished = state.finished.iter();
+        let finished = state.finished.iter().take(MAX_LISTED_ENDS);
         let finished = finished
             .map(|(sequence, task, run, outcome)| json!([sequence, task, run, outcome, ""]));
         let finished: Vec<Value> = finished.collect();
