Gangs reserve room only if the workers can hold them

Evidence: a pool without a network; all capacity of each worker is reserved for the gang in each pass. Cause: the check that a gang can collect its room was made for queues with advice only, and it did not count the limit of tasks per worker. Ruled out: a pass that ends at the gang; it goes on and finds no capacity. Change: each gang is checked against the usable workers that may run it, with all its limits. A gang that fails the check can not start whatever is reserved for it, so that reserving is of no use to it.

--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -31,9 +31,9 @@
         }
     }
 
-    /// Whether the workers that advice allows for a gang would hold it if they were empty.
+    /// Whether the workers that may run a gang would hold it if they were empty.
     pub(super) fn can_collect(&self, pending: &PendingStep<'_>) -> bool {
-        pending.queue.advice.is_none() || self.allowed_places(pending) >= pending.spec.count
+        self.allowed_places(pending) >= pending.spec.count
     }
 
     /// Whether enough workers are allowed for a gang, so that only capacity is missing.
@@ -50,7 +50,7 @@
         let workers = workers.filter_map(|slot| self.scheduler.pool.get(&self.slots[slot].id));
         let places = workers.map(|worker| {
             let capacity = &worker.registration.capacity;
-            pending.spec.need.max_copies_in(capacity).min(pending.spec.count)
+            worker.places(pending.key, pending.spec, capacity).min(pending.spec.count)
         });
         places.fold(0, u32::saturating_add)
     }
