Leases end in time for a leader that cannot reach their workers

In a cell without a network both tasks of a job run on two workers 10.4 s after the claim. Cause: a new leader takes the runs of a worker that it never reached for ended when the longest lease from its claim on is over. The former leader, which does not know of the claim, renewed the leases each second without a bound. Change: no lease ends later than the longest lease after the sending of the last request by which the store confirmed this leader. Each later claim is answered after that, so the wait of the next leader covers it.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -120,8 +120,8 @@
 pub(crate) enum Transition {
     /// The daemon remains a follower.
     Stay,
-    /// The claim succeeded, and the daemon becomes leader.
-    BecomeLeader { head: Head, version: u64, store_clock_ms: u64 },
+    /// A request sent at `confirmed_at` showed that the claim succeeded; the daemon becomes leader.
+    BecomeLeader { head: Head, version: u64, store_clock_ms: u64, confirmed_at: Duration },
 }
 
 /// State of a daemon that does not lead.
@@ -318,7 +318,7 @@
             return Transition::Stay;
         };
         if let Stage::Claiming { head, .. } = &self.stage {
-            return verify_claim(head, &page);
+            return verify_claim(head, &page, sent);
         }
         let took = ctx.now.saturating_sub(sent);
         self.store_latency = took;
@@ -482,16 +482,16 @@
         answered: u64,
         commit: CommitResult,
     ) -> Transition {
-        let Stage::Claiming { call, head, .. } = &self.stage else { return Transition::Stay };
+        let Stage::Claiming { call, head, since } = &self.stage else { return Transition::Stay };
         if *call != answered {
             return Transition::Stay;
         }
-        let head = head.clone();
+        let (head, confirmed_at) = (head.clone(), *since);
         self.stage = Stage::Searching;
         self.next_read_at = ctx.now + HEAD_POLL_INTERVAL;
         match commit {
             CommitResult::Committed { version, store_clock_ms } => {
-                Transition::BecomeLeader { head, version, store_clock_ms }
+                Transition::BecomeLeader { head, version, store_clock_ms, confirmed_at }
             }
             CommitResult::Conflict { row } => {
                 log_event!(ctx, ClaimFailed, "epoch" => head.epoch, "reason" => "head row changed");
@@ -590,14 +590,15 @@
     }
 }
 
-/// Checks in the head row whether a claim succeeded whose answer was lost.
-fn verify_claim(claim: &Head, page: &Page) -> Transition {
+/// Checks in the head row, read at `sent`, whether a claim succeeded whose answer was lost.
+fn verify_claim(claim: &Head, page: &Page, sent: Duration) -> Transition {
     let Some(row) = page.rows.first() else { return Transition::Stay };
     match Head::from_row(&row.value) {
         Ok(head) if head == *claim => Transition::BecomeLeader {
             head,
             version: row.version,
             store_clock_ms: page.store_clock_ms,
+            confirmed_at: sent,
         },
         _ => Transition::Stay,
     }
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -3,6 +3,10 @@
 //! The end of a lease is a reading of the worker's clock, which may run slow. The leader keeps
 //! the latest lease end that it sent, and treats a lease as expired only once the slowest
 //! possible clock must have passed that end.
+//!
+//! A new leader that cannot reach a worker waits for the longest lease from its claim on. So a leader
+//! grants no lease that ends later than that after it last knew that it leads: it may have been
+//! replaced since, and still reach workers that the new leader cannot reach.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -114,6 +118,8 @@
     checks: BTreeSet<(Duration, Name)>,
     /// When this leader took over.
     elected_at: Duration,
+    /// Latest time at which a lease may end.
+    limit: Duration,
 }
 
 impl Leases {
@@ -125,9 +131,15 @@
             unchecked: BTreeSet::new(),
             checks: BTreeSet::new(),
             elected_at,
+            limit: elected_at,
         }
     }
 
+    /// Allows leases that end up to a time.
+    pub fn extend_limit(&mut self, limit: Duration) {
+        self.limit = self.limit.max(limit);
+    }
+
     /// Makes the checks that are due unchecked.
     fn take_due(&mut self, now: Duration) {
         while self.checks.first().is_some_and(|(at, _)| *at <= now) {
@@ -199,7 +211,7 @@
 
     /// Extends a worker's lease and returns its end, in the worker's ms.
     pub fn extend_lease(&mut self, id: &str, now: Duration) -> Option<u64> {
-        self.workers.get_mut(id)?.extend(now)
+        self.workers.get_mut(id)?.extend(now, self.limit)
     }
 
     /// Updates a worker's clock from the reply to an order sent at `sent`, if that is later.
@@ -271,12 +283,13 @@
         }
     }
 
-    /// Extends the lease from now and returns its end, in the worker's ms.
+    /// Extends the lease from now, up to a limit, and returns its end, in the worker's ms.
     ///
     /// Returns none until the worker's clock is known. The end counts as in force from now on,
     /// as the worker may receive it.
-    fn extend(&mut self, now: Duration) -> Option<u64> {
-        let end = self.clock?.latest_ms(now) + LEASE_LENGTH.as_millis() as u64;
+    fn extend(&mut self, now: Duration, limit: Duration) -> Option<u64> {
+        let length = LEASE_LENGTH.min(limit.saturating_sub(now));
+        let end = self.clock?.latest_ms(now) + length.as_millis() as u64;
         self.lease_end_ms = self.lease_end_ms.max(end);
         Some(end)
     }
@@ -369,6 +382,7 @@
     /// Sends a renewal to a worker.
     fn send_renewal(&mut self, ctx: &mut Context, id: &Name) {
         let Some(worker) = self.scheduler.pool.get(id) else { return };
+        let limit = self.leases.limit;
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         let has_runs = !worker.assignments.is_empty();
         let ack = std::mem::take(&mut lease.ack_position);
@@ -377,7 +391,7 @@
         let max_wait = if is_settled && has_runs { LONG_POLL_WAIT } else { Duration::ZERO };
         // The lease of an unresponsive worker is not extended, so that it expires and the
         // worker's runs can be abandoned.
-        let lease_end_ms = if lease.failures == 0 { lease.extend(ctx.now) } else { None };
+        let lease_end_ms = if lease.failures == 0 { lease.extend(ctx.now, limit) } else { None };
         let call = ctx.next_call_id();
         lease.renewal = Some((call, ctx.now));
         self.leases.renewals.insert(call, id.clone());
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -235,6 +235,11 @@
         self.journal.release_leadership();
     }
 
+    /// Records that a request to the store that was sent at a time has confirmed leadership.
+    pub fn confirm_leadership(&mut self, ctx: &Context, sent: Duration) {
+        self.leases.extend_limit(sent + ctx.config.max_lease);
+    }
+
     /// Holds back starts until a new commit confirms leadership.
     pub fn require_confirmation(&mut self, now: Duration) {
         self.unconfirmed_since = Some(now);
@@ -308,6 +313,7 @@
             CommitOutcome::NoChange => {}
             CommitOutcome::Durable { jobs, effects, first_sent } => {
                 self.last_durable = ctx.loop_clock.now();
+                self.confirm_leadership(ctx, first_sent);
                 self.unconfirmed_since = self.unconfirmed_since.filter(|since| first_sent < *since);
                 for (id, phase) in jobs {
                     self.record_durable_phase(ctx, &id, phase);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -400,7 +400,10 @@
 
     /// Becomes leader if the follower's claim succeeded.
     fn apply_transition(&mut self, transition: Transition) {
-        let Transition::BecomeLeader { head, version, store_clock_ms } = transition else { return };
+        let Transition::BecomeLeader { head, version, store_clock_ms, confirmed_at } = transition
+        else {
+            return;
+        };
         log_event!(self.ctx, BecameLeader, "epoch" => head.epoch, "version" => version);
         self.ctx.meter.add(Counter::Leadership, "claimed", 1);
         self.pending_requests.mark_all_unsent();
@@ -409,7 +412,8 @@
             RoleState::Follower(follower) => follower.peer_addresses(),
             RoleState::Leader(_) => &[],
         };
-        let leader = Leader::new(&mut self.ctx, head, version, store_clock_ms, members);
+        let mut leader = Leader::new(&mut self.ctx, head, version, store_clock_ms, members);
+        leader.confirm_leadership(&self.ctx, confirmed_at);
         self.role_state = RoleState::Leader(Box::new(leader));
     }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -216,6 +216,8 @@
     pub cut_from_store: HashSet<usize>,
     /// Nodes that cannot reach other nodes.
     pub cut_from_peers: HashSet<usize>,
+    /// Nodes that cannot reach a worker, and that worker.
+    pub cut_from_workers: HashSet<(usize, Name)>,
     /// Workers whose paths have the faults of [`FaultConfig::path`].
     pub lossy_workers: HashSet<Name>,
     /// Pages of the feed of workers that wait after the current one.
@@ -283,6 +285,7 @@
             faults: FaultConfig::default(),
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
+            cut_from_workers: HashSet::new(),
             lossy_workers: HashSet::new(),
             feed_pages: 0,
             costs: CostModel::default(),
@@ -659,7 +662,10 @@
     }
 
     /// Chooses how a request to a worker travels.
-    fn request_path(&mut self, id: &Name, timeout: Duration) -> RequestPath {
+    fn request_path(&mut self, node: usize, id: &Name, timeout: Duration) -> RequestPath {
+        if self.cut_from_workers.contains(&(node, id.clone())) {
+            return RequestPath::Lost;
+        }
         if !self.lossy_workers.contains(id) {
             let answer = AnswerPath::After(ms(1));
             return RequestPath::Delivered { after: ms(1), answer };
@@ -691,7 +697,7 @@
             let after = ms(2000 + self.random(10_000));
             RequestPath::Delivered { after, answer: AnswerPath::Lost }
         } else {
-            self.request_path(&worker.clone(), timeout)
+            self.request_path(node, &worker.clone(), timeout)
         };
         let unanswered = match &path {
             RequestPath::NotConnected => Some(control::OrderReply::Unreachable),
@@ -719,8 +725,9 @@
         let until = self.now + max_wait;
         let is_lossy = self.lossy_workers.contains(worker) && !self.faults.path.spares_renewals;
         let worker = worker.clone();
-        let path = if is_lossy {
-            self.request_path(&worker, timeout.saturating_sub(max_wait))
+        let is_cut = self.cut_from_workers.contains(&(node, worker.clone()));
+        let path = if is_lossy || is_cut {
+            self.request_path(node, &worker, timeout.saturating_sub(max_wait))
         } else {
             RequestPath::Delivered { after: ms(1), answer: AnswerPath::After(ms(1)) }
         };
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -287,3 +287,29 @@
     assert!(is_running(&sim, "j1"), "no lease has expired yet");
     assert!(sim.run_until(ms(2000), |sim| !is_running(sim, "j1")), "the runs go on");
 }
+
+// Guards against a task that runs on two workers at a time: a leader that is cut off from the store
+// and its followers renewed the lease of a worker that the next leader could not reach, for ever.
+#[test]
+fn replaced_leader_lets_leases_end_in_time() {
+    let mut sim = start_with_leader(16, 5);
+    sim.run_time = Some(ms(60_000));
+    assert_eq!(sim.submit(job("j1", vec![step(2, 60_000)])), Some(Answer::Accepted));
+    assert!(sim.run_until(ms(3000), |sim| is_running(sim, "j1")));
+    let former = sim.leader().expect("a node leads");
+    sim.cut_from_store.insert(former);
+    sim.cut_from_peers.insert(former);
+    let busy = sim.workers.values().filter(|worker| !worker.running.is_empty());
+    let busy: Vec<common::Name> = busy.map(|worker| worker.id.clone()).collect();
+    for node in (0..5).filter(|node| *node != former) {
+        sim.cut_from_workers.extend(busy.iter().map(|worker| (node, worker.clone())));
+    }
+    assert!(other_leader(&mut sim, former, ms(2500)).is_some());
+    sim.run(ms(15_000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+    let worker = |sim: &Simulation| {
+        let mut workers = sim.workers.values().filter(|worker| !worker.running.is_empty());
+        workers.next().map(|worker| worker.id.clone())
+    };
+    assert!(!busy.contains(&worker(&sim).expect("the job runs elsewhere")));
+}
