A daemon that may have lost a rack extends no lease there

The owner of a rack renewed the leases of its workers, and sent starts again, also while its own lease as a member was over. Another member may own the rack then, and waits for the workers that it cannot reach for the length of one lease from its claim on. Ruled out: reservations, first starts and quick requests; they are refused without the member's lease. Change: such a daemon sends renewals that extend nothing, and repeats no start. Before: owner_without_member_lease_extends_none and owner_without_member_lease_repeats_no_start fail; after: they and the other tests of daemon pass.

--- a/crates/daemon/src/node/allocator/renewals.rs
+++ b/crates/daemon/src/node/allocator/renewals.rs
@@ -23,14 +23,18 @@
         self.rack.expire(shared.now);
         self.refused.retain(|_, at| shared.now < *at + REFUSED_RETENTION);
         self.renew_due(shared);
-        self.retry_starts(shared);
+        if shared.can_act_as_owner() {
+            self.retry_starts(shared);
+        }
         self.expire_leases(shared);
         self.report_due(shared);
     }
 
     /// Renews the leases on workers whose renewal is due.
     ///
-    /// An unresponsive worker gets a lease of zero, which extends nothing.
+    /// An unresponsive worker gets a lease of zero, which extends nothing, and so do all workers of a
+    /// daemon that may have lost the rack: the next owner waits for the leases of those that it
+    /// cannot reach.
     pub(super) fn renew_due(&mut self, shared: &Shared) {
         let timing = &shared.config.timing;
         for (worker, renewal) in &mut self.renewal_states {
@@ -39,7 +43,8 @@
             }
             renewal.is_in_flight = true;
             renewal.sent_at = shared.now;
-            let lease = if renewal.is_unresponsive { Duration::ZERO } else { timing.task_lease };
+            let may_extend = !renewal.is_unresponsive && shared.can_act_as_owner();
+            let lease = if may_extend { timing.task_lease } else { Duration::ZERO };
             let (due, later): (Vec<_>, Vec<_>) =
                 renewal.forget.drain(..).partition(|(_, at)| *at <= shared.now);
             renewal.forget = later;
--- a/crates/daemon/tests/allocator.rs
+++ b/crates/daemon/tests/allocator.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bronzeraild::node::allocator::Allocator;
+use border::Error;
+use bronzeraild::node::allocator::{Allocator, WorkerCall};
 use bronzeraild::node::claims::{Claim, Claims};
 use bronzeraild::node::digests::Digests;
 use bronzeraild::node::membership::{Member, Membership};
@@ -162,7 +163,7 @@
     let mut shared = shared();
     let mut allocator = allocator(&shared, 1);
     let late = reserve(&mut allocator, &shared, 1);
-    shared.now += std::time::Duration::from_secs(6);
+    shared.now += Duration::from_secs(6);
     allocator.tick(&shared);
     allocator.start(&shared, &late).expect_err("the reservation has expired");
 }
@@ -178,3 +179,41 @@
     let report = allocator.probe(&shared, &probe(1, 1));
     assert_eq!(AttemptStatus::from_code(report.fate), AttemptStatus::Running);
 }
+
+// Guards against a task that runs on two workers at a time: a daemon that has lost its rack to
+// another one without knowing it renewed the leases of the rack's workers.
+#[test]
+fn owner_without_member_lease_extends_none() {
+    for may_act in [true, false] {
+        let mut shared = shared();
+        shared.is_outage_agreed = may_act;
+        let mut allocator = allocator(&shared, 1);
+        allocator.tick(&shared);
+        let extends =
+            |call: &WorkerCall| matches!(call, WorkerCall::Renew(_, renew) if renew.lease_ms > 0);
+        let calls = allocator.take_worker_calls();
+        assert_eq!(calls.len(), 6);
+        assert_eq!(calls.iter().any(extends), may_act);
+    }
+}
+
+// Guards against the same fault by a start that is sent again.
+#[test]
+fn owner_without_member_lease_repeats_no_start() {
+    for may_act in [true, false] {
+        let mut shared = shared();
+        shared.is_outage_agreed = may_act;
+        let mut allocator = allocator(&shared, 1);
+        let start = reserve(&mut allocator, &shared, 1);
+        allocator.start(&shared, &start).expect("the start is valid");
+        let calls = allocator.take_worker_calls();
+        let [WorkerCall::Start(_, sent)] = &*calls else { panic!("{calls:?}") };
+        let lost = Err(Error::NotSent { text: "refused".to_owned() });
+        allocator.handle_start_result(&shared, &sent.run, lost);
+        shared.now += Duration::from_secs(1);
+        allocator.tick(&shared);
+        let calls = allocator.take_worker_calls();
+        let is_start = |call: &WorkerCall| matches!(call, WorkerCall::Start(..));
+        assert_eq!(calls.iter().any(is_start), may_act);
+    }
+}
