Gangs lend the room that they reserve to tasks that end in time

Cause: the reservation of a gang had no bound in time. Ruled out: a limit on its time, and reservations only for gangs that start soon: wide gangs would never start in a busy pool (decision 023). Change: a gang that has waited for 3 s lends what it reserves to tasks that end before its expected start at twice their expected run time. A gang is thus held up by wrong estimates only.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -69,7 +69,7 @@
             }
             slots = allowed;
         }
-        self.reserve(pending, &slots);
+        self.reserve(pending, &slots, None);
     }
 
     /// Queues a round of advice calls that can start soon, and returns the workers that they name.
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -109,6 +109,7 @@
     /// Reserves capacity for a gang on the slots that may run it.
     pub(super) fn reserve_for_gang(&mut self, pending: &PendingStep<'_>) {
         let allowed = self.allowed_slots(pending, false);
-        self.reserve(pending, &allowed);
+        let lend_until = self.lend_until(pending);
+        self.reserve(pending, &allowed, lend_until);
     }
 }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -3,11 +3,15 @@
 //! A scheduling pass visits the open jobs by rank and works on a copy of the workers' free
 //! capacity. Capacity that a job of higher rank will use soon (a gang that waits for enough
 //! capacity, a step that waits for advice) is reserved in the copy, so that jobs of lower
-//! rank do not take it. `gangs` places gangs, `advice` decides on the calls.
+//! rank do not take it; `backfill` lends it to those that end early enough. `gangs` places gangs,
+//! `advice` decides on the calls.
 
 mod advice;
+mod backfill;
 mod gangs;
 
+pub(crate) use backfill::GangWait;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +52,10 @@
     pub(crate) reserved: Resources,
     /// The first job that capacity was reserved for.
     pub(crate) reserved_for: Option<Name>,
+    /// Part of the reserved capacity that tasks may use which end by `lent_until`.
+    lent: Resources,
+    /// Earliest time at which a job is expected to need what is lent.
+    lent_until: Duration,
 }
 
 /// Slots whose workers have a service and a label.
@@ -80,6 +88,12 @@
     steps_handled: usize,
     /// Maximum of each resource over all slots.
     largest_free: Resources,
+    /// The same at the start of the pass, with all that is lent since.
+    largest_lent: Resources,
+    /// Latest time until which capacity is lent.
+    lent_until: Duration,
+    /// Whether the expected start of a gang was refreshed.
+    has_refreshed_wait: bool,
 }
 
 /// A step with tasks that wait for placement.
@@ -91,6 +105,8 @@
     candidates: Rc<Candidates>,
     /// Indexes of the waiting tasks.
     waiting_tasks: Vec<u32>,
+    /// When a task placed now has ended at the latest; for a gang, or if no room is lent, the maximum.
+    ends_at: Duration,
 }
 
 impl Scheduler {
@@ -105,6 +121,8 @@
             expected_use: Resources::default(),
             reserved: Resources::default(),
             reserved_for: None,
+            lent: Resources::default(),
+            lent_until: Duration::ZERO,
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -128,8 +146,12 @@
             max_reserving_gangs,
             steps_handled: 0,
             largest_free: Resources::default(),
+            largest_lent: Resources::default(),
+            lent_until: Duration::ZERO,
+            has_refreshed_wait: false,
         };
         pass.update_largest_free();
+        pass.largest_lent = pass.largest_free;
         for id in ranked {
             if pass.steps_handled >= MAX_STEPS_PER_PASS {
                 break;
@@ -169,6 +191,7 @@
 
     /// Places a step, unless its tasks cannot fit or its gang has runs.
     fn place_step(&mut self, id: &Name, step_index: usize, queue: &Queue) {
+        let ends_at = self.latest_end(id, step_index, queue);
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let spec = &job.submission.steps[step_index];
         let state = &mut job.steps[step_index];
@@ -176,7 +199,9 @@
         if spec.is_gang && !state.all_waiting() {
             return;
         }
-        if !spec.is_gang && !spec.need.fits_in(&self.largest_free) {
+        let may_fit = spec.need.fits_in(&self.largest_free)
+            || (ends_at <= self.lent_until && spec.need.fits_in(&self.largest_lent));
+        if !spec.is_gang && !may_fit {
             return;
         }
         if let Some(advice) = &queue.advice
@@ -195,10 +220,7 @@
             }
             // In a full pool, more advice is of no use soon after the last.
             let had_advice = state.last_advice_at > Duration::ZERO;
-            if had_advice
-                && self.now < state.last_advice_at + GANG_ADVICE_DELAY
-                && !spec.need.fits_in(&self.largest_free)
-            {
+            if had_advice && self.now < state.last_advice_at + GANG_ADVICE_DELAY && !may_fit {
                 return;
             }
         }
@@ -213,6 +235,7 @@
             queue,
             candidates,
             waiting_tasks,
+            ends_at,
         };
         if spec.is_gang { self.place_gang(pending) } else { self.place_tasks(pending) }
     }
@@ -282,7 +305,7 @@
     /// Number of tasks of a step that fit on a slot.
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
         let slot = &self.slots[slot];
-        let copies = pending.spec.need.max_copies_in(&slot.free_capacity);
+        let copies = pending.spec.need.max_copies_in(&slot.available(pending.ends_at));
         if copies == 0 || pending.spec.spread == 0 {
             return copies;
         }
@@ -291,12 +314,15 @@
             .map_or(copies, |worker| copies.min(worker.remaining_spread(pending.key, pending.spec)))
     }
 
-    /// The feasible slot with the least free CPU, preferably with the affinity label.
+    /// The feasible slot with the least free CPU, preferably with the affinity label, and on room
+    /// that is lent only if there is no other.
     fn best_slot(&self, pending: &PendingStep<'_>, feasible: &[usize]) -> Option<usize> {
         let feasible =
             feasible.iter().copied().filter(|slot| self.fitting_tasks(pending, *slot) > 0);
         feasible.min_by_key(|slot| {
-            (!self.has_affinity(pending.spec, *slot), self.slots[*slot].free_capacity.cpu)
+            let free = &self.slots[*slot].free_capacity;
+            let is_lent = !pending.spec.need.fits_in(free);
+            (is_lent, !self.has_affinity(pending.spec, *slot), free.cpu)
         })
     }
 
@@ -314,13 +340,14 @@
         let (id, step_index) = pending.key;
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let step = &mut job.steps[step_index as usize];
+        step.gang_wait = None;
         let gang_run = step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         for (index, slot) in chosen {
             let slot = &mut self.slots[*slot];
             let task = &mut step.tasks[*index as usize];
             task.run = if pending.spec.is_gang { gang_run } else { task.run + 1 };
             task.worker = Some(slot.id.clone());
-            slot.free_capacity = slot.free_capacity.minus(&pending.spec.need);
+            slot.take(&pending.spec.need);
             let key = TaskKey { job: id.clone(), step: step_index, index: *index };
             let assignment = Assignment {
                 run: task.run,
@@ -338,8 +365,14 @@
         self.scheduler.changed_jobs.insert(id.clone());
     }
 
-    /// Reserves capacity for the waiting tasks of a step on the first slots with room.
-    fn reserve(&mut self, pending: &PendingStep<'_>, slots: &[usize]) {
+    /// Reserves capacity for the waiting tasks of a step on the first slots with room, and lends it
+    /// until a time, if there is one.
+    fn reserve(
+        &mut self,
+        pending: &PendingStep<'_>,
+        slots: &[usize],
+        lend_until: Option<Duration>,
+    ) {
         let mut remaining = pending.waiting_tasks.len() as u32;
         for slot in slots {
             let taken = self.fitting_tasks(pending, *slot).min(remaining);
@@ -348,9 +381,11 @@
             }
             let capacity = pending.spec.need.times(taken);
             let slot = &mut self.slots[*slot];
-            slot.free_capacity = slot.free_capacity.minus(&capacity);
-            slot.reserved = slot.reserved.plus(&capacity);
-            slot.reserved_for.get_or_insert_with(|| pending.key.0.clone());
+            slot.reserve(&capacity, pending.key.0);
+            if let Some(until) = lend_until {
+                slot.lend(&capacity, until);
+                self.lent_until = self.lent_until.max(until);
+            }
             remaining -= taken;
             if remaining == 0 {
                 return;
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -10,6 +10,9 @@
 use crate::scheduler::Scheduler;
 use crate::worker::{Assignment, Worker};
 
+/// Age of an overdue run, divided by the time for which it is expected to last on.
+const OVERDUE_AGE_DIVISOR: u32 = 4;
+
 /// What a worker has left for tasks of one step.
 struct Room {
     free: Resources,
@@ -71,7 +74,9 @@
         let mut ends = Vec::new();
         for (index, worker) in allowed.iter().enumerate() {
             let runs = worker.assignments.iter();
-            ends.extend(runs.map(|(task, run)| (self.expected_end(task, run), index, task, run)));
+            ends.extend(
+                runs.map(|(task, run)| (self.expected_end(task, run, now), index, task, run)),
+            );
         }
         ends.sort_unstable_by_key(|(end, index, ..)| (*end, *index));
         for (end, index, task, run) in ends {
@@ -117,12 +122,13 @@
         Some((slot.reserved_for.as_ref()?, &slot.reserved))
     }
 
-    /// When a run is expected to end, by its estimate.
-    fn expected_end(&self, key: &TaskKey, run: &Assignment) -> Duration {
+    /// When a run is expected to end: by its estimate, or if it is overdue, by its age.
+    fn expected_end(&self, key: &TaskKey, run: &Assignment, now: Duration) -> Duration {
         let run_time = self.jobs.get(&key.job).and_then(|job| {
             let spec = job.submission.steps.get(key.step as usize)?;
             Some(self.estimator.run_time(&job.queue, spec.estimate))
         });
-        run.changed_at + run_time.unwrap_or_default()
+        let end = run.changed_at + run_time.unwrap_or_default();
+        if end > now { end } else { now + now.saturating_sub(run.changed_at) / OVERDUE_AGE_DIVISOR }
     }
 }
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -6,6 +6,7 @@
 use common::Name;
 
 use crate::job::Task;
+use crate::placement::GangWait;
 
 common::data! {
     /// Advice on whether a worker may run a step.
@@ -43,6 +44,8 @@
         pub advice_not_before: Duration,
         /// Time of the last advice received; zero before the first.
         pub last_advice_at: Duration,
+        /// Its wait for room, if it is a gang that reserves capacity.
+        pub(crate) gang_wait: Option<GangWait>,
     }
 }
 
@@ -61,6 +64,7 @@
             advice_failures: 0,
             advice_not_before: Duration::ZERO,
             last_advice_at: Duration::ZERO,
+            gang_wait: None,
         }
     }
 
