--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -4,9 +4,9 @@
 //! the latest lease end that it sent, and treats a lease as expired only once the slowest
 //! possible clock must have passed that end.
 //!
-//! A new leader that cannot reach a worker waits for the longest lease from its claim on. So a leader
-//! grants no lease that ends later than that after it last knew that it leads: it may have been
-//! replaced since, and still reach workers that the new leader cannot reach.
+//! A new leader that cannot reach a worker waits for the longest lease from its claim on. So a
+//! leader grants no lease that ends later than that after the store last confirmed that it leads:
+//! it may have been replaced since, and still reach workers that the new leader cannot reach.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -118,7 +118,7 @@
     checks: BTreeSet<(Duration, Name)>,
     /// When this leader took over.
     elected_at: Duration,
-    /// Latest time at which a lease may end.
+    /// Latest time at which a lease may end, by the leader's clock.
     limit: Duration,
 }
 
--- a/crates/daemon/src/node/allocator/renewals.rs
+++ b/crates/daemon/src/node/allocator/renewals.rs
@@ -32,7 +32,7 @@
 
     /// Renews the leases on workers whose renewal is due.
     ///
-    /// An unresponsive worker gets a lease of zero, which extends nothing, and so do all workers of a
+    /// An unresponsive worker gets a lease of zero, which extends nothing. So do all workers of a
     /// daemon that may have lost the rack: the next owner waits for the leases of those that it
     /// cannot reach.
     pub(super) fn renew_due(&mut self, shared: &Shared) {
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -105,7 +105,7 @@
     candidates: Rc<Candidates>,
     /// Indexes of the waiting tasks.
     waiting_tasks: Vec<u32>,
-    /// When a task placed now has ended at the latest; for a gang, or if no room is lent, the maximum.
+    /// When a task placed now has ended at the latest; the maximum if it may use no lent room.
     ends_at: Duration,
 }
 
--- a/crates/scheduler/tests/backfill.rs
+++ b/crates/scheduler/tests/backfill.rs
@@ -8,10 +8,8 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{
-    ActiveRun, FinishedRun, Listing, Outcome, RunState, Scheduler, StartOrder, Step, TaskKey,
-};
-use support::{NO_DELAY, NOW, ample_advice, pool, secs, step, submit};
+use scheduler::{Outcome, RunState, Scheduler, StartOrder, Step};
+use support::{NO_DELAY, NOW, ample_advice, end_run, pool, secs, step, submit};
 
 /// Interval between passes.
 const TICK: Duration = Duration::from_millis(100);
@@ -66,24 +64,9 @@
     }
 
     fn end_run(&mut self, start: &StartOrder) {
-        let finished = FinishedRun {
-            position: 1,
-            key: Some(start.key.clone()),
-            run: start.run,
-            outcome: Some(Outcome::Done),
-            checkpoint: Name::default(),
-        };
-        let to_active = |key: &TaskKey, run: u32| ActiveRun {
-            key: Some(key.clone()),
-            run,
-            checkpoint: Name::default(),
-            percent: 0,
-        };
         let others = self.runs.iter().filter(|(_, run)| run.worker == start.worker);
-        let running = others.map(|(_, run)| to_active(&run.key, run.run)).collect();
-        let listing =
-            Listing { incarnation: 1, running, finished: vec![finished], is_complete: true };
-        self.scheduler.apply_listing(&start.worker, &listing, false, self.now, self.now, 0);
+        let active = others.map(|(_, run)| (&run.key, run.run));
+        end_run(&mut self.scheduler, start, Outcome::Done, active, self.now);
     }
 
     /// Time of a job's first start since the cell was made.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -7,8 +7,8 @@
 
 use common::Name;
 use scheduler::{
-    ActiveRun, FinishedRun, JobState, Listing, Outcome, Phase, Refusal, Registration, Resources,
-    RunState, Scheduler, StartOrder, Step, TaskKey,
+    ActiveRun, JobState, Listing, Outcome, Phase, Refusal, Registration, Resources, RunState,
+    Scheduler, StartOrder, Step, TaskKey,
 };
 use support::{
     NO_DELAY, NOW, advice_policy, ample_advice, answer_advice, new_registration, pool, rules, secs,
@@ -29,32 +29,13 @@
     }
 }
 
+/// Ends a run; the others of its worker go on.
 fn end_run(scheduler: &mut Scheduler, start: &StartOrder, outcome: Outcome) {
-    let finished = FinishedRun {
-        position: 1,
-        key: Some(start.key.clone()),
-        run: start.run,
-        outcome: Some(outcome),
-        checkpoint: Name::default(),
-    };
-    let assigned_runs =
-        scheduler.pool.get(&start.worker).expect("the worker is known").assignments.clone();
-    let running =
-        assigned_runs.iter().filter(|(key, _)| **key != start.key).map(|(key, assignment)| {
-            ActiveRun {
-                key: Some(key.clone()),
-                run: assignment.run,
-                checkpoint: Name::default(),
-                percent: 10,
-            }
-        });
-    let listing = Listing {
-        incarnation: 1,
-        running: running.collect(),
-        finished: vec![finished],
-        is_complete: true,
-    };
-    scheduler.apply_listing(&start.worker, &listing, false, NOW + secs(1), NOW + secs(1), 0);
+    let worker = scheduler.pool.get(&start.worker).expect("the worker is known");
+    let assigned = worker.assignments.clone();
+    let others = assigned.iter().filter(|(key, _)| **key != start.key);
+    let active = others.map(|(key, assignment)| (key, assignment.run));
+    support::end_run(scheduler, start, outcome, active, NOW + secs(1));
 }
 
 fn phase(scheduler: &Scheduler, id: &str) -> Phase {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -8,8 +8,9 @@
 
 use common::Name;
 use scheduler::{
-    AdviceCapacity, AdviceKey, AdvicePolicy, CallClass, Limits, Queue, Registration, Resources,
-    Rules, Scheduler, Step, Submission,
+    ActiveRun, AdviceCapacity, AdviceKey, AdvicePolicy, CallClass, FinishedRun, Limits, Listing,
+    Outcome, Queue, Registration, Resources, Rules, Scheduler, StartOrder, Step, Submission,
+    TaskKey,
 };
 
 pub const NOW: Duration = Duration::from_secs(10);
@@ -79,6 +80,36 @@
     scheduler.submit(job, Name::new("q"), NOW, 0);
 }
 
+/// Applies a list of a worker on which a run has ended and others are active.
+pub fn end_run<'a>(
+    scheduler: &mut Scheduler,
+    start: &StartOrder,
+    outcome: Outcome,
+    active: impl Iterator<Item = (&'a TaskKey, u32)>,
+    now: Duration,
+) {
+    let finished = FinishedRun {
+        position: 1,
+        key: Some(start.key.clone()),
+        run: start.run,
+        outcome: Some(outcome),
+        checkpoint: Name::default(),
+    };
+    let running = active.map(|(key, run)| ActiveRun {
+        key: Some(key.clone()),
+        run,
+        checkpoint: Name::default(),
+        percent: 10,
+    });
+    let listing = Listing {
+        incarnation: 1,
+        running: running.collect(),
+        finished: vec![finished],
+        is_complete: true,
+    };
+    scheduler.apply_listing(&start.worker, &listing, false, now, now, 0);
+}
+
 /// Answers the oldest pending advice call of a step.
 pub fn answer_advice(
     scheduler: &mut Scheduler,
--- a/crates/scheduler/tests/support/model.rs
+++ b/crates/scheduler/tests/support/model.rs
@@ -6,11 +6,11 @@
 
 use common::Name;
 use scheduler::{
-    AdviceCall, AdviceCapacity, AdvicePolicy, CallClass, FinishedRun, Listing, Outcome, Phase,
-    Registration, Resources, RunState, Scheduler, StartOrder,
+    AdviceCall, AdviceCapacity, AdvicePolicy, CallClass, Outcome, Phase, Registration, Resources,
+    RunState, Scheduler, StartOrder,
 };
 
-use super::{NO_DELAY, NOW, new_registration, rules};
+use super::{NO_DELAY, NOW, end_run, new_registration, rules};
 
 /// Time between two passes.
 const TICK: Duration = Duration::from_millis(10);
@@ -119,27 +119,9 @@
     }
 
     fn end_run(&mut self, start: &StartOrder) {
-        let finished = FinishedRun {
-            position: 1,
-            key: Some(start.key.clone()),
-            run: start.run,
-            outcome: Some(Outcome::Done),
-            checkpoint: Name::default(),
-        };
-        let running = self.runs.values().filter(|run| run.worker == start.worker);
-        let running = running.map(|run| scheduler::ActiveRun {
-            key: Some(run.key.clone()),
-            run: run.run,
-            checkpoint: Name::default(),
-            percent: 0,
-        });
-        let listing = Listing {
-            incarnation: 1,
-            running: running.collect(),
-            finished: vec![finished],
-            is_complete: true,
-        };
-        self.scheduler.apply_listing(&start.worker, &listing, false, self.now, self.now, 0);
+        let others = self.runs.values().filter(|run| run.worker == start.worker);
+        let active = others.map(|run| (&run.key, run.run));
+        end_run(&mut self.scheduler, start, Outcome::Done, active, self.now);
     }
 
     /// Number of jobs that have completed.
