A restarted worker is used only with its new registration

Evidence: a pool without a network places such a task as soon as the next incarnation has listed its runs, and no more once its row is known. Cause: a list of the next incarnation made the worker usable, with labels, capacity and advice of the former one; the row was read up to 0.4 s later. Ruled out: a row that is not replaced. Change: a worker is used only if its registration is that of the incarnation that lists its runs; a row that is older than a list is read at once; starts are checked again when they are sent; advice on a former incarnation and its quarantine are forgotten. So nothing known of one incarnation decides about the next.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -514,6 +514,9 @@
             store_clock_ms,
         );
         self.log_ended_runs(ctx, id);
+        if self.scheduler.pool.get(id).is_some_and(|worker| !worker.is_described()) {
+            self.workers_watch_at = self.workers_watch_at.map(|at| at.min(now));
+        }
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         lease.next_renewal = now;
         lease.unacked_position = position;
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -71,8 +71,7 @@
             return;
         }
         let is_first = assignment.state == RunState::Committing;
-        let is_usable =
-            worker.has_current_token && !worker.registration.is_draining && worker.is_listed;
+        let may_send = self.scheduler.may_send(&start);
         let Some(job) = self.scheduler.jobs.get(&start.key.job) else { return };
         let queue = self.scheduler.queue(&job.queue);
         let needs_ticket = queue.is_some_and(|queue| queue.advice.is_some());
@@ -84,7 +83,7 @@
         let address = self.leases.address(&start.worker);
         let lease_end_ms = self.leases.extend_lease(&start.worker, now);
         let (Some(address), Some(lease_end_ms), Some(checkpoint), true, false) =
-            (address, lease_end_ms, checkpoint, is_usable, has_ended || (is_withdrawn && is_first))
+            (address, lease_end_ms, checkpoint, may_send, has_ended || (is_withdrawn && is_first))
         else {
             self.withdraw(ctx, start, is_first, needs_ticket);
             return;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -51,7 +51,8 @@
             self.changed.push(registration.id.clone());
         }
         worker.is_listed = true;
-        if worker.registration.incarnation < registration.incarnation {
+        let known = worker.registration.incarnation.max(worker.listed_incarnation);
+        if known < registration.incarnation {
             worker.has_current_token = false;
         }
         if worker.registration.incarnation <= registration.incarnation {
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -31,9 +31,29 @@
             self.apply_finished_run(id, finished, now, store_clock_ms);
         }
         self.reconcile_runs(id, listing, is_new_incarnation, sent, now, store_clock_ms);
+        self.forget_former_incarnation(id, listing.incarnation);
         last_position
     }
 
+    /// Forgets what is known of a worker's former incarnations if a later one lists its runs.
+    fn forget_former_incarnation(&mut self, id: &Name, incarnation: u64) {
+        let Some(worker) = self.pool.get_mut(id) else { return };
+        if worker.listed_incarnation >= incarnation {
+            return;
+        }
+        let former = std::mem::replace(&mut worker.listed_incarnation, incarnation);
+        if former == 0 {
+            return;
+        }
+        worker.end_quarantine();
+        for (_, _, job) in &self.ranked_jobs {
+            let Some(job) = self.jobs.get_mut(job) else { continue };
+            for step in &mut job.steps {
+                step.forget_advice(id);
+            }
+        }
+    }
+
     /// Releases a finished run's capacity and records its outcome.
     fn apply_finished_run(
         &mut self,
@@ -46,7 +66,7 @@
         let Some(worker) = self.pool.get_mut(id) else { return };
         let Some(assignment) = worker.release(key, finished.run) else { return };
         match outcome {
-            Outcome::Done => worker.record_success(),
+            Outcome::Done => worker.end_quarantine(),
             Outcome::Failed if worker.record_failure(now) => {
                 self.newly_quarantined.push(id.clone());
             }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -357,6 +357,17 @@
         }
     }
 
+    /// Whether a placed start may be sent: its worker accepts starts and is still one that the task
+    /// may run on.
+    pub fn may_send(&self, start: &StartOrder) -> bool {
+        let Some(worker) = self.pool.get(&start.worker) else { return false };
+        let Some(job) = self.jobs.get(&start.key.job) else { return false };
+        let spec = job.submission.steps.get(start.key.step as usize);
+        let queue = self.queue(&job.queue);
+        worker.accepts_starts()
+            && queue.zip(spec).is_some_and(|(queue, spec)| worker.can_run(queue, spec))
+    }
+
     /// Records that a worker confirmed a start.
     pub fn confirm_start(&mut self, start: &StartOrder, now: Duration) {
         let Some(worker) = self.pool.get_mut(&start.worker) else { return };
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -83,6 +83,14 @@
         self.tasks.iter().all(Task::is_waiting)
     }
 
+    /// Forgets the advice on a worker; calls under way no longer tell of it.
+    pub(crate) fn forget_advice(&mut self, worker: &Name) {
+        self.eligibility.remove(worker);
+        for named in self.pending_advice.values_mut() {
+            named.retain(|id| id != worker);
+        }
+    }
+
     /// The ticket for a worker, if it expires after `until`.
     pub fn ticket(&self, worker: &str, until: Duration) -> Option<&Name> {
         match self.eligibility.get(worker)? {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -81,6 +81,8 @@
         pub registration: Registration,
         /// Whether the list of workers contains it.
         pub is_listed: bool,
+        /// Incarnation that sent the latest list of its runs; 0 before the first.
+        pub listed_incarnation: u64,
         /// Whether it has acknowledged the current fencing token.
         pub has_current_token: bool,
         /// Whether its latest call succeeded.
@@ -104,6 +106,7 @@
         Self {
             registration,
             is_listed: true,
+            listed_incarnation: 0,
             has_current_token: false,
             is_reachable: true,
             allocated: Resources::default(),
@@ -121,14 +124,29 @@
 
     /// Whether new tasks may be placed on it.
     pub fn is_usable(&self, now: Duration) -> bool {
-        self.is_listed
-            && self.has_current_token
+        self.accepts_starts()
             && self.is_reachable
             && !self.has_unknown_runs
-            && !self.registration.is_draining
             && self.quarantined_until <= now
     }
 
+    /// Whether a start that was placed on it may be sent.
+    pub(crate) fn accepts_starts(&self) -> bool {
+        self.is_listed
+            && self.has_current_token
+            && !self.registration.is_draining
+            && self.is_described()
+    }
+
+    /// Whether the registration is that of the incarnation that lists its runs.
+    ///
+    /// The next incarnation may have other labels and another capacity. Registrations without an
+    /// incarnation count as those of any.
+    pub fn is_described(&self) -> bool {
+        let registered = self.registration.incarnation;
+        registered == 0 || self.listed_incarnation <= registered
+    }
+
     /// Adds a run and allocates its capacity.
     pub fn assign(&mut self, key: TaskKey, assignment: Assignment) {
         self.allocated = self.allocated.plus(&assignment.need);
@@ -168,8 +186,8 @@
         step.spread.saturating_sub(placed)
     }
 
-    /// Records a successful run, which ends any quarantine.
-    pub fn record_success(&mut self) {
+    /// Ends its quarantine, after a successful run or a restart.
+    pub(crate) fn end_quarantine(&mut self) {
         self.consecutive_failures = 0;
         self.quarantined_until = Duration::ZERO;
     }
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -281,6 +281,51 @@
     assert_eq!((restarts[0].key.index, restarts[0].run), (starts[1].key.index, 2));
 }
 
+/// Applies an empty list of a new incarnation of `w1`.
+fn list_incarnation(scheduler: &mut Scheduler, incarnation: u64, now: Duration) {
+    let listing =
+        Listing { incarnation, running: Vec::new(), finished: Vec::new(), is_complete: true };
+    scheduler.apply_listing(&Name::new("w1"), &listing, true, now, now, 0);
+}
+
+// Guards against tasks that start on a worker which has restarted as one of another kind.
+#[test]
+fn restarted_worker_is_not_used_before_its_registration_is_known() {
+    let mut scheduler = pool(&["w1"], None);
+    list_incarnation(&mut scheduler, 1, NOW);
+    list_incarnation(&mut scheduler, 2, NOW);
+    submit(&mut scheduler, "j", vec![Step { requirement: "kind".to_owned(), ..step(1) }]);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "its kind is not known");
+    let labels = vec![Name::new("other"), Name::new("rack")];
+    let other = Registration { incarnation: 2, labels, ..new_registration("w1", 2000) };
+    scheduler.pool.register(other);
+    list_incarnation(&mut scheduler, 2, NOW);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "its kind is another one");
+    let same = Registration { incarnation: 3, ..new_registration("w1", 2000) };
+    scheduler.pool.register(same);
+    assert_eq!(place(&mut scheduler, NOW).len(), 0, "it has not listed its runs");
+    list_incarnation(&mut scheduler, 3, NOW);
+    assert_eq!(place(&mut scheduler, NOW).len(), 1);
+}
+
+// Guards against advice on a worker's former incarnation, which may have been of another kind.
+#[test]
+fn restarted_worker_is_advised_anew() {
+    for allowed in [vec![(Name::new("w1"), Name::new("ticket"))], Vec::new()] {
+        let mut scheduler = pool(&["w1"], Some(advice_policy()));
+        list_incarnation(&mut scheduler, 1, NOW);
+        submit(&mut scheduler, "j", vec![step(1)]);
+        place(&mut scheduler, NOW);
+        scheduler.advice_calls.clear();
+        answer_advice(&mut scheduler, "j", 0, Some((allowed, Duration::from_millis(1500))), NOW);
+        let next = Registration { incarnation: 2, ..new_registration("w1", 2000) };
+        scheduler.pool.register(next);
+        list_incarnation(&mut scheduler, 2, NOW);
+        assert_eq!(place(&mut scheduler, NOW).len(), 0);
+        assert_eq!(scheduler.advice_calls.len(), 1);
+    }
+}
+
 /// A pool in which the next leader knows only a job's record, and the listing of `w1`, which lists
 /// its runs in `starts`.
 fn take_over(former: &Scheduler, id: &str, starts: &[StartOrder]) -> (Scheduler, Listing) {
