Log when a leader no longer extends leases, and how long it led when one expired

For the incident of two runs at the same time: the logs did not tell when a former leader stopped renewing (hypotheses 1 and 4 of docs/incidents/two-runs-after-a-long-cut.md), nor whether the next leader had ever heard from a worker whose runs it abandoned, and how long after its claim. Change: events 5309 and 5310; epoch, answered and led_ms in 5307. No decision is changed.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -60,6 +60,8 @@
     5306 WorkerRestarted "worker restarted";
     5307 WorkerRunsAbandoned "worker's runs abandoned";
     5308 WorkerQuarantined "worker quarantined after failed runs";
+    5309 LeasesNotExtended "leadership unconfirmed; leases are not extended";
+    5310 LeasesExtended "leadership confirmed; leases are extended again";
     5401 JobAccepted "job accepted";
     5402 JobEnded "job ended";
     5403 RequestRefused "request refused";
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -120,6 +120,8 @@
     elected_at: Duration,
     /// Latest time at which a lease may end, by the leader's clock.
     limit: Duration,
+    /// Whether the latest log event about the limit is that it has passed.
+    is_limit_passed: bool,
 }
 
 impl Leases {
@@ -132,6 +134,7 @@
             checks: BTreeSet::new(),
             elected_at,
             limit: elected_at,
+            is_limit_passed: false,
         }
     }
 
@@ -140,6 +143,20 @@
         self.limit = self.limit.max(limit);
     }
 
+    /// Logs when leases are no longer extended, and when they are extended again.
+    pub fn log_limit(&mut self, ctx: &Context, epoch: u64) {
+        let is_passed = ctx.now >= self.limit;
+        if is_passed == self.is_limit_passed {
+            return;
+        }
+        self.is_limit_passed = is_passed;
+        if is_passed {
+            log_event!(ctx, LeasesNotExtended, "epoch" => epoch);
+        } else {
+            log_event!(ctx, LeasesExtended, "epoch" => epoch);
+        }
+    }
+
     /// Makes the checks that are due unchecked.
     fn take_due(&mut self, now: Duration) {
         while self.checks.first().is_some_and(|(at, _)| *at <= now) {
@@ -332,8 +349,12 @@
                     due.insert((due_at, id));
                 }
                 LeaseCheck::Expired => {
+                    let lease = self.leases.workers.get(&id);
+                    let has_answered = lease.is_some_and(|lease| lease.clock.is_some());
+                    let led_for = ctx.now.saturating_sub(self.elected_at);
                     log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
-                        "reason" => "lease expired");
+                        "reason" => "lease expired", "epoch" => self.epoch,
+                        "answered" => has_answered, "led_ms" => led_for.as_millis() as u64);
                     self.abandon_runs(ctx, &id);
                 }
                 LeaseCheck::Later(next_check) => self.leases.schedule_check(&id, next_check),
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -508,6 +508,7 @@
     /// Runs placement when it is due, and carries out what the scheduler requests.
     fn run_scheduler(&mut self, ctx: &mut Context) {
         ctx.load.attribute(Work::Rest);
+        self.leases.log_limit(ctx, self.epoch);
         self.renew_leases(ctx);
         ctx.load.attribute(Work::LeaseScan);
         self.remove_ended_jobs(ctx);
