Leases end in time for a leader whose machine was suspended

Cause: no lease ends later than the longest lease after leadership was last confirmed, but both times are of the leader's steady clock, which does not count a suspension of its machine. A leader that was suspended for 3.5 s and went on cut off from the store and the other daemons renewed for 3.5 s more than the next leader waits. A commit that was sent before the suspension and answered after it did the same. Ruled out: a stopped process, as the clock counts that time; starts, which wait for a new commit after a suspension. Change: a reported suspension shortens the limit of leases by its length, and a request sent before it confirms nothing. Suspensions of less than 100 ms were never reported; now they add up. The simulation's clocks stand still while a node is suspended for a time that its host reports.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -143,6 +143,11 @@
         self.limit = self.limit.max(limit);
     }
 
+    /// Moves the limit back by a time that the leader's clock did not count.
+    pub fn shorten_limit(&mut self, uncounted: Duration) {
+        self.limit = self.limit.saturating_sub(uncounted);
+    }
+
     /// Logs when leases are no longer extended, and when they are extended again.
     pub fn log_limit(&mut self, ctx: &Context, epoch: u64) {
         let is_passed = ctx.now >= self.limit;
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -236,8 +236,17 @@
     }
 
     /// Records that a request to the store that was sent at a time has confirmed leadership.
+    ///
+    /// The clock does not tell the age of a request that was sent before a suspension.
     pub fn confirm_leadership(&mut self, ctx: &Context, sent: Duration) {
-        self.leases.extend_limit(sent + ctx.config.max_lease);
+        if sent >= ctx.resumed_at {
+            self.leases.extend_limit(sent + ctx.config.max_lease);
+        }
+    }
+
+    /// Shortens the leases that may be granted by a suspension, which the clock did not count.
+    pub fn shorten_leases(&mut self, suspended_for: Duration) {
+        self.leases.shorten_limit(suspended_for);
     }
 
     /// Holds back starts until a new commit confirms leadership.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -67,6 +67,8 @@
     pub config: Config,
     /// Time of the input in progress, on the host's monotonic clock.
     pub now: Duration,
+    /// End of the machine's latest suspension, which the clock did not count; zero before the first.
+    pub resumed_at: Duration,
     /// Actions to return for the input in progress.
     pub actions: Vec<Action>,
     pub log: Logger,
@@ -142,6 +144,7 @@
         let ctx = Context {
             config,
             now,
+            resumed_at: Duration::ZERO,
             actions,
             log,
             meter,
@@ -434,9 +437,10 @@
     fn handle_resume(&mut self, suspended_for: Duration) {
         self.ctx.lag.reset();
         log_event!(self.ctx, Resumed, "gap_ms" => suspended_for.as_millis() as u64);
-        if suspended_for >= CONFIRM_AFTER_SUSPENSION
-            && let RoleState::Leader(leader) = &mut self.role_state
-        {
+        self.ctx.resumed_at = self.ctx.now;
+        let RoleState::Leader(leader) = &mut self.role_state else { return };
+        leader.shorten_leases(suspended_for);
+        if suspended_for >= CONFIRM_AFTER_SUSPENSION {
             leader.require_confirmation(self.ctx.now);
         }
     }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -122,6 +122,10 @@
     pub node: Option<Node>,
     pub incarnation: u64,
     pub is_suspended: bool,
+    /// Start of the latest suspension.
+    suspended_at: Duration,
+    /// Time that its clock has not counted, as its machine was suspended.
+    suspended_total: Duration,
     held_events: Vec<Event>,
     /// Ticks and ends of suspensions, which the host handles between batches.
     due: VecDeque<Input>,
@@ -135,6 +139,11 @@
     pub fn backlog(&self) -> usize {
         self.due.len() + self.backlog.len()
     }
+
+    /// Reading of its clock at a time of the simulation.
+    fn clock(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.suspended_total)
+    }
 }
 
 /// Faults of the store and the network; none by default.
@@ -327,6 +336,8 @@
                 node: None,
                 incarnation: 0,
                 is_suspended: false,
+                suspended_at: Duration::ZERO,
+                suspended_total: Duration::ZERO,
                 held_events: Vec::new(),
                 due: VecDeque::new(),
                 backlog: Backlog::default(),
@@ -368,6 +379,7 @@
     pub fn kill(&mut self, number: usize) {
         self.slots[number].node = None;
         self.slots[number].incarnation += 1;
+        self.slots[number].suspended_total = Duration::ZERO;
         self.slots[number].held_events.clear();
         self.slots[number].due.clear();
         self.slots[number].backlog = Backlog::default();
@@ -407,10 +419,16 @@
 
     pub fn suspend(&mut self, number: usize) {
         self.slots[number].is_suspended = true;
+        self.slots[number].suspended_at = self.now;
     }
 
+    /// Resumes a process whose machine was suspended for a time, which its clock does not count; zero
+    /// if only the process was stopped.
     pub fn resume(&mut self, number: usize, suspended_for: Duration) {
-        self.slots[number].is_suspended = false;
+        let slot = &mut self.slots[number];
+        slot.is_suspended = false;
+        // A clock never goes back.
+        slot.suspended_total += suspended_for.min(self.now.saturating_sub(slot.suspended_at));
         let incarnation = self.slots[number].incarnation;
         self.schedule(
             self.now,
@@ -537,7 +555,7 @@
         match input {
             Input::Tick => slot.due.push_back(input),
             Input::Resumed { .. } => slot.due.push_front(input),
-            input => slot.backlog.push(now, input),
+            input => slot.backlog.push(slot.clock(now), input),
         }
         self.handle_next(node);
     }
@@ -551,9 +569,10 @@
                 return;
             }
             let incarnation = slot.incarnation;
+            let clock = slot.clock(now);
             let Some(running) = slot.node.as_mut() else { return };
             let queued = slot.backlog.len();
-            let due = slot.due.pop_front().map(|input| QueuedInput { input, queued_at: now });
+            let due = slot.due.pop_front().map(|input| QueuedInput { input, queued_at: clock });
             let batch = due.map_or_else(|| slot.backlog.take_batch(), |input| vec![input]);
             if batch.is_empty() {
                 return;
@@ -561,7 +580,7 @@
             let is_tick = matches!(batch[0].input, Input::Tick);
             let costs = batch.iter().map(|queued| self.costs.input_cost(&queued.input));
             let input_cost: Duration = costs.sum();
-            let actions = running.handle_batch(now, batch, queued);
+            let actions = running.handle_batch(clock, batch, queued);
             if is_tick {
                 let lag = self.timer_lags.get(&node).copied().unwrap_or_default();
                 let next_tick = now + running.tick_interval() + lag;
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -313,3 +313,55 @@
     };
     assert!(!busy.contains(&worker(&sim).expect("the job runs elsewhere")));
 }
+
+/// Cuts a node off from the store, from the other nodes and from all workers but the busy ones,
+/// which no other node reaches.
+fn cut_off_with_busy_workers(sim: &mut Simulation, former: usize) {
+    sim.cut_from_store.insert(former);
+    sim.cut_from_peers.insert(former);
+    let busy = sim.workers.values().filter(|worker| !worker.running.is_empty());
+    let busy: Vec<common::Name> = busy.map(|worker| worker.id.clone()).collect();
+    for node in (0..5).filter(|node| *node != former) {
+        sim.cut_from_workers.extend(busy.iter().map(|worker| (node, worker.clone())));
+    }
+}
+
+/// Starts a simulation in which two long tasks run, and returns its leader too.
+fn start_with_long_job(seed: u64) -> (Simulation, usize) {
+    let mut sim = start_with_leader(seed, 5);
+    sim.run_time = Some(ms(60_000));
+    assert_eq!(sim.submit(job("j1", vec![step(2, 60_000)])), Some(Answer::Accepted));
+    assert!(sim.run_until(ms(3000), |sim| is_running(sim, "j1")));
+    let leader = sim.leader().expect("a node leads");
+    (sim, leader)
+}
+
+// Guards against a task that runs on two workers at a time: the clock of a leader whose machine was
+// suspended stood still, so it renewed leases for longer than the next leader waited.
+#[test]
+fn suspended_leader_lets_leases_end_in_time() {
+    let (mut sim, former) = start_with_long_job(16);
+    cut_off_with_busy_workers(&mut sim, former);
+    sim.suspend(former);
+    sim.run(ms(3500));
+    sim.resume(former, ms(3500));
+    sim.run(ms(12_000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against the same through a commit whose answer is read after the suspension: the leader's
+// clock does not tell how long ago it was sent.
+#[test]
+fn suspended_leader_counts_no_earlier_commit() {
+    let (mut sim, former) = start_with_long_job(17);
+    sim.faults.commit_answer_delay = ms(300);
+    sim.run(ms(1000));
+    let commits = sim.store.commits;
+    assert!(sim.run_until(ms(1000), |sim| sim.store.commits > commits));
+    cut_off_with_busy_workers(&mut sim, former);
+    sim.suspend(former);
+    sim.run(ms(3500));
+    sim.resume(former, ms(3500));
+    sim.run(ms(12_000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -17,7 +17,7 @@
 /// Time after which the event loop yields although inputs are queued.
 const MAX_TURN: Duration = Duration::from_millis(10);
 
-/// Shortest suspension of the machine that is reported to the node.
+/// Shortest suspension of the machine that is reported to the node; shorter ones add up to it.
 const MIN_SUSPENSION: Duration = Duration::from_millis(100);
 
 /// Queued inputs and the waker of the event loop.
@@ -95,7 +95,7 @@
     inputs: InputQueue,
     /// Time zero of the node's clock.
     started: Instant,
-    /// Total suspension of the machine that was seen at the last check.
+    /// Total suspension of the machine that was reported to the node.
     suspended_total: Duration,
 }
 
@@ -143,8 +143,8 @@
     fn check_suspension(&mut self, cx: CX![]) {
         let suspended_total = total_suspension();
         let suspended_for = suspended_total.saturating_sub(self.suspended_total);
-        self.suspended_total = suspended_total;
         if suspended_for >= MIN_SUSPENSION {
+            self.suspended_total = suspended_total;
             self.handle_input(cx, Input::Resumed { suspended_for });
         }
     }
