--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -365,3 +365,45 @@
     sim.run(ms(12_000));
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+/// The worker that a leader has placed a task on.
+fn assigned_worker(sim: &Simulation, leader: usize) -> Option<common::Name> {
+    let pool = &sim.slots[leader].node.as_ref()?.scheduler()?.pool;
+    let mut workers = pool.iter().filter(|worker| !worker.assignments.is_empty());
+    workers.next().map(|worker| worker.registration.id.clone())
+}
+
+// Guards against a task that runs on two workers at a time: a leader whose process was stopped while
+// a commit was under way sent the starts of that commit when it went on, to a worker that had
+// restarted since and knew no later fencing token.
+#[test]
+fn stopped_leader_confirms_before_it_starts() {
+    let mut sim = start_with_leader(18, 5);
+    sim.run_time = Some(ms(60_000));
+    let former = sim.leader().expect("a node leads");
+    sim.faults.commit_answer_delay = ms(300);
+    sim.run(ms(1000));
+    let token = sim.call(former, Operation::Submit(job("j1", vec![step(1, 60_000)])));
+    let is_stored = |sim: &Simulation| {
+        let mut rows = sim.store.rows.values();
+        rows.any(|(value, _)| value.windows(2).any(|bytes| bytes == b"j1"))
+    };
+    assert!(sim.run_until(ms(3000), is_stored));
+    sim.suspend(former);
+    assert_eq!(sim.answers.get(&token), None);
+    let holder = assigned_worker(&sim, former).expect("the job is placed");
+    // The next leader places the job elsewhere.
+    sim.workers.get_mut(&holder).expect("the worker exists").is_draining = true;
+    assert!(other_leader(&mut sim, former, ms(3500)).is_some());
+    assert!(sim.run_until(ms(3000), |sim| is_running(sim, "j1")));
+    for node in (0..5).filter(|node| *node != former) {
+        sim.cut_from_workers.insert((node, holder.clone()));
+    }
+    let now = sim.now;
+    let restarted = sim.workers.get_mut(&holder).expect("the worker exists");
+    assert!(restarted.running.is_empty());
+    restarted.restart(now);
+    sim.resume(former, Duration::ZERO);
+    sim.run(ms(2000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
