--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -78,6 +78,8 @@
             /// Whether to retry at another daemon.
             try_other_daemon: bool,
         },
+        /// The job is too large to be stored; it never runs.
+        TooLarge,
         /// The outcome is unknown; the connection must be closed without a response.
         OutcomeUnknown,
     }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -7,7 +7,7 @@
 /// Least ratio of two processors or links that counts as a difference, in percent.
 const MIN_ADVANTAGE_PERCENT: u64 = 125;
 
-/// Longest time that a transaction may take on the daemon's network link.
+/// Longest time that a transaction of several jobs may take on the daemon's network link.
 ///
 /// Heartbeats and other commits wait behind it, and followers suspect a leader that is late.
 const MAX_TRANSACTION_TIME: Duration = Duration::from_millis(120);
@@ -95,12 +95,13 @@
 }
 
 impl Config {
-    /// Limits the size of transactions to what the network link carries in a short time.
-    pub(crate) fn fit_to_link(&mut self) {
-        if let Some(bytes) = self.capacity.bytes_within(MAX_TRANSACTION_TIME) {
-            let carried = bytes.max(MIN_TRANSACTION_BYTES);
-            self.max_transaction_bytes = self.max_transaction_bytes.min(carried);
-        }
+    /// Size of a transaction at which no further job is added to it, in bytes.
+    ///
+    /// The network link carries that much in a short time.
+    pub(crate) fn group_commit_bytes(&self) -> usize {
+        let carried = self.capacity.bytes_within(MAX_TRANSACTION_TIME);
+        let carried = carried.map_or(usize::MAX, |bytes| bytes.max(MIN_TRANSACTION_BYTES));
+        self.max_transaction_bytes.min(carried)
     }
 
     /// Applies new settings, except for the identity and the seed of the running daemon.
@@ -110,6 +111,5 @@
         self.peer_address = former.peer_address;
         self.incarnation = former.incarnation;
         self.seed = former.seed;
-        self.fit_to_link();
     }
 }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -52,6 +52,7 @@
     5201 StoreLost "store does not respond";
     5202 StoreRecovered "store responds again";
     5203 RowIgnored "row cannot be decoded; ignored";
+    5204 CommitRejected "store rejects a transaction";
     5301 RulesChanged "operator's rules changed";
     5302 WorkerListed "worker listed";
     5303 WorkerUnlisted "worker no longer listed";
@@ -71,6 +72,8 @@
     5409 RequestTimedOut "request timed out";
     5410 TaskStopRequested "task stop requested";
     5411 JobOverdue "job overdue and still waiting";
+    5412 JobNotStored "job cannot be stored; given up";
+    5413 CheckpointTooLong "checkpoint too long; former one kept";
 }
 
 /// Logs an event with its fields.
--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -499,8 +499,10 @@
                 self.evaluate_head(ctx, row);
                 Transition::Stay
             }
-            CommitResult::Refused | CommitResult::Unknown => {
-                log_event!(ctx, ClaimFailed, "epoch" => head.epoch, "reason" => "no answer");
+            CommitResult::Refused | CommitResult::Rejected | CommitResult::Unknown => {
+                let is_rejected = commit == CommitResult::Rejected;
+                let reason = if is_rejected { "rejected by the store" } else { "no answer" };
+                log_event!(ctx, ClaimFailed, "epoch" => head.epoch, "reason" => reason);
                 Transition::Stay
             }
         }
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -10,12 +10,17 @@
 //! transactions form a chain. A transaction whose reply was lost is resent unchanged: it either
 //! takes effect then, or conflicts with a head row that shows that it took effect before. While
 //! a reply is outstanding, a read of the head row distinguishes a lost reply from a slow store.
+//!
+//! A record that exceeds a row is split over rows of one transaction. A transaction that the store
+//! rejects as such is taken back and never resent: its jobs are written in smaller transactions,
+//! under new commit numbers, until the job at fault is found. That job is given up once the store
+//! has committed a transaction without it, so a store that rejects all costs no job.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{JobDiff, Phase, Scheduler, SegmentBuilder, StoredState};
+use scheduler::{Job, JobDiff, Phase, Scheduler, SegmentBuilder, StoredState};
 
 use crate::action::Action;
 use crate::answer::Answer;
@@ -35,6 +40,15 @@
 /// Delay before a refused transaction is resent.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Longest delay after rejections of a transaction that writes no job.
+const MAX_REJECTED_DELAY: Duration = Duration::from_secs(2);
+
+/// Entries of a transaction for the head row: its expected version and its value.
+const HEAD_ENTRIES: usize = 2;
+
+/// Jobs of a transaction from which the search for a job at fault ends.
+const SEARCH_END_JOBS: usize = 1024;
+
 /// Timeout of one send of a commit; also bounds the delay between checks.
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -70,8 +84,8 @@
 /// An action that is deferred until a change is durable.
 #[derive(Debug)]
 pub(crate) enum Effect {
-    /// Send an answer to a caller.
-    Answer(Caller, Answer),
+    /// Send an answer to a caller about the job with this id.
+    Answer(Caller, Answer, Name),
     /// Send a caller a job's state, or that there is no such job.
     JobState(Caller, Name),
     /// Send a start to its worker.
@@ -125,6 +139,29 @@
     size: usize,
     /// State that the records give.
     state: StoredState,
+    /// Whether a change in `state` was taken back, so that a full record must follow.
+    is_outdated: bool,
+}
+
+/// Search for the job for which the store rejects a transaction.
+#[derive(Debug)]
+struct Search {
+    /// Most jobs to write with the next batch.
+    max_jobs: usize,
+    /// The job that a rejected transaction wrote alone.
+    suspect: Option<Name>,
+}
+
+/// Jobs and rows that a batch writes.
+#[derive(Debug, Default)]
+struct Packed {
+    /// Jobs that are durable with the batch, with their phases.
+    jobs: Vec<(Name, Phase)>,
+    /// Those of them that have a record in the batch.
+    written: Vec<Name>,
+    /// Jobs with a full record, and the row of their former one.
+    full: Vec<(Name, Option<Name>)>,
+    writes: Vec<RowWrite>,
 }
 
 /// The transaction under way.
@@ -137,8 +174,14 @@
     commit: u64,
     /// Jobs that are durable with the batch, with their phases.
     jobs: Vec<(Name, Phase)>,
-    /// Actions that are due once the batch is durable.
-    effects: Vec<Effect>,
+    /// Those of them that have a record in the batch.
+    written: Vec<Name>,
+    /// Jobs with a full record, and the row of their former one.
+    full: Vec<(Name, Option<Name>)>,
+    /// Rows that it deletes, with their sizes.
+    removed_rows: Vec<(Name, usize)>,
+    /// Actions that are due once the batch is durable, with what they waited for.
+    effects: Vec<(u64, Effect)>,
     /// Whether the batch releases leadership.
     is_release: bool,
     first_sent: Duration,
@@ -159,6 +202,8 @@
     head: Head,
     /// The head row's version in the store.
     head_version: u64,
+    /// Number of the latest commit that was built.
+    last_commit_number: u64,
     /// Changed jobs, in the order in which they are written.
     write_queue: VecDeque<Name>,
     /// The jobs in `write_queue`.
@@ -180,6 +225,17 @@
     /// Whether the rows of previous leaders are known; none is removed before.
     is_restored: bool,
     batch: Option<Batch>,
+    /// Search for the job at fault for a rejected transaction; none while there is none.
+    search: Option<Search>,
+    /// Time before which no batch is built after a rejection.
+    not_before: Duration,
+    /// Delay after the latest rejection of a transaction that wrote no job.
+    rejected_delay: Duration,
+    /// Jobs that cannot be stored before they have ended without remaining runs, and whether the
+    /// store rejects their records even then.
+    unstorable: HashMap<Name, bool>,
+    /// Jobs newly found to be so.
+    given_up: Vec<Name>,
     /// When the latest commit was confirmed.
     last_commit: Duration,
     /// Mean time from a send to its reply.
@@ -201,6 +257,7 @@
         initial_commit_latency: Duration,
     ) -> Self {
         Self {
+            last_commit_number: head.commit,
             head,
             head_version,
             write_queue: VecDeque::new(),
@@ -214,6 +271,11 @@
             valid_size: 0,
             is_restored: false,
             batch: None,
+            search: None,
+            not_before: now,
+            rejected_delay: REFUSED_RETRY_DELAY,
+            unstorable: HashMap::new(),
+            given_up: Vec::new(),
             last_commit: now,
             mean_latency: initial_commit_latency,
             is_releasing: false,
@@ -254,7 +316,7 @@
 
     /// Adds a job that was read: the row with its latest full record, and its size there.
     pub fn restore_job(&mut self, job: Name, row: Name, size: usize, state: StoredState) {
-        self.set_full_record(job, StoredJob { row, size, state });
+        self.set_full_record(job, StoredJob { row, size, state, is_outdated: false });
     }
 
     /// Size of all rows, in bytes.
@@ -267,29 +329,57 @@
         self.is_restored = true;
     }
 
-    /// Sets a job's latest full record.
-    fn set_full_record(&mut self, job: Name, record: StoredJob) {
-        self.remove_job(&job);
+    /// Sets a job's latest full record; returns the row of the former one.
+    fn set_full_record(&mut self, job: Name, record: StoredJob) -> Option<Name> {
+        let former_row = self.remove_job(&job);
         self.rows.entry(record.row.clone()).or_default().jobs.insert(job.clone());
         self.valid_size += record.size;
         self.stored.insert(job, record);
+        former_row
+    }
+
+    /// Removes a job; its records are removed with their rows. Returns the row of its full record.
+    pub fn remove_job(&mut self, job: &Name) -> Option<Name> {
+        let record = self.stored.remove(job)?;
+        self.valid_size = self.valid_size.saturating_sub(record.size);
+        if let Some(row) = self.rows.get_mut(&record.row) {
+            row.jobs.remove(job);
+        }
+        Some(record.row)
+    }
+
+    /// Takes the jobs newly found to be impossible to store.
+    pub fn take_given_up(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.given_up)
     }
 
-    /// Removes a job; its records are removed with their rows.
-    pub fn remove_job(&mut self, job: &Name) {
-        if let Some(record) = self.stored.remove(job) {
-            self.valid_size = self.valid_size.saturating_sub(record.size);
-            if let Some(row) = self.rows.get_mut(&record.row) {
-                row.jobs.remove(job);
+    /// Gives up a job that cannot be stored; callers that wait for it are told.
+    fn give_up(&mut self, id: &Name) {
+        for (_, effect) in &mut self.deferred {
+            let Effect::Answer(_, answer, job) = effect else { continue };
+            if job == id {
+                let is_new = *answer == Answer::Accepted;
+                *answer = if is_new { Answer::TooLarge } else { Answer::OutcomeUnknown };
             }
         }
+        if let Some(is_final) = self.unstorable.get_mut(id) {
+            *is_final = true;
+            return;
+        }
+        self.unstorable.insert(id.clone(), false);
+        self.given_up.push(id.clone());
+    }
+
+    /// Forgets that a job was given up, as it no longer exists.
+    pub fn forget_given_up(&mut self, id: &Name) {
+        self.unstorable.remove(id);
     }
 
     /// Queues jobs of the oldest rows for rewriting once the journal is too large.
     fn compact(&mut self, compaction_row_limit: usize) {
         let size_limit = MIN_COMPACTED_BYTES + self.valid_size * MAX_SIZE_FACTOR;
         let is_too_large = self.rows.len() >= compaction_row_limit || self.total_size > size_limit;
-        if !is_too_large || !self.is_restored || self.is_releasing {
+        if !is_too_large || !self.is_restored || self.is_releasing || self.search.is_some() {
             return;
         }
         let oldest = self.rows.values().flat_map(|row| &row.jobs);
@@ -299,16 +389,16 @@
     }
 
     /// Takes the oldest rows, while they hold no job's latest full record, to be removed.
-    fn take_empty_rows(&mut self, max_rows: usize) -> Vec<RowKey> {
+    fn take_empty_rows(&mut self, max_rows: usize) -> Vec<(Name, usize)> {
         let mut removable = Vec::new();
-        while self.is_restored && removable.len() < max_rows {
+        while self.is_restored && self.search.is_none() && removable.len() < max_rows {
             let Some(oldest) = self.rows.first_entry().filter(|row| row.get().jobs.is_empty())
             else {
                 break;
             };
             let (key, row) = oldest.remove_entry();
             self.total_size = self.total_size.saturating_sub(row.size);
-            removable.push(RowKey { table: POOL_TABLE, key });
+            removable.push((key, row.size));
         }
         removable
     }
@@ -361,7 +451,7 @@
             || age >= IDLE_COMMIT_INTERVAL
             || self.is_commit_requested
             || self.is_releasing;
-        if is_due {
+        if is_due && now >= self.not_before {
             let mut batch = self.build_batch(ctx, scheduler);
             batch.send(ctx);
             self.batch = Some(batch);
@@ -371,14 +461,20 @@
     /// Builds a batch from the queued jobs, obsolete rows and deferred actions.
     fn build_batch(&mut self, ctx: &Context, scheduler: &Scheduler) -> Batch {
         let mut head = self.head.clone();
-        head.commit += 1;
+        self.last_commit_number += 1;
+        head.commit = self.last_commit_number;
         self.compact(ctx.config.compaction_row_limit);
-        let (jobs, mut writes) = self.pack_rows(ctx, scheduler, head.commit);
-        let deletes =
-            self.take_empty_rows(ctx.config.max_transaction_rows.saturating_sub(writes.len() + 2));
+        let Packed { jobs, written, full, mut writes } =
+            self.pack_rows(ctx, scheduler, head.commit);
+        let max_rows = ctx.config.max_transaction_rows;
+        let removed_rows =
+            self.take_empty_rows(max_rows.saturating_sub(writes.len() + HEAD_ENTRIES));
+        let deletes = removed_rows.iter();
+        let deletes = deletes.map(|(key, _)| RowKey { table: POOL_TABLE, key: key.clone() });
+        let deletes = deletes.collect();
         let ready =
             self.deferred.iter().take_while(|(required, _)| *required <= self.dequeued).count();
-        let effects = self.deferred.drain(..ready).map(|(_, effect)| effect).collect();
+        let effects = self.deferred.drain(..ready).collect();
         let is_release =
             self.is_releasing && self.write_queue.is_empty() && self.deferred.is_empty();
         head.is_released = is_release;
@@ -392,6 +488,9 @@
             transaction,
             commit: head.commit,
             jobs,
+            written,
+            full,
+            removed_rows,
             effects,
             is_release,
             first_sent: ctx.now,
@@ -402,47 +501,169 @@
         }
     }
 
-    /// Packs queued jobs into rows, up to the transaction's size limit.
-    fn pack_rows(
-        &mut self,
-        ctx: &Context,
-        scheduler: &Scheduler,
-        commit: u64,
-    ) -> (Vec<(Name, Phase)>, Vec<RowWrite>) {
-        let (mut jobs, mut writes) = (Vec::new(), Vec::new());
+    /// Packs queued jobs into rows, up to the transaction's limits.
+    fn pack_rows(&mut self, ctx: &Context, scheduler: &Scheduler, commit: u64) -> Packed {
+        let max_rows = ctx.config.max_transaction_rows.saturating_sub(HEAD_ENTRIES);
+        let max_row_bytes = ctx.config.max_row_bytes;
+        let max_jobs = self.search.as_ref().map_or(usize::MAX, |search| search.max_jobs);
+        let group_commit_bytes = ctx.config.group_commit_bytes();
+        let mut packed = Packed::default();
         let (mut segment, mut packed_size) = (SegmentBuilder::default(), 0);
-        while packed_size + segment.size() < ctx.config.max_transaction_bytes {
-            let Some(id) = self.write_queue.pop_front() else { break };
-            self.queued.remove(&id);
-            self.dequeued += 1;
-            let is_moved = self.moved.remove(&id);
-            let Some(job) = scheduler.jobs.get(&id) else { continue };
-            let diff = match self.stored.get(&id).filter(|_| !is_moved) {
-                Some(stored) => JobDiff::since(&stored.state, job),
-                None => JobDiff::full(job),
+        while packed_size + segment.size() < group_commit_bytes
+            && packed.writes.len() < max_rows
+            && packed.written.len() < max_jobs
+        {
+            let Some(id) = self.write_queue.front().cloned() else { break };
+            let Some(job) = scheduler.jobs.get(&id) else {
+                self.unstorable.remove(&id);
+                self.dequeue();
+                continue;
             };
-            jobs.push((id.clone(), job.phase));
+            let diff = self.diff(&id, job);
+            if !self.may_store(&id, &diff) {
+                self.dequeue();
+                continue;
+            }
             if diff.is_empty() {
+                packed.jobs.push((id, job.phase));
+                self.dequeue();
                 continue;
             }
-            if segment.size() > 0 && segment.size() + diff.max_size() > ctx.config.max_row_bytes {
-                packed_size += segment.size();
-                self.add_row_write(commit, &mut writes, std::mem::take(&mut segment));
+            let Some(parts) = diff.split(max_row_bytes) else {
+                self.give_up(&id);
+                continue;
+            };
+            if parts.len() > 1 {
+                let size: usize = parts.iter().map(|(_, size)| size).sum();
+                if size > ctx.config.max_transaction_bytes || parts.len() > max_rows {
+                    self.give_up(&id);
+                    continue;
+                }
+                // It fits a transaction of its own.
+                let open_rows = packed.writes.len() + usize::from(segment.size() > 0);
+                let is_first = open_rows == 0;
+                let total = packed_size + segment.size() + size;
+                let fits = total <= group_commit_bytes && open_rows + parts.len() <= max_rows;
+                if !is_first && !fits {
+                    break;
+                }
+            } else if packed.writes.len() + 1 == max_rows
+                && segment.size() > 0
+                && segment.size() + parts[0].1 > max_row_bytes
+            {
+                break;
             }
-            let size = segment.add(&diff);
-            if diff.is_full() {
-                let row = self.row_key(commit, writes.len());
-                self.set_full_record(id, StoredJob { row, size, state: StoredState::of(job) });
-            } else if let Some(stored) = self.stored.get_mut(&id) {
-                stored.state.apply(&diff);
-                stored.size += size;
-                self.valid_size += size;
+            self.dequeue();
+            packed.written.push(id.clone());
+            packed.jobs.push((id.clone(), job.phase));
+            for (part, max_size) in parts {
+                if segment.size() > 0 && segment.size() + max_size > max_row_bytes {
+                    packed_size += segment.size();
+                    self.add_row_write(commit, &mut packed.writes, std::mem::take(&mut segment));
+                }
+                let size = segment.add(&part);
+                if part.is_full() {
+                    let row = self.row_key(commit, packed.writes.len());
+                    let state = StoredState::of(job);
+                    let record = StoredJob { row, size, state, is_outdated: false };
+                    let former_row = self.set_full_record(id.clone(), record);
+                    packed.full.push((id.clone(), former_row));
+                } else if let Some(stored) = self.stored.get_mut(&id) {
+                    stored.state.apply(&part);
+                    stored.size += size;
+                    self.valid_size += size;
+                }
             }
         }
         if segment.size() > 0 {
-            self.add_row_write(commit, &mut writes, segment);
+            self.add_row_write(commit, &mut packed.writes, segment);
+        }
+        packed
+    }
+
+    /// Takes the first job from the queue.
+    fn dequeue(&mut self) {
+        if let Some(id) = self.write_queue.pop_front() {
+            self.queued.remove(&id);
+            self.moved.remove(&id);
+            self.dequeued += 1;
+        }
+    }
+
+    /// What is to be written of a queued job.
+    fn diff<'a>(&self, id: &Name, job: &'a Job) -> JobDiff<'a> {
+        let stored = self.stored.get(id);
+        match stored.filter(|stored| !stored.is_outdated && !self.moved.contains(id)) {
+            Some(stored) => JobDiff::since(&stored.state, job),
+            None => JobDiff::full(job),
+        }
+    }
+
+    /// Whether a job is not given up, or its record has become small.
+    fn may_store(&self, id: &Name, diff: &JobDiff<'_>) -> bool {
+        self.unstorable.get(id).is_none_or(|is_final| !is_final && diff.is_reduced())
+    }
+
+    /// Takes back the batch under way, which the store has rejected, and limits the next one.
+    ///
+    /// A late copy of it that takes effect nevertheless has another commit number than the next
+    /// batch, which then conflicts, and leadership is given up.
+    fn take_back_batch(&mut self, ctx: &Context) {
+        let Some(batch) = self.batch.take() else { return };
+        let transaction = &batch.transaction;
+        log_event!(ctx, CommitRejected, "jobs" => batch.written.len(),
+            "rows" => transaction.writes.len(), "deleted_rows" => transaction.deletes.len(),
+            "bytes" => transaction.size());
+        for write in &transaction.writes {
+            if let Some(row) = self.rows.remove(&write.key.key) {
+                self.total_size = self.total_size.saturating_sub(row.size);
+            }
+        }
+        for (row, size) in batch.removed_rows {
+            self.add_row(row, size);
+        }
+        for (id, former_row) in batch.full {
+            let Some(former_row) = former_row else {
+                self.remove_job(&id);
+                continue;
+            };
+            if let Some(stored) = self.stored.get_mut(&id) {
+                self.rows.entry(former_row.clone()).or_default().jobs.insert(id);
+                stored.row = former_row;
+            }
+        }
+        for (id, _) in batch.jobs.into_iter().rev() {
+            if let Some(stored) = self.stored.get_mut(&id) {
+                stored.is_outdated = true;
+            }
+            self.queued.insert(id.clone());
+            self.write_queue.push_front(id);
+            self.dequeued -= 1;
+        }
+        for effect in batch.effects.into_iter().rev() {
+            self.deferred.push_front(effect);
+        }
+        let mut delay = REFUSED_RETRY_DELAY;
+        self.search = Some(match &*batch.written {
+            [] => {
+                delay = self.rejected_delay;
+                self.rejected_delay = (delay * 2).min(MAX_REJECTED_DELAY);
+                Search { max_jobs: 1, suspect: None }
+            }
+            [suspect] => Search { max_jobs: 0, suspect: Some(suspect.clone()) },
+            jobs => Search { max_jobs: jobs.len() / 2, suspect: None },
+        });
+        self.not_before = ctx.now + delay;
+    }
+
+    /// Continues the search for a job at fault after a commit.
+    fn continue_search(&mut self, search: Search) {
+        if let Some(suspect) = search.suspect {
+            self.give_up(&suspect);
+        } else if search.max_jobs < SEARCH_END_JOBS {
+            let max_jobs = search.max_jobs * 2;
+            self.search = Some(Search { max_jobs, suspect: None });
         }
-        (jobs, writes)
     }
 
     /// Adds the write of a journal row to those of a commit.
@@ -479,6 +700,11 @@
                 self.finish_batch(ctx, version)
             }
             CommitResult::Conflict { row } => self.resolve_conflict(ctx, row),
+            CommitResult::Rejected => {
+                ctx.meter.add(Counter::Commits, "rejected", 1);
+                self.take_back_batch(ctx);
+                CommitOutcome::NoChange
+            }
             CommitResult::Refused | CommitResult::Unknown => {
                 let label = if commit == CommitResult::Refused { "refused" } else { "unanswered" };
                 ctx.meter.add(Counter::Commits, label, 1);
@@ -546,6 +772,10 @@
         let took = ctx.now.saturating_sub(batch.first_sent);
         ctx.meter.record_duration(Timing::Commit, took);
         self.last_commit = ctx.now;
+        self.rejected_delay = REFUSED_RETRY_DELAY;
+        if let Some(search) = self.search.take() {
+            self.continue_search(search);
+        }
         if self.is_store_lost {
             self.is_store_lost = false;
             log_event!(ctx, StoreRecovered, "took_ms" => took.as_millis() as u64);
@@ -555,7 +785,7 @@
         }
         CommitOutcome::Durable {
             jobs: batch.jobs,
-            effects: batch.effects,
+            effects: batch.effects.into_iter().map(|(_, effect)| effect).collect(),
             first_sent: batch.first_sent,
         }
     }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -16,7 +16,7 @@
 mod views;
 mod watch;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use scheduler::{Scheduler, StoredState, WaitReason};
@@ -160,6 +160,8 @@
     slow_since: Option<Duration>,
     /// The reason last logged for each overdue job that waits.
     logged_waits: HashMap<common::Name, WaitReason>,
+    /// Jobs of which a checkpoint that was too long has been logged.
+    logged_checkpoints: BTreeSet<common::Name>,
     /// When overdue jobs were last checked.
     waits_logged_at: Duration,
 }
@@ -201,6 +203,7 @@
             elected_at: now,
             slow_since: None,
             logged_waits: HashMap::new(),
+            logged_checkpoints: BTreeSet::new(),
             waits_logged_at: now,
         };
         leader.recovery = Some(Recovery::start(ctx));
@@ -342,10 +345,34 @@
         }
     }
 
+    /// Gives up a job that cannot be stored; its callers are answered with the next commit.
+    fn give_up(&mut self, ctx: &mut Context, id: &common::Name) {
+        if let Some(job) = self.scheduler.jobs.get(id) {
+            log_event!(ctx, JobNotStored, "job" => %id, "queue" => %job.queue,
+                "stored" => job.durable_phase.is_some(), "epoch" => self.epoch);
+        }
+        let store_clock_ms = self.store_time_ms(ctx.now);
+        self.scheduler.give_up(id, store_clock_ms);
+        if !self.scheduler.jobs.contains_key(id) {
+            self.journal.forget_given_up(id);
+        }
+        self.journal.enqueue(std::mem::take(&mut self.scheduler.changed_jobs));
+        self.needs_placement = true;
+    }
+
+    /// Logs each job once of which a checkpoint was too long to be kept.
+    fn log_long_checkpoints(&mut self, ctx: &Context) {
+        for id in std::mem::take(&mut self.scheduler.long_checkpoints) {
+            if self.logged_checkpoints.insert(id.clone()) {
+                log_event!(ctx, CheckpointTooLong, "job" => %id, "epoch" => self.epoch);
+            }
+        }
+    }
+
     /// Performs a deferred action whose changes are durable.
     fn run_effect(&mut self, ctx: &mut Context, effect: Effect) {
         match effect {
-            Effect::Answer(caller, answer) => self.send_answer(ctx, &caller, answer),
+            Effect::Answer(caller, answer, _) => self.send_answer(ctx, &caller, answer),
             Effect::JobState(caller, id) => {
                 let answer = self.job_state(&id).unwrap_or(Answer::JobNotFound);
                 self.send_answer(ctx, &caller, answer);
@@ -422,6 +449,9 @@
         self.peers.send_heartbeat(ctx, self.epoch, store_age, self.is_serving());
         ctx.load.attribute(Work::Followers);
         self.journal.commit_if_due(ctx, &self.scheduler);
+        for id in self.journal.take_given_up() {
+            self.give_up(ctx, &id);
+        }
         ctx.load.attribute(Work::Journal);
     }
 
@@ -540,6 +570,7 @@
         self.advice_calls.dispatch(ctx, &self.peers, &self.scheduler);
         ctx.load.attribute(Work::AdviceDispatch);
         self.log_waits(ctx);
+        self.log_long_checkpoints(ctx);
         for stop in std::mem::take(&mut self.scheduler.stops) {
             self.send_stop(ctx, stop);
         }
@@ -572,6 +603,7 @@
         for id in expired {
             if self.scheduler.remove_ended_job(&id) {
                 self.journal.remove_job(&id);
+                self.logged_checkpoints.remove(&id);
             }
         }
     }
--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::Submission;
+use scheduler::{Submission, max_base_size};
 
 use crate::answer::{Answer, CallerRequest, Operation, Target};
 use crate::event::log_job_event;
@@ -61,9 +61,19 @@
         let known = self.scheduler.jobs.get(&*job.id).map(|job| job.durable_phase.is_some());
         match (known, queue) {
             (Some(true), _) => self.send_answer(ctx, &caller, Answer::Accepted),
-            (Some(false), _) => self.journal.defer(Effect::Answer(caller, Answer::Accepted)),
+            (Some(false), _) => {
+                let id = Name::new(&job.id);
+                self.journal.defer(Effect::Answer(caller, Answer::Accepted, id));
+            }
             (None, None) => self.send_answer(ctx, &caller, Answer::QueueNotFound),
             (None, Some(queue)) => {
+                let id = Name::new(&job.id);
+                if self.exceeds_row(ctx, &job, &queue) {
+                    log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
+                        "reason" => "job is too large for a row", "epoch" => self.epoch);
+                    self.send_answer(ctx, &caller, Answer::TooLarge);
+                    return;
+                }
                 if let Some(excess) = self.scheduler.excess_wait(&job, &queue, ctx.now) {
                     log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
                         "excess_wait_ms" => excess.as_millis() as u64, "epoch" => self.epoch);
@@ -77,12 +87,18 @@
                 let store_clock_ms = self.store_time_ms(ctx.now);
                 self.scheduler.submit(job, queue, ctx.now, store_clock_ms);
                 self.journal.enqueue(std::mem::take(&mut self.scheduler.changed_jobs));
-                self.journal.defer(Effect::Answer(caller, Answer::Accepted));
+                self.journal.defer(Effect::Answer(caller, Answer::Accepted, id));
                 self.needs_placement = true;
             }
         }
     }
 
+    /// Whether what a job's record cannot divide is too large for a row.
+    fn exceeds_row(&self, ctx: &Context, job: &Submission, queue: &str) -> bool {
+        let queue = self.scheduler.queue(queue);
+        queue.is_some_and(|queue| max_base_size(job, queue) > ctx.config.max_row_bytes)
+    }
+
     /// The state of a durable job; none for any other.
     pub(super) fn job_state(&self, id: &str) -> Option<Answer> {
         self.scheduler.jobs.get(id)?.reported_state().map(Answer::State)
@@ -105,7 +121,7 @@
             Answer::JobNotFound
         };
         self.journal.enqueue(std::mem::take(&mut self.scheduler.changed_jobs));
-        self.journal.defer(Effect::Answer(caller, answer));
+        self.journal.defer(Effect::Answer(caller, answer, Name::new(id)));
         self.needs_placement = true;
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -130,8 +130,7 @@
 
 impl Node {
     /// Creates a follower that knows no leader.
-    pub fn new(mut config: Config, log: Logger, meter: Rc<dyn Meter>, now: Duration) -> Self {
-        config.fit_to_link();
+    pub fn new(config: Config, log: Logger, meter: Rc<dyn Meter>, now: Duration) -> Self {
         let rng = SmallRng::seed_from_u64(config.seed);
         let actions = Vec::new();
         let sampler = Sampler::new();
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -348,5 +348,6 @@
         Answer::Refused { .. } => "refused",
         Answer::OutcomeUnknown => "unknown",
         Answer::View(_) => "view",
+        Answer::TooLarge => "too_large",
     }
 }
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -74,6 +74,7 @@
         Answer::Refused { retry_after, .. } => (7, retry_after.as_millis() as u64),
         Answer::OutcomeUnknown => (8, 0),
         Answer::View(_) => (9, 0),
+        Answer::TooLarge => (10, 0),
     };
     Reply { id, answer, value, text, queued_us: queued.as_micros() as u64 }
 }
@@ -101,6 +102,7 @@
             try_other_daemon: false,
         },
         9 => Answer::View(reply.text.clone()),
+        10 => Answer::TooLarge,
         _ => Answer::OutcomeUnknown,
     }
 }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -55,8 +55,11 @@
             /// Current checked row; none if it does not exist.
             row: Option<Row>,
         },
-        /// The store refused the call; nothing was written.
+        /// The store refused the call for now; nothing was written.
         Refused,
+        /// The store rejects the transaction as such, for its size or its form; nothing was
+        /// written.
+        Rejected,
         /// No answer; the transaction may have been committed, or may be later.
         Unknown,
     }
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -280,3 +280,215 @@
     let limit = JOBS_PER_S * (RETENTION_S + 5);
     assert!((jobs - open) as u64 <= limit, "{} ended jobs, at most {limit}", jobs - open);
 }
+
+/// A step of many small tasks.
+fn wide_step(count: u32) -> Step {
+    let mut step = step(count, 1000);
+    step.need.mem = 1;
+    step.is_checkpointed = true;
+    step
+}
+
+/// Starts a cell whose workers have room for wide jobs and list checkpoints.
+fn start_wide_cell(seed: u64) -> Simulation {
+    let mut sim = Simulation::new(seed, 3, 0);
+    // However long a job waits, its completion is of use, so that none is refused.
+    sim.rules.queues[0].target_offset = Duration::from_hours(1);
+    for number in 0..8 {
+        let id = Name::from(format!("i-{number:010x}").as_str());
+        let mut worker = FakeWorker::new(id.clone(), 2_000_000);
+        worker.checkpoint = Name::from("c".repeat(14).as_str());
+        sim.workers.insert(id, worker);
+    }
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(1000));
+    sim
+}
+
+/// Whether a transaction tells tasks of the job `bad`, or its submission.
+fn writes_bad_job(transaction: &control::Transaction) -> bool {
+    let journal_rows = transaction.writes.iter().filter(|write| write.key.key.starts_with("log/"));
+    journal_rows.into_iter().any(|write| {
+        let segment = Segment::decode(&*write.value).expect("the segment decodes");
+        segment.full.iter().any(|record| record.submission.id == "bad")
+            || segment.changes.iter().any(|record| record.id == "bad")
+    })
+}
+
+// Guards against a job whose record exceeds a row and stops all commits.
+#[test]
+fn wide_job_with_checkpoints_holds_up_no_other() {
+    const TASKS: u32 = 2400;
+    let mut sim = start_wide_cell(1);
+    assert_eq!(sim.submit(job("wide", vec![wide_step(TASKS)])), Some(Answer::Accepted));
+    for number in 0..60 {
+        let id = format!("j{number}");
+        assert_eq!(sim.submit(job(&id, vec![step(1, 300)])), Some(Answer::Accepted));
+        sim.run(ms(100));
+        if number == 15 {
+            // The next leader merges what the rows give, of one transaction or several.
+            let leader = sim.leader().expect("a node leads");
+            sim.kill(leader);
+            sim.start(leader);
+            assert!(sim.run_until(ms(10_000), |sim| sim.leader().is_some()));
+        }
+    }
+    assert!(sim.wait_for_state("wide", JobState::Completed, ms(60_000)));
+    for number in 0..60 {
+        let id = format!("j{number}");
+        assert!(sim.wait_for_state(&id, JobState::Completed, ms(10_000)), "{id}");
+    }
+    assert_eq!((sim.store.rejected, sim.violations), (0, Vec::<String>::new()));
+}
+
+// Guards against a leader that loses a part of a wide job when it takes over or rewrites rows.
+#[test]
+fn wide_job_survives_takeovers() {
+    for seed in 0..4 {
+        let mut sim = start_wide_cell(seed);
+        assert_eq!(sim.submit(job("wide", vec![wide_step(1500)])), Some(Answer::Accepted));
+        for round in 0..6 {
+            let span = 150 + sim.random(400);
+            sim.run(ms(span));
+            let leader = sim.leader().expect("a node leads");
+            sim.faults.lost_commit_share = if round % 2 == 0 { 0.3 } else { 0.0 };
+            sim.faults.delay_lost_commits = true;
+            sim.kill(leader);
+            sim.start(leader);
+            assert!(sim.run_until(ms(20_000), |sim| sim.leader().is_some()), "seed {seed}");
+        }
+        sim.faults.lost_commit_share = 0.0;
+        assert!(sim.wait_for_state("wide", JobState::Completed, ms(60_000)), "seed {seed}");
+        assert_eq!((sim.store.rejected, sim.violations), (0, Vec::<String>::new()));
+    }
+}
+
+// Guards against a transaction of more entries than the store takes.
+#[test]
+fn backlog_of_small_rows_fits_entries() {
+    let mut sim = start_wide_cell(2);
+    sim.max_row_bytes = 1000;
+    for node in 0..3 {
+        sim.kill(node);
+        sim.start(node);
+    }
+    assert!(sim.run_until(ms(10_000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    for number in 0..40 {
+        let id = format!("j{number}");
+        assert_eq!(sim.submit(job(&id, vec![wide_step(100)])), Some(Answer::Accepted));
+    }
+    // Meanwhile the checkpoints of all tasks change.
+    sim.faults.is_store_busy = true;
+    sim.run(ms(600));
+    sim.faults.is_store_busy = false;
+    sim.run(ms(500));
+    let most = sim.store.most_entries;
+    assert!(most > 90 && sim.store.rejected == 0, "{most} entries");
+    for number in 0..40 {
+        let id = format!("j{number}");
+        assert!(sim.wait_for_state(&id, JobState::Completed, ms(20_000)), "{id}");
+    }
+    assert_eq!((sim.store.rejected, sim.violations), (0, Vec::<String>::new()));
+}
+
+// Guards against one job that the store rejects and that holds up all others.
+#[test]
+fn rejected_job_is_refused_alone() {
+    let mut sim = Simulation::new(3, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    let epoch = sim.store.epoch();
+    sim.store.rejects = Some(writes_bad_job);
+    let token = sim.call(0, Operation::Submit(job("bad", vec![step(1, 300)])));
+    let others: Vec<u64> = (0..40)
+        .map(|number| {
+            let other = job(&format!("j{number}"), vec![step(1, 300)]);
+            sim.call(number % 3, Operation::Submit(other))
+        })
+        .collect();
+    sim.run(ms(2500));
+    assert_eq!(sim.answers.get(&token), Some(&Answer::TooLarge));
+    for other in others {
+        assert_eq!(sim.answers.get(&other), Some(&Answer::Accepted));
+    }
+    assert_eq!(sim.state("bad"), Some(Answer::JobNotFound));
+    // A job with the id of the refused one is a new job.
+    sim.store.rejects = None;
+    assert_eq!(sim.submit(job("bad", vec![step(1, 300)])), Some(Answer::Accepted));
+    for id in ["bad", "j0", "j39"] {
+        assert!(sim.wait_for_state(id, JobState::Completed, ms(20_000)), "{id}");
+    }
+    assert_eq!((sim.store.epoch(), sim.violations), (epoch, Vec::<String>::new()));
+}
+
+// Guards against an accepted job that stays open, or returns, once the store rejects its changes.
+#[test]
+fn rejected_changes_fail_the_job() {
+    let mut sim = Simulation::new(4, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    assert_eq!(sim.submit(job("bad", vec![step(3, 300)])), Some(Answer::Accepted));
+    sim.store.rejects = Some(writes_bad_job);
+    for number in 0..20 {
+        let id = format!("j{number}");
+        assert_eq!(sim.submit(job(&id, vec![step(1, 300)])), Some(Answer::Accepted));
+    }
+    assert!(sim.wait_for_state("bad", JobState::Failed, ms(20_000)));
+    let leader = sim.leader().expect("a node leads");
+    sim.kill(leader);
+    assert!(sim.run_until(ms(10_000), |sim| sim.leader().is_some()));
+    assert_eq!(sim.state("bad"), Some(Answer::State(JobState::Failed)));
+    for number in 0..20 {
+        let id = format!("j{number}");
+        assert!(sim.wait_for_state(&id, JobState::Completed, ms(10_000)), "{id}");
+    }
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against jobs that are given up although the store rejects everything for a while.
+#[test]
+fn store_that_rejects_all_costs_no_job() {
+    let mut sim = Simulation::new(5, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    assert_eq!(sim.submit(job("j1", vec![step(2, 300)])), Some(Answer::Accepted));
+    sim.store.rejects = Some(|_| true);
+    let token = sim.call(0, Operation::Submit(job("j2", vec![step(2, 300)])));
+    sim.run(ms(1500));
+    let rejected = sim.store.rejected;
+    assert!(rejected > 2 && !sim.answers.contains_key(&token), "{rejected} rejected");
+    sim.store.rejects = None;
+    assert!(sim.wait_for_state("j1", JobState::Completed, ms(30_000)));
+    assert_eq!(sim.submit(job("j2", vec![step(2, 300)])), Some(Answer::Accepted));
+    assert!(sim.wait_for_state("j2", JobState::Completed, ms(10_000)));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// Guards against a job that is accepted although no row holds its submission.
+#[test]
+fn submission_larger_than_row_is_refused() {
+    let mut sim = Simulation::new(6, 3, 4);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    let mut large = job("large", vec![step(1, 300)]);
+    large.payload = "x".repeat(48_000);
+    assert_eq!(sim.submit(large), Some(Answer::TooLarge));
+    assert_eq!(sim.submit(job("j1", vec![step(1, 300)])), Some(Answer::Accepted));
+    assert_eq!((sim.state("large"), sim.store.rejected), (Some(Answer::JobNotFound), 0));
+}
+
+// Guards against a job that fails because its checkpoints do not fit into a transaction.
+#[test]
+fn wide_job_long_checkpoints_are_not_kept() {
+    let mut sim = start_wide_cell(7);
+    for worker in sim.workers.values_mut() {
+        worker.checkpoint = Name::from("c".repeat(400).as_str());
+    }
+    assert_eq!(sim.submit(job("wide", vec![wide_step(2400)])), Some(Answer::Accepted));
+    assert_eq!(sim.submit(job("small", vec![wide_step(10)])), Some(Answer::Accepted));
+    for id in ["small", "wide"] {
+        assert!(sim.wait_for_state(id, JobState::Completed, ms(60_000)), "{id}");
+    }
+    assert_eq!((sim.store.rejected, sim.violations), (0, Vec::<String>::new()));
+}
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -17,6 +17,23 @@
 /// Most rows in a page.
 const PAGE_ROWS: usize = 500;
 
+/// Most bytes of a row's value in base64.
+const MAX_ROW_BASE64: usize = 65_536;
+
+/// Most entries of a transaction.
+const MAX_ENTRIES: usize = 100;
+
+/// Most bytes of a transaction.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+
+/// Bytes of an entry beside its value.
+const ENTRY_FRAME_BYTES: usize = 120;
+
+/// Size of a written value in base64.
+fn base64_len(write: &control::RowWrite) -> usize {
+    write.value.len().div_ceil(3) * 4
+}
+
 /// Most finished runs that a worker lists at a time.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -27,11 +44,29 @@
     pub commits: u64,
     /// Bytes of the journal rows written so far, without encoding.
     pub written_bytes: u64,
+    /// Most entries of a transaction that was committed.
+    pub most_entries: usize,
+    /// Transactions that are rejected as such besides those beyond the limits.
+    pub rejects: Option<fn(&Transaction) -> bool>,
+    /// Transactions rejected so far.
+    pub rejected: u64,
 }
 
 impl FakeStore {
     pub fn commit(&mut self, transaction: &Transaction, now: Duration) -> CommitResult {
         self.commits += 1;
+        let entries = 1 + transaction.writes.len() + transaction.deletes.len();
+        let is_large = |write: &control::RowWrite| base64_len(write) > MAX_ROW_BASE64;
+        let bytes: usize = transaction.writes.iter().map(base64_len).sum();
+        if entries > MAX_ENTRIES
+            || bytes + entries * ENTRY_FRAME_BYTES > MAX_TRANSACTION_BYTES
+            || transaction.writes.iter().any(is_large)
+            || self.rejects.is_some_and(|rejects| rejects(transaction))
+        {
+            self.rejected += 1;
+            return CommitResult::Rejected;
+        }
+        self.most_entries = self.most_entries.max(entries);
         let checked_row = &transaction.checked_row.key;
         let found = self.rows.get(checked_row);
         if found.map_or(0, |(_, version)| *version) != transaction.expected_version {
@@ -98,6 +133,8 @@
     pub is_reachable: bool,
     pub is_dead: bool,
     pub fails_all: bool,
+    /// Checkpoint that it lists for each run; it tells the time of the listing if not empty.
+    pub checkpoint: Name,
     pub running: HashMap<TaskKey, FakeRun>,
     pub finished: Vec<FinishedRun>,
     /// End time of each finished run by its position, and whether the lease has expired since.
@@ -121,6 +158,7 @@
             is_reachable: true,
             is_dead: false,
             fails_all: false,
+            checkpoint: Name::default(),
             running: HashMap::new(),
             finished: Vec::new(),
             end_times: HashMap::new(),
@@ -143,6 +181,14 @@
         now.saturating_sub(self.started_at).as_millis() as u64
     }
 
+    /// Checkpoint that it lists at a time of its clock.
+    fn listed_checkpoint(&self, clock_ms: u64) -> Name {
+        if self.checkpoint.is_empty() {
+            return Name::default();
+        }
+        Name::from(format!("{clock_ms:010}{}", self.checkpoint).as_str())
+    }
+
     /// Removes the worker for good; its runs are lost.
     pub fn die(&mut self) {
         self.running.clear();
@@ -431,7 +477,7 @@
             let running = worker.running.iter().map(|(key, run)| ActiveRun {
                 key: Some(key.clone()),
                 run: run.run,
-                checkpoint: Name::default(),
+                checkpoint: worker.listed_checkpoint(clock_ms),
                 percent: 0,
             });
             let listing = Listing {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -246,6 +246,8 @@
     pub started_runs: u64,
     /// Number of journal rows at which nodes that are started compact.
     pub compaction_row_limit: usize,
+    /// Largest row of nodes that are started, in bytes.
+    pub max_row_bytes: usize,
     /// Capacities of the nodes; unknown for others.
     pub capacities: Vec<Capacity>,
     /// Number of member lists that nodes sent.
@@ -303,6 +305,7 @@
             timer_lags: HashMap::new(),
             started_runs: 0,
             compaction_row_limit: 20,
+            max_row_bytes: 48_000,
             capacities: capacities.to_vec(),
             member_lists: 0,
             meter: Rc::new(control::NoopMeter),
@@ -352,7 +355,7 @@
             grace_period: ms(6000),
             max_transaction_rows: 100,
             max_transaction_bytes: 600_000,
-            max_row_bytes: 48_000,
+            max_row_bytes: self.max_row_bytes,
             compaction_row_limit: self.compaction_row_limit,
             initial_commit_latency: ms(8),
         };
--- a/crates/host/src/operator_api.rs
+++ b/crates/host/src/operator_api.rs
@@ -183,6 +183,9 @@
         Answer::JobNotFound => {
             error_response(ErrorKind::NotFound, "job does not exist or has already ended")
         }
+        Answer::TooLarge => {
+            error_response(ErrorKind::TooLarge, "the job is too large to be stored")
+        }
         Answer::OutcomeUnknown => {
             error_response(ErrorKind::Unknown, "the leader did not answer in time")
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -36,7 +36,7 @@
 pub use rules::{AdvicePolicy, Limits, Queue, Rules};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
-pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState};
+pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState, max_base_size};
 pub use step::{Eligibility, StepState};
 pub use validation::{SubmissionError, is_job_id};
 pub use worker::{Assignment, Registration, RunState, Worker};
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Keeps a checkpoint if it comes from the task's current run.
+    /// Keeps a checkpoint if it comes from the task's current run and is not too long.
     fn store_checkpoint(&mut self, key: &TaskKey, run: u32, checkpoint: &Name) {
         if checkpoint.is_empty() {
             return;
@@ -186,9 +186,14 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(spec) = job.submission.steps.get(key.step as usize) else { return };
         let index = if spec.is_gang { 0 } else { key.index as usize };
+        let max_length = job.submission.max_checkpoint_bytes();
         let step = job.steps.get_mut(key.step as usize);
         let task = step.and_then(|step| step.tasks.get_mut(index));
         if let Some(task) = task.filter(|task| task.run == run && !task.is_done) {
+            if checkpoint.len() > max_length {
+                self.long_checkpoints.insert(key.job.clone());
+                return;
+            }
             task.checkpoint = checkpoint.clone();
         }
     }
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -296,7 +296,7 @@
     pub ended_ms: u64,
 }
 
-/// Records written together, at most one of each job.
+/// Records written together; of a job, at most one full record and changes that follow it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Segment {
     /// Full records in the form of earlier versions, which is still read.
@@ -311,7 +311,7 @@
     /// Full records of jobs.
     #[prost(message, repeated, tag = "4")]
     pub full: Vec<FullRecord>,
-    /// Changes of jobs whose full record is in an earlier segment.
+    /// Changes of jobs whose full record is in this segment or an earlier one.
     #[prost(message, repeated, tag = "5")]
     pub changes: Vec<ChangeRecord>,
     /// Records of ended jobs.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -121,6 +121,8 @@
     pub ended_runs: Vec<EndedRun>,
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
+    /// Jobs of which a checkpoint was too long to be kept, for the log.
+    pub long_checkpoints: BTreeSet<Name>,
     /// Steps that placement passes have visited so far.
     pub steps_visited: u64,
     /// Observed run times and advice results.
@@ -279,6 +281,19 @@
         true
     }
 
+    /// Fails an open job that cannot be stored; one that was never stored is removed.
+    pub fn give_up(&mut self, id: &str, store_clock_ms: u64) {
+        let Some(job) = self.jobs.get(id) else { return };
+        // No start of a job that was never stored has been sent.
+        let is_stored = job.durable_phase.is_some();
+        if job.phase == Phase::Open {
+            self.finish_job(id, Phase::Failed, store_clock_ms);
+        }
+        if !is_stored {
+            self.jobs.remove(id);
+        }
+    }
+
     /// Sets a job's final phase and stops its remaining runs.
     pub(crate) fn finish_job(&mut self, id: &str, phase: Phase, store_clock_ms: u64) {
         let Some(job) = self.jobs.get(id) else { return };
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -1,28 +1,31 @@
 //! Conversion of jobs to the records of a segment and back.
 //!
 //! The first record of a job is full. Later ones tell only the tasks that changed, so they are
-//! valid together with the full record and all changes before them.
+//! valid together with the full record and all changes before them. A record that is too large
+//! for a segment is split: the further parts are changes, in segments that follow it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use common::Name;
 use prost::Message;
+use prost::encoding::encoded_len_varint;
 
 use crate::job::{Job, Phase, Task};
 use crate::record::{
     ChangeRecord, EndedRecord, FullRecord, QueueEntry, Segment, Submission, TaskStates,
 };
+use crate::rules::Queue;
 use crate::validation::MAX_STORED_TASKS;
 
 /// Most bytes that a record's or name's tag and length take in a segment.
 const FIELD_OVERHEAD_BYTES: usize = 6;
 
 /// Most bytes of a full record or change without its submission or id and its tasks.
-const MAX_FIXED_BYTES: usize = 64;
+const MAX_FIXED_BYTES: usize = 128;
 
-/// Most bytes of the numbers that a record holds for a task.
-const MAX_TASK_BYTES: usize = 30;
+/// Most bytes of a number in a record.
+const MAX_NUMBER_BYTES: usize = 5;
 
 /// What the store holds of a job's state.
 #[derive(Debug, Clone)]
@@ -90,11 +93,14 @@
 
     /// Takes over what a diff tells.
     pub fn apply(&mut self, diff: &JobDiff<'_>) {
+        let mut remaining = self.steps.iter_mut().flat_map(|step| &mut step.tasks);
+        let mut next_number = 0;
+        // A diff lists tasks in the order of their numbers.
         for (number, task) in &diff.tasks {
-            let tasks = self.steps.iter_mut().flat_map(|step| &mut step.tasks);
-            if let Some(stored) = tasks.into_iter().nth(*number as usize) {
+            if let Some(stored) = remaining.nth((number - next_number) as usize) {
                 *stored = (*task).clone();
             }
+            next_number = number + 1;
         }
         for (index, failed_run) in &diff.failed_runs {
             if let Some(step) = self.steps.get_mut(*index as usize) {
@@ -158,8 +164,22 @@
         !self.is_full() && self.tasks.is_empty() && self.failed_runs.is_empty()
     }
 
+    /// Whether it is the record of an ended job without remaining runs.
+    pub fn is_reduced(&self) -> bool {
+        self.kind == RecordKind::Ended
+    }
+
     /// Upper bound of the bytes that it adds to a segment.
     pub fn max_size(&self) -> usize {
+        let tasks = self.tasks.iter().map(|(number, task)| {
+            max_state_size(*number, task) + task.worker.as_ref().map_or(0, max_worker_size)
+        });
+        let failed_runs = self.failed_runs.len() * 2 * MAX_NUMBER_BYTES;
+        self.max_base_size() + tasks.sum::<usize>() + failed_runs
+    }
+
+    /// Upper bound of its size without any tasks.
+    fn max_base_size(&self) -> usize {
         let queue_rules = self.job.queue_rules.as_ref().map_or(0, Message::encoded_len);
         let queue = self.job.queue.len() + queue_rules + 2 * FIELD_OVERHEAD_BYTES;
         let fixed = match self.kind {
@@ -167,17 +187,122 @@
             RecordKind::Change => self.job.id.len(),
             RecordKind::Ended => self.job.id.len() + queue,
         };
-        let task_size = |(_, task): &(u32, &Task)| {
-            MAX_TASK_BYTES
-                + task.worker.as_ref().map_or(0, |worker| worker.len() + FIELD_OVERHEAD_BYTES)
-                + task.checkpoint.len()
-                + FIELD_OVERHEAD_BYTES
-        };
-        let tasks: usize = self.tasks.iter().map(task_size).sum();
-        MAX_FIXED_BYTES + fixed + tasks + self.failed_runs.len() * MAX_TASK_BYTES
+        MAX_FIXED_BYTES + fixed
+    }
+
+    /// Splits it into parts that each add at most `max_size` bytes to a segment.
+    ///
+    /// Each part comes with the upper bound of its size. They are valid in segments in their
+    /// order, or in one. `None` if what cannot be divided is larger: the submission, or the state
+    /// of one task.
+    pub fn split(self, max_size: usize) -> Option<Vec<(Self, usize)>> {
+        let whole_size = self.max_size();
+        if whole_size <= max_size {
+            return Some(vec![(self, whole_size)]);
+        }
+        let Self { job, kind, tasks, failed_runs } = self;
+        let mut splitter = Splitter::new(job, kind, max_size);
+        for (number, task) in tasks {
+            splitter.add_task(number, task)?;
+        }
+        for failed_run in failed_runs {
+            splitter.add_failed_run(failed_run)?;
+        }
+        splitter.finish()
+    }
+}
+
+/// Divides a diff into parts of a limited size.
+struct Splitter<'a> {
+    max_size: usize,
+    parts: Vec<(JobDiff<'a>, usize)>,
+    /// The part that is being filled.
+    part: JobDiff<'a>,
+    /// Upper bound of its size.
+    size: usize,
+    /// Workers that it names; a segment lists each once.
+    workers: HashSet<&'a Name>,
+}
+
+impl<'a> Splitter<'a> {
+    fn new(job: &'a Job, kind: RecordKind, max_size: usize) -> Self {
+        let part = JobDiff { job, kind, tasks: Vec::new(), failed_runs: Vec::new() };
+        let size = part.max_base_size();
+        Self { max_size, parts: Vec::new(), part, size, workers: HashSet::new() }
+    }
+
+    /// Adds a task to the current part, or to a new one.
+    fn add_task(&mut self, number: u32, task: &'a Task) -> Option<()> {
+        let state_size = max_state_size(number, task);
+        let worker_size = task.worker.as_ref().map_or(0, max_worker_size);
+        let is_known = task.worker.as_ref().is_some_and(|worker| self.workers.contains(worker));
+        let added = state_size + if is_known { 0 } else { worker_size };
+        if self.size + added <= self.max_size {
+            self.size += added;
+        } else {
+            self.start_part(state_size + worker_size)?;
+        }
+        self.workers.extend(&task.worker);
+        self.part.tasks.push((number, task));
+        Some(())
+    }
+
+    /// Adds the failed run of a step to the current part, or to a new one.
+    fn add_failed_run(&mut self, failed_run: (u32, u32)) -> Option<()> {
+        let added = 2 * MAX_NUMBER_BYTES;
+        if self.size + added <= self.max_size {
+            self.size += added;
+        } else {
+            self.start_part(added)?;
+        }
+        self.part.failed_runs.push(failed_run);
+        Some(())
+    }
+
+    /// Starts a part with `added` bytes; `None` if they exceed the limit.
+    fn start_part(&mut self, added: usize) -> Option<()> {
+        let job = self.part.job;
+        let kind = RecordKind::Change;
+        let next = JobDiff { job, kind, tasks: Vec::new(), failed_runs: Vec::new() };
+        let size = next.max_base_size() + added;
+        self.parts.push((std::mem::replace(&mut self.part, next), self.size));
+        self.size = size;
+        self.workers.clear();
+        (size <= self.max_size).then_some(())
+    }
+
+    /// The parts; `None` if the first one alone exceeds the limit.
+    fn finish(mut self) -> Option<Vec<(JobDiff<'a>, usize)>> {
+        self.parts.push((self.part, self.size));
+        self.parts.iter().all(|(_, size)| *size <= self.max_size).then_some(self.parts)
     }
 }
 
+/// Upper bound of the bytes that a record holds for a task, without the name of its worker.
+fn max_state_size(number: u32, task: &Task) -> usize {
+    let number_size = encoded_len_varint(number.into());
+    let run = u64::from(task.run) * 2 + 1;
+    let mut size = number_size + encoded_len_varint(run) + MAX_NUMBER_BYTES;
+    if task.failed_runs > 0 {
+        size += number_size + encoded_len_varint(task.failed_runs.into());
+    }
+    if !task.checkpoint.is_empty() {
+        size += number_size + task.checkpoint.len() + FIELD_OVERHEAD_BYTES;
+    }
+    size
+}
+
+/// Upper bound of the bytes that the name of a worker takes in a segment.
+fn max_worker_size(worker: &Name) -> usize {
+    worker.len() + FIELD_OVERHEAD_BYTES
+}
+
+/// Upper bound of the size of a job's full record without any tasks.
+pub fn max_base_size(submission: &Submission, queue: &Queue) -> usize {
+    let queue_size = queue.name.len() + queue.record().encoded_len() + 2 * FIELD_OVERHEAD_BYTES;
+    MAX_FIXED_BYTES + submission.encoded_len() + queue_size
+}
+
 impl SegmentBuilder {
     /// Upper bound of the segment's encoded size.
     pub fn size(&self) -> usize {
--- a/crates/scheduler/src/validation.rs
+++ b/crates/scheduler/src/validation.rs
@@ -13,6 +13,12 @@
 /// Most tasks of a job in a stored row; earlier builds accepted more than [`MAX_TASKS`].
 pub const MAX_STORED_TASKS: u64 = 1_000_000;
 
+/// Longest checkpoint of a task that is kept, in bytes.
+const MAX_CHECKPOINT_BYTES: usize = 4000;
+
+/// Most bytes of checkpoints that are kept for a job.
+const MAX_JOB_CHECKPOINT_BYTES: usize = 300_000;
+
 /// Number of hexadecimal digits in a job id.
 pub const JOB_ID_DIGITS: usize = 16;
 
@@ -64,6 +70,12 @@
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
+    /// Longest checkpoint that is kept for a task, so that the job's record can be stored.
+    pub fn max_checkpoint_bytes(&self) -> usize {
+        let tasks = self.task_count().max(1) as usize;
+        (MAX_JOB_CHECKPOINT_BYTES / tasks).min(MAX_CHECKPOINT_BYTES)
+    }
+
     /// Validates the format; capacity and queue are not checked.
     ///
     /// # Errors
--- a/crates/scheduler/tests/segment.rs
+++ b/crates/scheduler/tests/segment.rs
@@ -204,3 +204,105 @@
     }
     assert!(restored_jobs > 0, "some rows stay valid");
 }
+
+/// A job of one step in which each task has a run, a worker and a checkpoint.
+fn new_wide_job(tasks: u32) -> Job {
+    let mut submission = new_job("a").submission;
+    submission.steps = vec![step(tasks)];
+    let mut job = Job::new(submission, Name::new("q"), Duration::ZERO, 7);
+    job.queue_rules = Some(support::rules(None).queues[0].record());
+    job.steps[0].failed_run = 3;
+    for (index, task) in job.steps[0].tasks.iter_mut().enumerate() {
+        task.run = 1 + index as u32 % 200;
+        task.failed_runs = index as u32 % 3;
+        task.worker = Some(Name::from(format!("i-{:010x}", index % 350).as_str()));
+        task.checkpoint = Name::from(format!("{index:016x}").as_str());
+    }
+    job
+}
+
+/// Writes each part of a diff to a segment of its own.
+fn write_parts(diff: JobDiff<'_>, max_size: usize) -> Vec<Vec<u8>> {
+    let parts = diff.split(max_size).expect("the diff can be divided");
+    let write_part = |(part, size): (JobDiff<'_>, usize)| {
+        let mut builder = SegmentBuilder::default();
+        assert!(builder.add(&part) <= size && size <= max_size);
+        let value = builder.finish();
+        assert!(value.len() <= max_size, "{} bytes", value.len());
+        value
+    };
+    parts.into_iter().map(write_part).collect()
+}
+
+/// Guards against a record that no row holds, so that nothing is committed any more.
+#[test]
+fn split_wide_job_fits_rows() {
+    let job = new_wide_job(10_000);
+    let segments = write_parts(JobDiff::full(&job), 48_000);
+    assert!(segments.len() > 1);
+    let total: usize = segments.iter().map(Vec::len).sum();
+    assert!(total <= 600_000, "{total} bytes");
+    assert_same(&restore(&segments)["a"], &job);
+}
+
+/// Guards against tasks that are lost or taken from another part, at any place of the cut.
+#[test]
+fn split_at_any_size_restores() {
+    for max_size in (400..4000).step_by(97) {
+        let initial = new_job("a");
+        let mut segments = write_parts(JobDiff::full(&initial), 48_000);
+        let mut stored = StoredState::of(&initial);
+        let mut job = initial.clone();
+        let mut random = Random(max_size as u64);
+        for _ in 0..5 {
+            for _ in 0..20 {
+                change_tasks(&mut job, &mut random);
+            }
+            let diff = JobDiff::since(&stored, &job);
+            segments.extend(write_parts(diff, max_size));
+            stored = StoredState::of(&job);
+            assert_same(&restore(&segments)["a"], &job);
+        }
+        segments.extend(write_parts(JobDiff::full(&job), max_size));
+        assert_same(&restore(&segments)["a"], &job);
+    }
+}
+
+/// Guards against a later part that does not apply to the first one in the same segment.
+#[test]
+fn split_parts_in_one_segment_restore() {
+    let job = new_wide_job(300);
+    let mut builder = SegmentBuilder::default();
+    let parts = JobDiff::full(&job).split(4000).expect("the diff can be divided");
+    assert!(parts.len() > 2);
+    for (part, _) in &parts {
+        builder.add(part);
+    }
+    assert_same(&restore(&[builder.finish()])["a"], &job);
+}
+
+/// Guards against a part that is too large although the diff was divided.
+#[test]
+fn split_indivisible_is_none() {
+    let mut job = new_wide_job(3);
+    job.steps[0].tasks[1].checkpoint = Name::from("x".repeat(5000).as_str());
+    assert!(JobDiff::full(&job).split(4000).is_none());
+    let mut job = new_wide_job(3);
+    job.submission.payload = "x".repeat(5000);
+    assert!(JobDiff::full(&job).split(4000).is_none());
+}
+
+#[test]
+fn apply_parts_gives_state() {
+    let mut job = new_wide_job(500);
+    let mut stored = StoredState::of(&job);
+    for task in job.steps[0].tasks.iter_mut().step_by(3) {
+        task.is_done = true;
+        task.worker = None;
+    }
+    job.steps[0].failed_run = 9;
+    for (part, _) in JobDiff::since(&stored, &job).split(1000).expect("the diff can be divided") {
+        stored.apply(&part);
+    }
+    assert!(JobDiff::since(&stored, &job).is_empty());
+}
