Starts of a commit that was confirmed late wait for another commit

Cause: a leader that was cut off for 3.5 s, and never stopped, read the answer to an earlier commit first when the cut ended, as a path delivers what was held up. Its starts went out although another daemon led by then, to a worker that had restarted under its id and knew no later fencing token. Ruled out: sends after the first one, which need a recent commit. Change: what counts is the age of the commit at its confirmation: above 300 ms, and above three mean commit latencies, starts wait for another commit (event 5205). A claim takes longer, as a follower reads the head row twice. This covers a stopped process as well, so its own rule is taken out again, with event 5009. Not covered: a start that is decided before a process is stopped and written after it.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -37,7 +37,6 @@
     5006 ReloadFailed "settings file is invalid; current settings stay in force";
     5007 LinesDropped "log lines about jobs dropped by sampling";
     5008 LoopLoad "load of the event loop";
-    5009 Stalled "leader handled no input for a while; confirming leadership";
     5101 LeaderFound "leader found";
     5102 LeaderLost "leader lost";
     5103 Claiming "claiming leadership";
@@ -54,6 +53,7 @@
     5202 StoreRecovered "store responds again";
     5203 RowIgnored "row cannot be decoded; ignored";
     5204 CommitRejected "store rejects a transaction";
+    5205 CommitConfirmedLate "commit confirmed late; confirming leadership before any start";
     5301 RulesChanged "operator's rules changed";
     5302 WorkerListed "worker listed";
     5303 WorkerUnlisted "worker no longer listed";
--- a/crates/control/src/lag.rs
+++ b/crates/control/src/lag.rs
@@ -24,12 +24,10 @@
         Self { last_input: now, elapsed: Duration::ZERO }
     }
 
-    /// Records that an input is handled; returns the time since the former one.
-    pub fn record_input(&mut self, now: Duration) -> Duration {
-        let gap = now.saturating_sub(self.last_input);
-        self.elapsed += gap.min(MAX_INPUT_GAP);
+    /// Records that an input is handled.
+    pub fn record_input(&mut self, now: Duration) {
+        self.elapsed += now.saturating_sub(self.last_input).min(MAX_INPUT_GAP);
         self.last_input = now;
-        gap
     }
 
     /// Time that has passed without the stalls.
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -78,6 +78,14 @@
 /// Weight of a new sample in the mean commit latency.
 const LATENCY_SMOOTHING: f64 = 0.2;
 
+/// Age of a commit at its confirmation from which another daemon may have taken over since.
+///
+/// A follower reads the head row twice before a claim, with a longer time between.
+const LATE_CONFIRMATION: Duration = Duration::from_millis(300);
+
+/// Mean commit latencies that a confirmation may always take.
+const LATE_CONFIRMATION_FACTOR: u32 = 3;
+
 /// Time without a commit after which the store is logged as lost.
 const STORE_LOST_AFTER: Duration = Duration::from_secs(1);
 
@@ -289,6 +297,13 @@
         now.saturating_sub(self.last_commit)
     }
 
+    /// Whether a commit that was first sent at a time is confirmed so late that another daemon may
+    /// have taken over since.
+    pub fn is_late_confirmation(&self, first_sent: Duration, now: Duration) -> bool {
+        let usual = self.mean_latency * LATE_CONFIRMATION_FACTOR;
+        now.saturating_sub(first_sent) > usual.max(LATE_CONFIRMATION)
+    }
+
     /// Expected time until a change is durable.
     pub fn expected_latency(&self) -> Duration {
         self.mean_latency + GROUP_COMMIT_WINDOW
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -327,6 +327,12 @@
                 self.last_durable = ctx.loop_clock.now();
                 self.confirm_leadership(ctx, first_sent);
                 self.unconfirmed_since = self.unconfirmed_since.filter(|since| first_sent < *since);
+                if self.journal.is_late_confirmation(first_sent, ctx.now) {
+                    let age = ctx.now.saturating_sub(first_sent);
+                    log_event!(ctx, CommitConfirmedLate, "epoch" => self.epoch,
+                        "age_ms" => age.as_millis() as u64);
+                    self.require_confirmation(ctx.now);
+                }
                 for (id, phase) in jobs {
                     self.record_durable_phase(ctx, &id, phase);
                 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -42,7 +42,7 @@
 /// Interval between ticks of a follower.
 const FOLLOWER_TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Minimum length of a suspension or a stall after which a leader confirms its leadership.
+/// Minimum length of a suspension after which a leader confirms its leadership.
 ///
 /// It confirms with a commit, and starts no further tasks before.
 const CONFIRM_AFTER_SUSPENSION: Duration = Duration::from_millis(300);
@@ -213,8 +213,7 @@
         queued: usize,
     ) -> Vec<Action> {
         self.ctx.now = now;
-        let gap = self.ctx.loop_clock.record_input(now);
-        self.confirm_after_stall(gap);
+        self.ctx.loop_clock.record_input(now);
         self.ctx.load.begin_batch(queued);
         for QueuedInput { input, queued_at } in batch {
             let work = Work::of(&input);
@@ -433,17 +432,6 @@
         }
     }
 
-    /// Makes a leader that handled no input for a while confirm its leadership, as another daemon may
-    /// have replaced it meanwhile.
-    fn confirm_after_stall(&mut self, gap: Duration) {
-        if gap >= CONFIRM_AFTER_SUSPENSION
-            && let RoleState::Leader(leader) = &mut self.role_state
-        {
-            log_event!(self.ctx, Stalled, "gap_ms" => gap.as_millis() as u64);
-            leader.require_confirmation(self.ctx.now);
-        }
-    }
-
     /// Handles the end of a process suspension of length `suspended_for`.
     fn handle_resume(&mut self, suspended_for: Duration) {
         self.ctx.lag.reset();
--- a/crates/control/tests/takeover.rs
+++ b/crates/control/tests/takeover.rs
@@ -421,3 +421,68 @@
     sim.run(ms(15_000));
     assert_eq!(sim.violations, Vec::<String>::new());
 }
+
+/// Plays a leader whose commit with a placement is answered 3.5 s late, while it runs on without a stall
+/// and another daemon leads and places the job elsewhere; the first worker restarts under its id.
+///
+/// Returns when the answer arrives.
+fn play_late_commit_answer(sim: &mut Simulation, former: usize) -> Duration {
+    sim.run_time = Some(ms(60_000));
+    let token = sim.call(former, Operation::Submit(job("j1", vec![step(1, 60_000)])));
+    let is_stored = |sim: &Simulation| {
+        let mut rows = sim.store.rows.values();
+        rows.any(|(value, _)| value.windows(2).any(|bytes| bytes == b"j1"))
+    };
+    // Shorter than the timeout of a commit, 4 s.
+    sim.faults.commit_answer_delay = ms(3500);
+    assert!(sim.run_until(ms(3000), is_stored));
+    let answered_at = sim.now + ms(3504);
+    sim.faults.commit_answer_delay = Duration::ZERO;
+    sim.cut_from_store.insert(former);
+    sim.cut_from_peers.insert(former);
+    let ids: Vec<common::Name> = sim.workers.keys().cloned().collect();
+    sim.cut_from_workers.extend(ids.into_iter().map(|worker| (former, worker)));
+    assert_eq!(sim.answers.get(&token), None);
+    let holder = assigned_worker(sim, former).expect("the job is placed");
+    // The next leader places the job elsewhere.
+    sim.workers.get_mut(&holder).expect("the worker exists").is_draining = true;
+    assert!(other_leader(sim, former, ms(2500)).is_some());
+    assert!(sim.run_until(ms(900), |sim| is_running(sim, "j1")));
+    for node in (0..5).filter(|node| *node != former) {
+        sim.cut_from_workers.insert((node, holder.clone()));
+    }
+    let now = sim.now;
+    let restarted = sim.workers.get_mut(&holder).expect("the worker exists");
+    assert!(restarted.running.is_empty());
+    restarted.restart(now);
+    answered_at
+}
+
+// Guards against a task that runs on two workers at a time: a leader that was cut off from everything,
+// but never stalled, read the held up answer to a commit first when the cut ended. The starts of
+// that commit went out to a worker that had restarted since and knew no later fencing token.
+#[test]
+fn late_commit_answer_starts_no_tasks() {
+    let mut sim = start_with_leader(18, 5);
+    let former = sim.leader().expect("a node leads");
+    let answered_at = play_late_commit_answer(&mut sim, former);
+    // The cut ends just before the answer arrives.
+    sim.run(answered_at.saturating_sub(sim.now + ms(5)));
+    sim.cut_from_store.clear();
+    sim.cut_from_peers.clear();
+    sim.cut_from_workers.retain(|(node, _)| *node != former);
+    sim.run(ms(3500));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
+// The same where only the path to the store and the workers returns first.
+#[test]
+fn late_commit_answer_after_store_returned_starts_no_tasks() {
+    let mut sim = start_with_leader(18, 5);
+    let former = sim.leader().expect("a node leads");
+    play_late_commit_answer(&mut sim, former);
+    sim.cut_from_store.clear();
+    sim.cut_from_workers.retain(|(node, _)| *node != former);
+    sim.run(ms(3500));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
