platform, control: a daemon that cannot start or reach the store says so in its log

Cause of the silence: an error that ends the process went to standard error alone, and that of a port without its address; a daemon without a leader read the head row in vain without a line, as only a leader logged the loss of the store.

Change: event 5009 for an error that ends the process; 5201 once after 600 ms without an answer to reads of the head row, and 5202 with the next answer.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -7,6 +7,7 @@
 //! of larger capacity, which lead better.
 
 mod probe;
+mod reads;
 
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 use crate::node::Context;
 use crate::store::{CommitResult, Page, Row, RowKey, RowWrite, Transaction};
 
+use reads::Reads;
+
 /// Time without a heartbeat after which the leader is suspected to have failed.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(650);
 
@@ -131,6 +134,8 @@
     /// Call number and start of the read of the head row in progress.
     pending_read: Option<(u64, Duration)>,
     next_read_at: Duration,
+    /// Reads of the head row that got no answer.
+    reads: Reads,
     /// Latest known head row and its version; version 0 if learned from a peer.
     known_head: Option<(Head, u64)>,
     suspicion: Option<Suspicion>,
@@ -166,6 +171,7 @@
             stage: Stage::Searching,
             pending_read: None,
             next_read_at: now,
+            reads: Reads::default(),
             known_head: None,
             suspicion: None,
             claim_not_before: Duration::ZERO,
@@ -230,6 +236,7 @@
     /// Runs work that is due: timeouts of the leader and reads of the head row.
     pub fn tick(&mut self, ctx: &mut Context) {
         let loop_now = ctx.loop_clock.now();
+        self.reads.report(ctx);
         match self.stage {
             Stage::Searching => self.read_head_if_due(ctx),
             Stage::Joining { link, since } if loop_now > since + JOIN_TIMEOUT => {
@@ -285,6 +292,7 @@
         }
         let call = ctx.next_call_id();
         self.pending_read = Some((call, ctx.now));
+        self.reads.record_sent(ctx);
         ctx.actions.push(read_head(call, STORE_TIMEOUT));
     }
 
@@ -314,9 +322,11 @@
         };
         self.next_read_at = ctx.now + HEAD_POLL_INTERVAL;
         let Some(page) = page else {
+            self.reads.record_failed();
             self.probe_peers(ctx);
             return Transition::Stay;
         };
+        self.reads.record_answer(ctx);
         if let Stage::Claiming { head, .. } = &self.stage {
             return verify_claim(head, &page, sent);
         }
@@ -587,6 +597,7 @@
         }
         self.is_leader_alive = false;
         self.is_cut_off = false;
+        self.reads.pause();
         let last_heartbeat = ctx.loop_clock.now();
         self.stage = Stage::Joined { link, last_heartbeat, store_age_ms, is_serving };
     }
