scheduler, control: a worker that refuses starts is passed over with a growing backoff

Callers saw jobs that wait while nine of ten workers are idle: one worker answered each start with 503, having done nothing, and renewed its leases.

Cause: a refused start put nothing on its worker, so that the next pass chose it again as the best of equals. Ruled out: room that stays allocated (it is free at once, by the tests).

Change: refused, unanswered and undelivered starts give the worker a backoff that doubles from 200 ms to 3.2 s, then one trial start; other workers with room are preferred until it is confirmed. Runs in a row that end failed quarantine as before, now with preference for others from the first one on and one trial at a time after it. Refusals for room, ticket, fencing token or an old run do not count. A step that a second worker refuses or fails as well counts against the first one only; its refused starts are delayed instead, so that a job with a fault of its own does not close the pool. `explain` names the worker that is passed over, and the delay of a step.

--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -241,6 +241,7 @@
                     "tries" => sends);
                 if let Some(fate) = self.fate_mut(&start) {
                     fate.record_unanswered(now);
+                    self.scheduler.record_refusal(&start, now);
                 }
                 self.resend_start(ctx, start, sends);
             }
@@ -251,6 +252,7 @@
     fn on_start_without_effect(&mut self, ctx: &mut Context, start: StartOrder, sends: u32) {
         if let Some(fate) = self.fate_mut(&start) {
             fate.record_without_effect(ctx.now);
+            self.scheduler.record_refusal(&start, ctx.now);
         }
         if self.scheduler.not_started(&start).is_some() {
             self.mark_unreachable(&start.worker, ctx.now);
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -98,6 +98,9 @@
     pub is_reachable: bool,
     pub is_dead: bool,
     pub fails_all: bool,
+    /// Whether it refuses starts as an unhealthy worker does, and how many it has refused.
+    pub refuses_starts: bool,
+    pub refused_starts: u32,
     pub running: HashMap<TaskKey, FakeRun>,
     pub finished: Vec<FinishedRun>,
     /// End time of each finished run by its position, and whether the lease has expired since.
@@ -121,6 +124,8 @@
             is_reachable: true,
             is_dead: false,
             fails_all: false,
+            refuses_starts: false,
+            refused_starts: 0,
             running: HashMap::new(),
             finished: Vec::new(),
             end_times: HashMap::new(),
@@ -292,6 +297,10 @@
             return OrderReply::OutcomeUnknown;
         }
         let clock_ms = worker.clock_ms(now);
+        if worker.refuses_starts {
+            worker.refused_starts += 1;
+            return OrderReply::Refused { clock_ms, reason: Refusal::Unhealthy };
+        }
         if fencing_token < worker.highest_fencing_token {
             return OrderReply::Refused { clock_ms, reason: Refusal::StaleToken };
         }
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -51,6 +51,16 @@
             /// Id of one of the workers with room.
             worker: Name,
         },
+        /// Workers with room are passed over after refused starts or failed runs.
+        Backoff {
+            /// Id of the one that is released first.
+            worker: Name,
+        },
+        /// Several workers refused its starts; they are delayed.
+        Refused {
+            /// Number of the workers.
+            workers: usize,
+        },
         /// The tickets for workers with room have expired.
         Ticket,
         /// Capacity is available; the next scheduling pass decides.
@@ -114,6 +124,12 @@
             Self::Reserved { job, worker } => {
                 write!(f, "room is reserved for job {job}, as on worker {worker}")
             }
+            Self::Backoff { worker } => {
+                write!(f, "workers with room, as {worker}, refused starts or failed tasks")
+            }
+            Self::Refused { workers } => {
+                write!(f, "{workers} workers refused its starts; the next one is delayed")
+            }
             Self::Ticket => write!(f, "tickets for workers with room have expired"),
             Self::NextPass => write!(f, "about to be placed"),
         }
@@ -132,6 +148,14 @@
     }
 }
 
+impl Awaited {
+    /// A worker, awaited until the end of its backoff.
+    pub(crate) fn after_backoff(worker: &Worker, now: Duration) -> Self {
+        let after = worker.quarantined_until.saturating_sub(now);
+        Self { worker: worker.registration.id.clone(), after }
+    }
+}
+
 impl Scheduler {
     /// Progress of each step of a job; `None` if the job is unknown.
     pub fn explain(&self, id: &str, now: Duration) -> Option<Vec<Progress>> {
@@ -206,6 +230,9 @@
             WaitReason::Gang { .. } | WaitReason::NoCapacity { .. } | WaitReason::Spread(_) => {
                 self.next_worker_with_room(job, step_index, now)
             }
+            WaitReason::Backoff { worker } => {
+                self.pool.get(worker).map(|worker| Awaited::after_backoff(worker, now))
+            }
             _ => None,
         };
         Wait { reason, awaited }
@@ -239,6 +266,16 @@
         } else {
             self.room_wait_reason(job, step_index, &allowed, now)
         };
+        let is_delayed = step.doubt.starts_not_before > now;
+        let reason = match reason {
+            WaitReason::Gang { .. } | WaitReason::NoCapacity { .. } | WaitReason::Spread(_) => self
+                .next_passed_over_worker(job, step_index, now)
+                .map_or(reason, |worker| WaitReason::Backoff { worker }),
+            WaitReason::NextPass | WaitReason::Ticket if is_delayed => {
+                WaitReason::Refused { workers: step.doubt.refused_by.len() }
+            }
+            reason => reason,
+        };
         match (reason, step.steps_ahead) {
             (WaitReason::NoneAllowed | WaitReason::Ticket | WaitReason::NextPass, Some(ahead)) => {
                 WaitReason::AdviceService(ahead)
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod estimate;
 mod explain;
 mod fate;
+mod health;
 mod job;
 mod placement;
 mod pool;
@@ -27,6 +28,7 @@
 pub use advice::{AdviceCapacity, CallClass};
 pub use explain::{Awaited, Progress, Wait, WaitReason};
 pub use fate::{Fate, NotStarted, StopMark};
+pub use health::Doubt;
 pub use job::{Job, JobState, Phase, Task, TaskKey};
 pub use pool::Pool;
 pub use record::{
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -123,7 +123,9 @@
         let Some(step) = self.step_state(pending) else { return Vec::new() };
         let count = pending.waiting_tasks.len() as u32;
         let (mut known, mut known_places) = (Vec::new(), 0);
-        for slot in self.allowed_slots(pending, false) {
+        let mut allowed = self.allowed_slots(pending, false);
+        allowed.sort_by_key(|slot| self.is_doubtful(pending, *slot));
+        for slot in allowed {
             let free_places = self.fitting_tasks(pending, slot);
             if free_places > 0 {
                 known_places += free_places;
@@ -161,7 +163,7 @@
         unknown.sort_by_key(|(_, slot)| {
             let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
             let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
-            (Reverse(places), expected_use.cpu)
+            (self.is_doubtful(pending, *slot), Reverse(places), expected_use.cpu)
         });
         let min_workers = if pending.spec.is_gang { MIN_WORKERS_PER_GANG_ROUND } else { 1 };
         let wanted_places = remaining * ADVICE_MARGIN_FACTOR;
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -63,7 +63,9 @@
     ) -> Option<Vec<(u32, usize)>> {
         feasible.retain(|slot| pending.spec.need.fits_in(&self.slots[*slot].free_capacity));
         feasible.sort_by_key(|slot| {
-            (!self.has_affinity(pending.spec, *slot), self.slots[*slot].free_capacity.cpu)
+            let has_affinity = self.has_affinity(pending.spec, *slot);
+            let free_cpu = self.slots[*slot].free_capacity.cpu;
+            (self.is_doubtful(pending, *slot), !has_affinity, free_cpu)
         });
         if pending.spec.same_rack
             && let Some(chosen) = self.choose_in_rack(pending, &feasible)
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -56,6 +56,10 @@
     lent: Resources,
     /// Earliest time at which a job is expected to need what is lent.
     lent_until: Duration,
+    /// Whether other workers with room are preferred.
+    is_suspect: bool,
+    /// Whether its worker takes one task, or the tasks of one gang, as a trial.
+    is_trial: bool,
 }
 
 /// Slots whose workers have a service and a label.
@@ -107,6 +111,8 @@
     waiting_tasks: Vec<u32>,
     /// When a task placed now has ended at the latest; the maximum if it may use no lent room.
     ends_at: Duration,
+    /// Workers that refused its starts since the last confirmed one.
+    refused_by: Vec<Name>,
 }
 
 impl Scheduler {
@@ -123,6 +129,8 @@
             reserved_for: None,
             lent: Resources::default(),
             lent_until: Duration::ZERO,
+            is_suspect: worker.is_suspect(),
+            is_trial: worker.needs_trial(),
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -196,6 +204,9 @@
         let spec = &job.submission.steps[step_index];
         let state = &mut job.steps[step_index];
         state.steps_ahead = None;
+        if state.doubt.starts_not_before > self.now {
+            return;
+        }
         if spec.is_gang && !state.all_waiting() {
             return;
         }
@@ -228,6 +239,7 @@
         self.scheduler.steps_visited += 1;
         let waiting_tasks = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
         let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32).collect();
+        let refused_by = state.doubt.refused_by.clone();
         let candidates = self.find_candidates(queue, &spec);
         let pending = PendingStep {
             key: (id, step_index as u32),
@@ -236,6 +248,7 @@
             candidates,
             waiting_tasks,
             ends_at,
+            refused_by,
         };
         if spec.is_gang { self.place_gang(pending) } else { self.place_tasks(pending) }
     }
@@ -306,6 +319,7 @@
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
         let slot = &self.slots[slot];
         let copies = pending.spec.need.max_copies_in(&slot.available(pending.ends_at));
+        let copies = if slot.is_trial && !pending.spec.is_gang { copies.min(1) } else { copies };
         if copies == 0 || pending.spec.spread == 0 {
             return copies;
         }
@@ -314,18 +328,25 @@
             .map_or(copies, |worker| copies.min(worker.remaining_spread(pending.key, pending.spec)))
     }
 
-    /// The feasible slot with the least free CPU, preferably with the affinity label, and on room
-    /// that is lent only if there is no other.
+    /// The feasible slot with the least free CPU, preferably with the affinity label; on a doubtful
+    /// worker or on room that is lent only if there is no other.
     fn best_slot(&self, pending: &PendingStep<'_>, feasible: &[usize]) -> Option<usize> {
         let feasible =
             feasible.iter().copied().filter(|slot| self.fitting_tasks(pending, *slot) > 0);
         feasible.min_by_key(|slot| {
             let free = &self.slots[*slot].free_capacity;
             let is_lent = !pending.spec.need.fits_in(free);
-            (is_lent, !self.has_affinity(pending.spec, *slot), free.cpu)
+            let is_doubtful = self.is_doubtful(pending, *slot);
+            (is_doubtful, is_lent, !self.has_affinity(pending.spec, *slot), free.cpu)
         })
     }
 
+    /// Whether a slot's worker refused or failed tasks, or refused this step.
+    fn is_doubtful(&self, pending: &PendingStep<'_>, slot: usize) -> bool {
+        let slot = &self.slots[slot];
+        slot.is_suspect || pending.refused_by.contains(&slot.id)
+    }
+
     /// Whether a slot's worker has the step's preferred label, if any.
     fn has_affinity(&self, spec: &Step, slot: usize) -> bool {
         if spec.affinity.is_empty() {
@@ -362,6 +383,9 @@
             let start = StartOrder { key, run: task.run, worker: slot.id.clone() };
             self.scheduler.starts.push(start);
         }
+        for (_, slot) in chosen {
+            self.slots[*slot].end_trial();
+        }
         self.scheduler.changed_jobs.insert(id.clone());
     }
 
@@ -394,6 +418,15 @@
     }
 }
 
+impl Slot {
+    /// Leaves no room once the trial of its worker is placed.
+    fn end_trial(&mut self) {
+        if self.is_trial {
+            (self.free_capacity, self.lent) = Default::default();
+        }
+    }
+}
+
 impl Job {
     /// The ticket that a start must carry; `None` without one still valid at `now`.
     pub fn ticket(&self, step: u32, worker: &str, now: Duration) -> Option<Name> {
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -49,7 +49,7 @@
         for (_, _, job) in &self.ranked_jobs {
             let Some(job) = self.jobs.get_mut(job) else { continue };
             for step in &mut job.steps {
-                step.forget_advice(id);
+                step.forget_worker(id);
             }
         }
     }
@@ -66,10 +66,8 @@
         let Some(worker) = self.pool.get_mut(id) else { return };
         let Some(assignment) = worker.release(key, finished.run) else { return };
         match outcome {
-            Outcome::Done => worker.end_quarantine(),
-            Outcome::Failed if worker.record_failure(now) => {
-                self.newly_quarantined.push(id.clone());
-            }
+            Outcome::Done => self.record_success(id, key),
+            Outcome::Failed => self.record_failed_run(id, key, now),
             _ => {}
         }
         let run_time = now.saturating_sub(assignment.changed_at);
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -109,10 +109,30 @@
             until > now && worker.is_usable(until) && worker.can_run(queue, spec)
         });
         let next = quarantined.min_by_key(|worker| worker.quarantined_until)?;
-        Some(Awaited {
-            worker: next.registration.id.clone(),
-            after: next.quarantined_until.saturating_sub(now),
-        })
+        Some(Awaited::after_backoff(next, now))
+    }
+
+    /// The worker with room for a task of a step that is passed over, and released first.
+    pub(crate) fn next_passed_over_worker(
+        &self,
+        job: &Job,
+        step_index: usize,
+        now: Duration,
+    ) -> Option<Name> {
+        let queue = self.queue(&job.queue)?;
+        let spec = &job.submission.steps[step_index];
+        let step = &job.steps[step_index];
+        let key = (&job.id, step_index as u32);
+        let has_room = |worker: &&Worker| {
+            worker.is_open()
+                && worker.is_passed_over(now)
+                && worker.can_run(queue, spec)
+                && (queue.advice.is_none() || step.is_allowed(&worker.registration.id))
+                && worker.places(key, spec, &worker.free()) > 0
+        };
+        let passed_over = self.pool.iter().filter(has_room);
+        let next = passed_over.min_by_key(|worker| worker.quarantined_until)?;
+        Some(next.registration.id.clone())
     }
 
     /// First job and capacity that the last pass reserved on a worker.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -377,6 +377,7 @@
             assignment.state = RunState::Running;
             assignment.changed_at = now;
         }
+        self.record_confirmation(start, now);
         self.mark_job_started(&start.key.job, now);
     }
 
@@ -419,6 +420,9 @@
         {
             *expires = Duration::ZERO;
         }
+        if reason == Refusal::Unhealthy {
+            self.record_refusal(start, now);
+        }
         self.finish_run(&start.key, start.run, Outcome::Stopped, now, store_clock_ms);
     }
 
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -5,6 +5,7 @@
 
 use common::Name;
 
+use crate::health::Doubt;
 use crate::job::Task;
 use crate::placement::GangWait;
 
@@ -46,6 +47,8 @@
         pub last_advice_at: Duration,
         /// Its wait for room, if it is a gang that reserves capacity.
         pub(crate) gang_wait: Option<GangWait>,
+        /// What workers said of its starts and runs.
+        pub(crate) doubt: Doubt,
     }
 }
 
@@ -65,6 +68,7 @@
             advice_not_before: Duration::ZERO,
             last_advice_at: Duration::ZERO,
             gang_wait: None,
+            doubt: Doubt::default(),
         }
     }
 
@@ -83,9 +87,10 @@
         self.tasks.iter().all(Task::is_waiting)
     }
 
-    /// Forgets the advice on a worker; calls under way no longer tell of it.
-    pub(crate) fn forget_advice(&mut self, worker: &Name) {
+    /// Forgets the advice on a worker, also that of calls under way, and its refusals.
+    pub(crate) fn forget_worker(&mut self, worker: &Name) {
         self.eligibility.remove(worker);
+        self.doubt.refused_by.retain(|id| id != worker);
         for named in self.pending_advice.values_mut() {
             named.retain(|id| id != worker);
         }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,4 +1,4 @@
-//! A worker of a pool: capacity, assigned runs and health.
+//! A worker of a pool: capacity and assigned runs. `health` judges what they say of it.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -10,15 +10,6 @@
 use crate::record::{Resources, Step};
 use crate::rules::Queue;
 
-/// Consecutive failed runs after which a worker is quarantined.
-const QUARANTINE_AFTER_FAILURES: u32 = 3;
-
-/// First quarantine period; doubled with each further failure.
-const BASE_QUARANTINE: Duration = Duration::from_secs(3);
-
-/// Longest quarantine period.
-const MAX_QUARANTINE: Duration = Duration::from_secs(24);
-
 common::data! {
     /// A worker as described by its registration.
     pub struct Registration {
@@ -95,7 +86,9 @@
         pub has_unknown_runs: bool,
         /// Failed runs since the last success.
         pub consecutive_failures: u32,
-        /// End of its quarantine; zero if it has not been quarantined since a success.
+        /// Starts in a row that it refused as unhealthy or left unanswered.
+        pub refused_starts: u32,
+        /// End of its backoff or quarantine; zero if it had none since a success.
         pub quarantined_until: Duration,
     }
 }
@@ -113,6 +106,7 @@
             assignments: HashMap::new(),
             has_unknown_runs: false,
             consecutive_failures: 0,
+            refused_starts: 0,
             quarantined_until: Duration::ZERO,
         }
     }
@@ -124,10 +118,12 @@
 
     /// Whether new tasks may be placed on it.
     pub fn is_usable(&self, now: Duration) -> bool {
-        self.accepts_starts()
-            && self.is_reachable
-            && !self.has_unknown_runs
-            && self.quarantined_until <= now
+        self.is_open() && !self.is_passed_over(now)
+    }
+
+    /// Whether new tasks may be placed on it if it is healthy.
+    pub(crate) fn is_open(&self) -> bool {
+        self.accepts_starts() && self.is_reachable && !self.has_unknown_runs
     }
 
     /// Whether a start that was placed on it may be sent.
@@ -186,23 +182,6 @@
         step.spread.saturating_sub(placed)
     }
 
-    /// Ends its quarantine, after a successful run or a restart.
-    pub(crate) fn end_quarantine(&mut self) {
-        self.consecutive_failures = 0;
-        self.quarantined_until = Duration::ZERO;
-    }
-
-    /// Records a failed run; true if the worker is now quarantined.
-    pub fn record_failure(&mut self, now: Duration) -> bool {
-        self.consecutive_failures += 1;
-        if self.consecutive_failures < QUARANTINE_AFTER_FAILURES {
-            return false;
-        }
-        let doublings = (self.consecutive_failures - QUARANTINE_AFTER_FAILURES).min(3);
-        self.quarantined_until = now + (BASE_QUARANTINE * (1 << doublings)).min(MAX_QUARANTINE);
-        true
-    }
-
     /// Whether it has the queue's service and the label that a step requires.
     pub fn can_run(&self, queue: &Queue, step: &Step) -> bool {
         self.registration.service == queue.service
--- /dev/null
+++ b/crates/scheduler/tests/health.rs
@@ -0,0 +1,211 @@
+//! Tests of the backoff of workers that refuse starts or fail runs.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use common::Name;
+use scheduler::{Outcome, Phase, Refusal, RunState, Scheduler, StartOrder, Step};
+use support::{NO_DELAY, NOW, ample_advice, pool, secs, step, submit};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn place(scheduler: &mut Scheduler, now: Duration) -> Vec<StartOrder> {
+    scheduler.plan(now, NO_DELAY, ample_advice());
+    std::mem::take(&mut scheduler.starts)
+}
+
+fn refuse(scheduler: &mut Scheduler, start: &StartOrder, reason: Refusal, now: Duration) {
+    let proof = scheduler.not_started(start).expect("it was not sent");
+    scheduler.reject_start(start, proof, reason, now, 0);
+}
+
+fn confirm(scheduler: &mut Scheduler, start: &StartOrder, now: Duration) {
+    let worker = scheduler.pool.get_mut(&start.worker).expect("the worker is known");
+    let assignment = worker.assignment_mut(&start.key, start.run);
+    assignment.expect("the run is assigned").state = RunState::Sent;
+    scheduler.confirm_start(start, now);
+}
+
+fn end(scheduler: &mut Scheduler, start: &StartOrder, outcome: Outcome, now: Duration) {
+    let worker = scheduler.pool.get(&start.worker).expect("the worker is known");
+    let assigned = worker.assignments.clone();
+    let others = assigned.iter().filter(|(key, _)| **key != start.key);
+    support::end_run(scheduler, start, outcome, others.map(|(key, run)| (key, run.run)), now);
+}
+
+/// Places one task and lets its worker refuse it as unhealthy; the task's job is then cancelled.
+fn refuse_next(scheduler: &mut Scheduler, job: &str, now: Duration) {
+    submit(scheduler, job, vec![step(1)]);
+    let starts = place(scheduler, now);
+    refuse(scheduler, &starts[0], Refusal::Unhealthy, now);
+    scheduler.cancel(job, 0);
+}
+
+fn workers(starts: &[StartOrder]) -> Vec<&str> {
+    starts.iter().map(|start| &*start.worker).collect()
+}
+
+// Guards against a worker that refuses each start and is chosen again for each waiting task.
+#[test]
+fn worker_that_refuses_is_passed_over_and_returns_by_one_trial() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    submit(&mut scheduler, "j", vec![step(2)]);
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(workers(&starts), ["w1", "w1"]);
+    for start in &starts {
+        refuse(&mut scheduler, start, Refusal::Unhealthy, NOW);
+    }
+    let starts = place(&mut scheduler, NOW);
+    assert_eq!(workers(&starts), ["w2", "w2"]);
+    submit(&mut scheduler, "k", vec![step(2)]);
+    assert_eq!(place(&mut scheduler, NOW + ms(199)).len(), 0, "both refusals count once");
+    let trial = place(&mut scheduler, NOW + ms(200));
+    assert_eq!(workers(&trial), ["w1"], "one trial, although two tasks would fit");
+    assert_eq!(place(&mut scheduler, NOW + secs(9)).len(), 0, "its trial is under way");
+    confirm(&mut scheduler, &trial[0], NOW + secs(9));
+    assert_eq!(workers(&place(&mut scheduler, NOW + secs(9))), ["w1"]);
+}
+
+// Guards against a worker that is tried at a constant rate, and against one that is never tried.
+#[test]
+fn backoff_grows_up_to_a_bound_and_work_is_tried_without_other_workers() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    let (mut now, mut last, mut waits) = (NOW, NOW, Vec::new());
+    while now < NOW + secs(20) {
+        if let Some(start) = place(&mut scheduler, now).first() {
+            refuse(&mut scheduler, start, Refusal::Unhealthy, now);
+            waits.push(now.saturating_sub(last).as_millis());
+            last = now;
+        }
+        now += ms(10);
+    }
+    assert_eq!(waits, [0, 200, 400, 800, 1600, 3200, 3200, 3200, 3200, 3200]);
+    let trial = place(&mut scheduler, now + secs(4));
+    confirm(&mut scheduler, &trial[0], now + secs(4));
+    end(&mut scheduler, &trial[0], Outcome::Done, now + secs(5));
+    assert_eq!(scheduler.jobs["j"].phase, Phase::Completed);
+}
+
+// Guards against backoff for refusals that say nothing of the worker's health.
+#[test]
+fn other_refusals_do_not_count_against_worker() {
+    for reason in [Refusal::NoCapacity, Refusal::Ticket, Refusal::StaleToken, Refusal::Withdrawn] {
+        let mut scheduler = pool(&["w1", "w2"], None);
+        submit(&mut scheduler, "j", vec![step(1)]);
+        for _ in 0..5 {
+            let starts = place(&mut scheduler, NOW);
+            assert_eq!(workers(&starts), ["w1"], "{reason:?}");
+            refuse(&mut scheduler, &starts[0], reason, NOW);
+        }
+    }
+}
+
+// Guards against a job that every worker refuses, which would close them all one by one.
+#[test]
+fn step_that_all_refuse_closes_one_worker_and_is_delayed() {
+    let mut scheduler = pool(&["w1", "w2", "w3", "w4"], None);
+    submit(&mut scheduler, "bad", vec![step(1)]);
+    let (mut tried, mut refusals) = (BTreeSet::new(), 0);
+    for tick in 0..500 {
+        let now = NOW + ms(tick * 10);
+        for start in place(&mut scheduler, now) {
+            refuse(&mut scheduler, &start, Refusal::Unhealthy, now);
+            tried.insert(start.worker.to_string());
+            refusals += 1;
+        }
+        let passed_over = scheduler.pool.iter().filter(|worker| !worker.is_usable(now));
+        assert!(passed_over.count() <= 1, "at {now:?}");
+    }
+    assert_eq!(tried.len(), 4, "it is tried on each worker");
+    assert!(refusals < 14, "{refusals} refusals");
+    let reason = scheduler.first_wait_reason("bad", NOW + secs(5));
+    assert_eq!(reason, Some(scheduler::WaitReason::Refused { workers: 4 }));
+    submit(&mut scheduler, "good", vec![step(6)]);
+    assert!(place(&mut scheduler, NOW + secs(5)).len() >= 6);
+}
+
+// Guards against a worker that fails each run at once and gets the next tasks as the idlest.
+#[test]
+fn worker_that_fails_is_passed_over_and_returns_by_one_trial() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    for (number, expected) in ["w1", "w2", "w2", "w1"].into_iter().enumerate() {
+        let job = format!("j{number}");
+        submit(&mut scheduler, &job, vec![step(1)]);
+        let starts = place(&mut scheduler, NOW);
+        assert_eq!(workers(&starts), [expected]);
+        confirm(&mut scheduler, &starts[0], NOW);
+        if expected == "w1" {
+            end(&mut scheduler, &starts[0], Outcome::Failed, NOW);
+            scheduler.cancel(&job, 0);
+        }
+    }
+    submit(&mut scheduler, "third", vec![step(1)]);
+    let starts = place(&mut scheduler, NOW);
+    confirm(&mut scheduler, &starts[0], NOW);
+    end(&mut scheduler, &starts[0], Outcome::Failed, NOW);
+    scheduler.cancel("third", 0);
+    assert_eq!(scheduler.newly_quarantined, [Name::new("w1")]);
+    submit(&mut scheduler, "waiting", vec![step(2)]);
+    assert_eq!(place(&mut scheduler, NOW + ms(2999)).len(), 0);
+    let trial = place(&mut scheduler, NOW + secs(3));
+    assert_eq!(workers(&trial), ["w1"]);
+    confirm(&mut scheduler, &trial[0], NOW + secs(3));
+    assert_eq!(place(&mut scheduler, NOW + secs(3)).len(), 0, "the trial has to last");
+    assert_eq!(place(&mut scheduler, NOW + secs(4)).len(), 1);
+}
+
+// Guards against a job that fails on each worker by its own fault and closes them one by one.
+#[test]
+fn step_that_fails_everywhere_closes_one_worker() {
+    let mut scheduler = pool(&["w1", "w2", "w3"], None);
+    submit(&mut scheduler, "bad", vec![step(40)]);
+    let mut failures = 0;
+    for tick in 0.. {
+        let now = NOW + ms(tick * 10);
+        let starts = place(&mut scheduler, now);
+        for start in &starts {
+            confirm(&mut scheduler, start, now);
+        }
+        for start in &starts {
+            end(&mut scheduler, start, Outcome::Failed, now);
+            failures += 1;
+        }
+        if scheduler.jobs["bad"].phase == Phase::Failed {
+            break;
+        }
+    }
+    assert!(failures > 9, "{failures} failures are enough to close all workers");
+    let closed: BTreeSet<_> = scheduler.newly_quarantined.iter().collect();
+    assert_eq!(closed, BTreeSet::from([&Name::new("w1")]));
+}
+
+// Guards against a gang that waits for ever on workers that take one trial at a time.
+#[test]
+fn gang_is_placed_on_workers_that_need_trials() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    refuse_next(&mut scheduler, "a", NOW);
+    refuse_next(&mut scheduler, "b", NOW);
+    submit(&mut scheduler, "gang", vec![Step { is_gang: true, ..step(4) }]);
+    assert_eq!(place(&mut scheduler, NOW + ms(199)).len(), 0);
+    assert_eq!(place(&mut scheduler, NOW + ms(200)).len(), 4);
+}
+
+#[test]
+fn wait_names_worker_that_is_passed_over() {
+    let mut scheduler = pool(&["w1", "w2"], None);
+    refuse_next(&mut scheduler, "a", NOW);
+    submit(&mut scheduler, "busy", vec![step(2)]);
+    assert_eq!(workers(&place(&mut scheduler, NOW)), ["w2", "w2"]);
+    submit(&mut scheduler, "j", vec![step(1)]);
+    let wait = scheduler.first_wait("j", NOW + ms(50)).expect("the job waits");
+    assert_eq!(
+        wait.to_string(),
+        "workers with room, as w1, refused starts or failed tasks; worker w1 is expected to have \
+         room in 150 ms"
+    );
+}
