--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -135,6 +135,9 @@
     pub fails_all: bool,
     /// Checkpoint that it lists for each run; it tells the time of the listing if not empty.
     pub checkpoint: Name,
+    /// Whether it refuses starts as an unhealthy worker does, and how many it has refused.
+    pub refuses_starts: bool,
+    pub refused_starts: u32,
     pub running: HashMap<TaskKey, FakeRun>,
     pub finished: Vec<FinishedRun>,
     /// End time of each finished run by its position, and whether the lease has expired since.
@@ -159,6 +162,8 @@
             is_dead: false,
             fails_all: false,
             checkpoint: Name::default(),
+            refuses_starts: false,
+            refused_starts: 0,
             running: HashMap::new(),
             finished: Vec::new(),
             end_times: HashMap::new(),
@@ -338,6 +343,10 @@
             return OrderReply::OutcomeUnknown;
         }
         let clock_ms = worker.clock_ms(now);
+        if worker.refuses_starts {
+            worker.refused_starts += 1;
+            return OrderReply::Refused { clock_ms, reason: Refusal::Unhealthy };
+        }
         if fencing_token < worker.highest_fencing_token {
             return OrderReply::Refused { clock_ms, reason: Refusal::StaleToken };
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -392,6 +392,7 @@
             assignment.state = RunState::Running;
             assignment.changed_at = now;
         }
+        self.record_confirmation(start, now);
         self.mark_job_started(&start.key.job, now);
     }
 
@@ -434,6 +435,9 @@
         {
             *expires = Duration::ZERO;
         }
+        if reason == Refusal::Unhealthy {
+            self.record_refusal(start, now);
+        }
         self.finish_run(&start.key, start.run, Outcome::Stopped, now, store_clock_ms);
     }
 
