--- a/crates/standin/src/platform/http.rs
+++ b/crates/standin/src/platform/http.rs
@@ -1,7 +1,7 @@
 //! Minimal HTTP server for JSON bodies, with one thread per request.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use serde_json::Value;
@@ -27,7 +27,16 @@
 pub fn serve(
     handler: impl Fn(&Request) -> Reply + Send + Sync + 'static,
 ) -> std::io::Result<SocketAddr> {
-    let server = Server::http("127.0.0.1:0").map_err(std::io::Error::other)?;
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    serve_at(any_port, move |request| Some(handler(request)))
+}
+
+/// Serves requests on an address; a request whose reply is `None` gets no response.
+pub fn serve_at(
+    listen: SocketAddr,
+    handler: impl Fn(&Request) -> Option<Reply> + Send + Sync + 'static,
+) -> std::io::Result<SocketAddr> {
+    let server = Server::http(listen).map_err(std::io::Error::other)?;
     let address = server.server_addr().to_ip().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
@@ -39,7 +48,7 @@
     Ok(address)
 }
 
-fn handle_request(mut request: tiny_http::Request, handler: &dyn Fn(&Request) -> Reply) {
+fn handle_request(mut request: tiny_http::Request, handler: &dyn Fn(&Request) -> Option<Reply>) {
     let url = request.url().to_owned();
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
     let instance = request.headers().iter().find(|header| header.field.equiv("Expect-Instance"));
@@ -48,7 +57,12 @@
     let fields = query.split('&').filter_map(|field| field.split_once('='));
     let query = fields.map(|(name, value)| (name.to_owned(), decode_percent(value))).collect();
     let body = serde_json::from_reader(request.as_reader()).unwrap_or(Value::Null);
-    let (status, body) = handler(&Request { method_and_path, query, expected_instance, body });
+    let parsed = Request { method_and_path, query, expected_instance, body };
+    let Some((status, body)) = handler(&parsed) else {
+        // A dropped request would be answered 500; a dropped writer sends nothing.
+        drop(request.into_writer());
+        return;
+    };
     let json = Header::from_bytes("Content-Type", "application/json").expect("a valid header");
     let response = Response::from_string(body.to_string()).with_status_code(status);
     // The caller may have closed the connection already.
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -4,7 +4,9 @@
 //! with versions, change feeds, workers with leases, fencing tokens and lists of ended
 //! runs, and an advice service that issues tickets. The spec of a task sets how long it runs.
 
+pub mod event;
 mod http;
+pub mod job;
 mod store;
 mod worker;
 
@@ -72,8 +74,7 @@
         let mut started = Vec::new();
         for number in 0..workers {
             let worker = Arc::new(Worker::new(format!("i-{number}"), cpu));
-            let handler = Arc::clone(&worker);
-            let address = http::serve(move |request| handler.handle(request))?;
+            let address = worker.serve(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
             let entry = json!({
                 "service": SERVICE, "address": address.to_string(), "zone": "zone-a",
                 "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
