--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -5,9 +5,11 @@
 //! runs, and an advice service that issues tickets. The spec of a task sets how long it runs.
 
 pub mod event;
+mod fault;
 mod http;
 pub mod job;
 mod store;
+mod view;
 mod worker;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -15,7 +17,9 @@
 
 use serde_json::json;
 
+pub use fault::Fault;
 pub use store::Store;
+pub use view::{View, serve_view};
 pub use worker::{Counts, Worker};
 
 /// Name of the service that the simulated workers belong to.
@@ -68,8 +72,7 @@
     pub fn start(workers: usize, cpu: u32) -> std::io::Result<Self> {
         let store = Arc::new(Store::default());
         store.put("op", "config", &config());
-        let handler = Arc::clone(&store);
-        let store_address = http::serve(move |request| handler.handle(request))?;
+        let store_address = serve_view(&store, Arc::new(view::Plain))?;
         let advice_address = http::serve(advise)?;
         let mut started = Vec::new();
         for number in 0..workers {
