soak: a run whose lease still lasts is told as still on

Violations that were printed while a soak ran said of runs that had just started that they were "gone with its worker or lease", at a time to come: a run without a known end was taken to end with its last lease, though the lease could still be extended. Such an end counts only up to the last time that anything is known of.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -295,6 +295,10 @@
     fn account(&self) -> Account<'_> {
         let mut events: Vec<&(Life, Event)> = self.events.iter().collect();
         events.sort_by_key(|(_, event)| event.at_us);
+        // A lease that ends later than all that is known may still be extended.
+        let last_event_us = events.last().map(|(_, event)| event.at_us);
+        let last_down_us = self.downs.iter().map(|(_, at_us)| *at_us).max();
+        let last_us = last_event_us.max(last_down_us).max(self.ended_us).unwrap_or(0);
         let mut records: BTreeMap<&Life, Record> = BTreeMap::new();
         let mut starts = Vec::new();
         for (life, event) in events {
@@ -326,7 +330,8 @@
             let end = record.ends.get(&(task, number)).copied();
             // A worker that was killed while it was stopped couldn't report its runs' ends.
             let limits = [record.down_us, record.lease_end_us];
-            let unreported_us = || limits.into_iter().flatten().min();
+            let unreported_us =
+                || limits.into_iter().flatten().min().filter(|at_us| *at_us <= last_us);
             runs.entry(task).or_default().push(Run {
                 life,
                 number,
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -140,6 +140,16 @@
     assert_eq!(tale.broken(), [Rule::Twice]);
 }
 
+#[test]
+fn twice_run_under_a_lease_that_lasts_is_still_on() {
+    let mut tale = Tale::new();
+    tale.event(0, "a", Kind::Leased { until_us: at(4000) });
+    tale.started(0, "a", 1).started(700, "b", 2);
+    assert!(tale.only().text.ends_with("token 11) from 0.000 s, still on"));
+    tale.event(4001, "b", Kind::LeaseExpired);
+    assert!(tale.only().text.ends_with("gone with its worker or lease at 4.000 s"));
+}
+
 #[test]
 fn twice_run_ends_when_its_worker_begins_anew() {
     let mut tale = Tale::new();
