soak: plan of cut off zones; long tasks outlast a cut and a lease

Change: plan `zones` cuts the leader's zone off twice in a row; tasks of both plans run for up to 25 s.

--- a/crates/soak/src/cell.rs
+++ b/crates/soak/src/cell.rs
@@ -223,7 +223,7 @@
             network,
             store_addresses,
             directory,
-            effects: Effects::default(),
+            effects: Effects::new(spec),
             registrar: Some(registrar),
             _runtime: runtime,
         };
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -31,8 +31,8 @@
 /// Run time of tasks, in ms.
 const RUN_MS: std::ops::Range<u64> = 200..12_000;
 
-/// Run time of tasks in runs of long tasks, in ms.
-const LONG_RUN_MS: std::ops::Range<u64> = 5_000..12_000;
+/// Run time of tasks in runs of long tasks, in ms; some outlast a cut and the next lease.
+const LONG_RUN_MS: std::ops::Range<u64> = 5_000..25_000;
 
 /// Most tasks of a job.
 const MAX_TASKS: u32 = 6;
--- a/crates/soak/src/effect.rs
+++ b/crates/soak/src/effect.rs
@@ -5,7 +5,7 @@
 use standin::platform::Fault;
 
 use crate::link::Mode;
-use crate::plan::{Kind, Target};
+use crate::plan::{Kind, Spec, Target};
 
 common::key! {
     /// A process, or the store.
@@ -32,15 +32,21 @@
 }
 
 /// Faults that apply at the same time; targets are resolved.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Effects {
+    spec: Spec,
     kinds: Vec<(usize, Kind)>,
 }
 
 impl Effects {
+    /// Creates the effects of no fault on a cell.
+    pub fn new(spec: &Spec) -> Self {
+        Self { spec: spec.clone(), kinds: Vec::new() }
+    }
+
     /// Adds a fault under a number; `leader` is the daemon that leads.
     pub fn add(&mut self, number: usize, kind: &Kind, leader: usize) {
-        self.kinds.push((number, resolve(kind, leader)));
+        self.kinds.push((number, resolve(kind, leader, &self.spec)));
     }
 
     /// Removes the fault with a number.
@@ -100,7 +106,7 @@
 }
 
 /// Copy of a fault for the daemon that leads now.
-fn resolve(kind: &Kind, leader: usize) -> Kind {
+fn resolve(kind: &Kind, leader: usize, spec: &Spec) -> Kind {
     let resolve = |target: &Target| match target {
         Target::Leader => Target::Daemon(leader),
         Target::Daemon(daemon) => Target::Daemon(*daemon),
@@ -111,6 +117,9 @@
             workers: workers.clone(),
             workers_reach_store: *workers_reach_store,
         },
+        Kind::CutLeaderZone { workers_reach_store } => {
+            spec.cut_zone(spec.zone(leader), *workers_reach_store)
+        }
         Kind::OneWay { daemon, outbound } => {
             Kind::OneWay { daemon: resolve(daemon), outbound: *outbound }
         }
@@ -153,7 +162,9 @@
         Kind::StoreDelay(delay) => when(to == Node::Store, delayed(delay)),
         Kind::StoreMute => when(to == Node::Store, Mode::Silent { forward: false, backward: true }),
         Kind::WorkerCut(worker) => when(to == Node::Worker(*worker), Mode::CUT),
-        Kind::Kill(_)
+        // A zone is resolved to its members.
+        Kind::CutLeaderZone { .. }
+        | Kind::Kill(_)
         | Kind::Terminate(_)
         | Kind::Stop(_)
         | Kind::Store(_)
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "plan")]
 struct PlanArgs {
-    /// plan: leaders or mixed
+    /// plan: leaders, zones or mixed
     #[argh(option, default = "\"mixed\".to_owned()")]
     plan: String,
     /// seed of the plan
@@ -66,7 +66,7 @@
     /// program of the worker
     #[argh(option)]
     worker: PathBuf,
-    /// plan: leaders or mixed
+    /// plan: leaders, zones or mixed
     #[argh(option, default = "\"mixed\".to_owned()")]
     plan: String,
     /// seed of the first run
@@ -109,6 +109,7 @@
 fn make_plan(name: &str, seed: u64, spec: &Spec) -> Result<Plan> {
     match name {
         "leaders" => Ok(Plan::leaders(seed, spec)),
+        "zones" => Ok(Plan::zones(seed)),
         "mixed" => Ok(Plan::draw(seed, spec)),
         _ => Err(format!("no plan is named {name:?}").into()),
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,7 +14,7 @@
 /// Time before the end of a run in which no fault starts.
 const LAST_FAULT: Duration = Duration::from_secs(4);
 
-/// Time for which the plan `leaders` cuts each leader off, in ms; longer than the longest lease
+/// Time for which the named plans cut a leader off, in ms; longer than the longest lease
 /// and, for the most part, than the time from the cut to the restart of the tasks.
 const LEADER_CUT_MS: std::ops::Range<u64> = 11_000..15_000;
 
@@ -59,6 +59,11 @@
             /// Whether these workers reach the store.
             workers_reach_store: bool,
         },
+        /// Cuts all daemons and workers of the leader's zone off from the store and all others.
+        CutLeaderZone {
+            /// Whether the zone's workers reach the store.
+            workers_reach_store: bool,
+        },
         /// Keeps all bytes from a daemon, or all bytes to it.
         OneWay {
             /// The daemon.
@@ -121,6 +126,15 @@
         number % self.zones
     }
 
+    /// Cuts a zone off.
+    pub fn cut_zone(&self, zone: usize, workers_reach_store: bool) -> Kind {
+        Kind::Cut {
+            daemons: self.in_zone(zone, self.daemons).map(Target::Daemon).collect(),
+            workers: self.in_zone(zone, self.workers).collect(),
+            workers_reach_store,
+        }
+    }
+
     /// Numbers below `count` in a zone.
     fn in_zone(&self, zone: usize, count: usize) -> impl Iterator<Item = usize> {
         (0..count).filter(move |number| self.zone(*number) == zone)
@@ -131,14 +145,24 @@
     /// Cuts the leader off twice in a row, each time with half of the workers, while tasks run
     /// long.
     pub fn leaders(seed: u64, spec: &Spec) -> Self {
+        Self::two_cuts(seed, |random| Kind::Cut {
+            daemons: vec![Target::Leader],
+            workers: some_workers(random, spec, 0.5),
+            workers_reach_store: random.random(),
+        })
+    }
+
+    /// Cuts the leader's zone off twice in a row, while tasks run long.
+    pub fn zones(seed: u64) -> Self {
+        Self::two_cuts(seed, |random| Kind::CutLeaderZone { workers_reach_store: random.random() })
+    }
+
+    fn two_cuts(seed: u64, mut draw: impl FnMut(&mut StdRng) -> Kind) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut faults = Vec::new();
         let mut at = FIRST_FAULT + Duration::from_millis(random.random_range(0..3_000));
         for _ in 0..2 {
-            let workers = some_workers(&mut random, spec, 0.5);
-            let workers_reach_store = random.random();
-            let daemons = vec![Target::Leader];
-            let kind = Kind::Cut { daemons, workers, workers_reach_store };
+            let kind = draw(&mut random);
             let lasts = Duration::from_millis(random.random_range(LEADER_CUT_MS));
             faults.push(Fault { at, lasts, kind });
             at += lasts + Duration::from_millis(random.random_range(0..4_000));
@@ -189,9 +213,7 @@
         }
         4 => {
             let zone = random.random_range(0..spec.zones);
-            let daemons = spec.in_zone(zone, spec.daemons).map(Target::Daemon).collect();
-            let workers = spec.in_zone(zone, spec.workers).collect();
-            (long, Kind::Cut { daemons, workers, workers_reach_store: false })
+            (long, spec.cut_zone(zone, false))
         }
         5 | 6 => (long, Kind::OneWay { daemon, outbound: random.random() }),
         7 => (short, Kind::Kill(daemon)),
--- a/crates/soak/tests/link.rs
+++ b/crates/soak/tests/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use control::{Announcement, Body, Frame, Head, Hello, Members, Welcome};
@@ -9,11 +10,13 @@
 use soak::address::Directory;
 use soak::effect::{Effects, Node, State};
 use soak::link::{Direction, Frames, Link, Mode, Plain, Traffic};
-use soak::plan::{Kind, Target};
+use soak::plan::{Kind, Spec, Target};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use wire::MessageCodec;
 
+const SPEC: Spec = Spec { daemons: 4, workers: 4, zones: 2, length: Duration::from_secs(9) };
+
 /// Three daemons at `real-N`, with proxies `N-to-M`, and a worker `w` behind `N-to-w`.
 fn directory() -> Directory {
     let mut directory = Directory::new((0..3).map(|daemon| format!("real-{daemon}")).collect());
@@ -126,7 +129,7 @@
 fn effects_cut_leader_keeps_its_workers_and_loses_all_others() {
     let kind =
         Kind::Cut { daemons: vec![Target::Leader], workers: vec![0], workers_reach_store: false };
-    let mut effects = Effects::default();
+    let mut effects = Effects::new(&SPEC);
     effects.add(7, &kind, 1);
     let (leader, other) = (Node::Daemon(1), Node::Daemon(0));
     assert_eq!(effects.mode(leader, Node::Worker(0)), Mode::Open);
@@ -146,9 +149,23 @@
     assert_eq!(effects.mode(leader, Node::Store), Mode::Open);
 }
 
+#[test]
+fn effects_cut_zone_of_the_leader_keeps_links_within_it() {
+    let mut effects = Effects::new(&SPEC);
+    effects.add(1, &Kind::CutLeaderZone { workers_reach_store: false }, 3);
+    assert_eq!(effects.mode(Node::Daemon(3), Node::Daemon(1)), Mode::Open);
+    assert_eq!(effects.mode(Node::Daemon(1), Node::Worker(3)), Mode::Open);
+    assert_eq!(effects.mode(Node::Daemon(0), Node::Worker(2)), Mode::Open);
+    assert_eq!(effects.mode(Node::Daemon(1), Node::Store), Mode::CUT);
+    assert_eq!(effects.mode(Node::Daemon(2), Node::Daemon(3)), Mode::CUT);
+    assert_eq!(effects.mode(Node::Daemon(3), Node::Worker(0)), Mode::CUT);
+    assert!(!effects.reaches_store(1));
+    assert!(effects.reaches_store(2));
+}
+
 #[test]
 fn effects_of_a_killed_and_stopped_daemon_are_those_of_the_kill() {
-    let mut effects = Effects::default();
+    let mut effects = Effects::new(&SPEC);
     effects.add(1, &Kind::Stop(Target::Leader), 2);
     effects.add(2, &Kind::Kill(Target::Daemon(2)), 0);
     assert_eq!(effects.state(Node::Daemon(2)), State::Dead);
