soak: a run that cannot be judged does not end the others

Cause: jobs that still run at the end, or a program that cannot be started, ended all runs of a series. Change: such a run is named and its logs are kept, the next seeds run, and the exit code is 2 if nothing was broken. Checked with a daemon that does not exist: not judged, exit 2.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -131,7 +131,7 @@
 fn run(args: &RunArgs) -> Result<bool> {
     let spec = make_spec(args.daemons, args.workers, args.seconds)?;
     let parent = args.keep.clone().unwrap_or_else(std::env::temp_dir);
-    let mut broken = 0;
+    let (mut broken, mut failed) = (0, 0);
     for seed in args.seed..args.seed + args.seeds {
         let plan = make_plan(&args.plan, seed, &spec)?;
         println!("plan {}, seed {seed}:\n{plan}", args.plan);
@@ -141,8 +141,14 @@
             worker: args.worker.clone(),
             folder: folder.clone(),
         };
-        let outcome = soak::run::run(&spec, &plan, paths)
-            .map_err(|error| format!("seed {seed}: {error}; logs in {}", folder.display()))?;
+        let outcome = match soak::run::run(&spec, &plan, paths) {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                failed += 1;
+                println!("plan {}, seed {seed}: {error}; logs in {}", args.plan, folder.display());
+                continue;
+            }
+        };
         let count = outcome.violations.len();
         let verdict = if count == 0 { "held" } else { "broken" };
         println!(
@@ -164,6 +170,9 @@
             println!("logs in {}", folder.display());
         }
     }
-    println!("{} runs, {broken} broken", args.seeds);
+    println!("{} runs, {broken} broken, {failed} not judged", args.seeds);
+    if failed > 0 && broken == 0 {
+        return Err("not all runs could be judged".into());
+    }
     Ok(broken == 0)
 }
