platform, host: connections at a worker are bounded

Without any disruption a gang of 300 tasks of 0.1 cores never gets going.

Cause: each start opened a connection of its own if none was idle, and up to 16 idle ones were kept, without regard to the `max_connections` of the service. A leader without power closes nothing, so that three or four of them use up a worker's 64. One refused connection then failed its order at once, although others were open, and a failed call closed all idle ones.

Not told apart: the shares of the two causes.

Change: a daemon has at most `max_connections` / 12 connections open at a worker, at least 2; 5 of 64. That leaves room for 11 leaders that were lost without a word. One is kept for renewals. Orders wait for the others, stops before starts, starts in the order given; the wait counts within the timeout, and an order that got no connection is `NotSent`. If the worker has answered others meanwhile, such a start is sent again and the worker does not count as silent. A refused connection leaves the others in use. Idle connections are closed also by a daemon that makes no calls. Acknowledgements go only on the connection of the listing, as before; connections are numbered over all clients of a daemon.

--- a/crates/control/src/action.rs
+++ b/crates/control/src/action.rs
@@ -88,6 +88,8 @@
             start: scheduler::StartOrder,
             /// Address at which the worker accepts orders.
             address: Name,
+            /// Connections that the worker's service allows; none if unknown.
+            max_connections: Option<u32>,
             /// Payload passed to the task.
             payload: String,
             /// Fencing token of the leader.
@@ -109,6 +111,8 @@
             stop: scheduler::StopOrder,
             /// Address at which the worker accepts orders.
             address: Name,
+            /// Connections that the worker's service allows; none if unknown.
+            max_connections: Option<u32>,
             /// Fencing token of the leader.
             fencing_token: u64,
             /// Timeout for the answer.
@@ -122,6 +126,8 @@
             worker: Name,
             /// Address at which the worker accepts orders.
             address: Name,
+            /// Connections that the worker's service allows; none if unknown.
+            max_connections: Option<u32>,
             /// Fencing token of the leader.
             fencing_token: u64,
             /// End of the lease by the worker's clock, in ms; none to leave it unchanged.
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -44,6 +44,8 @@
         OtherIncarnation,
         /// No connection could be established.
         Unreachable,
+        /// No connection was free in time, so that nothing was sent.
+        NotSent,
         /// No answer; the order may have been carried out, or may be later.
         OutcomeUnknown,
     }
@@ -61,6 +63,8 @@
         Fenced,
         /// Another incarnation answered at the worker's address.
         OtherIncarnation,
+        /// The worker refused a connection, so that nothing was sent.
+        Refused,
         /// No answer, or an invalid one.
         Failed,
     }
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -382,6 +382,7 @@
     /// Sends a renewal to a worker.
     fn send_renewal(&mut self, ctx: &mut Context, id: &Name) {
         let Some(worker) = self.scheduler.pool.get(id) else { return };
+        let max_connections = self.scheduler.max_connections(&worker.registration.service);
         let limit = self.leases.limit;
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         let has_runs = !worker.assignments.is_empty();
@@ -399,6 +400,7 @@
             call,
             worker: id.clone(),
             address: lease.address.clone(),
+            max_connections,
             fencing_token: self.epoch,
             lease_end_ms,
             acked_position: ack,
@@ -454,7 +456,8 @@
                 lease.next_renewal = ctx.now;
                 self.abandon_if_gone(ctx, &id, sent);
             }
-            RenewReply::Failed => {
+            RenewReply::Refused | RenewReply::Failed => {
+                let is_refusal = matches!(reply, RenewReply::Refused);
                 lease.failures += 1;
                 lease.ack_position = 0;
                 lease.next_renewal = ctx.now + RENEWAL_RETRY_DELAY;
@@ -464,6 +467,7 @@
                     worker.is_reachable = false;
                     ctx.meter.add(Counter::Workers, "lost", 1);
                     log_event!(ctx, WorkerLost, "worker" => %id,
+                        "reason" => if is_refusal { "connection refused" } else { "no answer" },
                         "holds" => worker.assignments.len());
                 }
             }
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -82,6 +82,7 @@
         let is_withdrawn = has_ended || (needs_ticket && ticket.is_none());
         let address = self.leases.address(&start.worker);
         let lease_end_ms = self.leases.extend_lease(&start.worker, now);
+        let max_connections = self.max_connections(&start.worker);
         let (Some(address), Some(lease_end_ms), Some(checkpoint), true, false) =
             (address, lease_end_ms, checkpoint, may_send, has_ended || (is_withdrawn && is_first))
         else {
@@ -100,6 +101,7 @@
             call,
             start: start.clone(),
             address,
+            max_connections,
             payload,
             fencing_token: self.epoch,
             lease_end_ms,
@@ -150,9 +152,16 @@
         self.scheduler.reject_start(start, proof, refusal, ctx.now, store_clock_ms);
     }
 
+    /// The connections that a worker's service allows to it.
+    fn max_connections(&self, id: &str) -> Option<u32> {
+        let worker = self.scheduler.pool.get(id)?;
+        self.scheduler.max_connections(&worker.registration.service)
+    }
+
     /// Sends a stop.
     pub(super) fn send_stop(&mut self, ctx: &mut Context, stop: StopOrder) {
         let Some(address) = self.leases.address(&stop.worker) else { return };
+        let max_connections = self.max_connections(&stop.worker);
         log_job_event!(ctx, &stop.key.job, TaskStopRequested, "step" => stop.key.step,
             "index" => stop.key.index, "run" => stop.run, "worker" => %stop.worker,
             "epoch" => self.epoch);
@@ -164,6 +173,7 @@
             call,
             stop: stop.clone(),
             address,
+            max_connections,
             fencing_token: self.epoch,
             timeout: STOP_TIMEOUT,
         });
@@ -232,7 +242,14 @@
                     self.on_start_without_effect(ctx, start, sends);
                 }
             }
-            OrderReply::Unreachable => {
+            // The worker is not silent, but other orders keep its connections in use.
+            OrderReply::NotSent if self.leases.has_answered_since(&start.worker, sent) => {
+                if let Some(fate) = self.fate_mut(&start) {
+                    fate.record_without_effect(now);
+                }
+                self.resend_start(ctx, start, sends);
+            }
+            OrderReply::Unreachable | OrderReply::NotSent => {
                 self.on_start_without_effect(ctx, start, sends);
             }
             OrderReply::OutcomeUnknown => {
@@ -356,7 +373,7 @@
                 }
                 self.orders.stop_retries.push((ctx.now + STOP_RETRY_DELAY, stop));
             }
-            OrderReply::Unreachable | OrderReply::OutcomeUnknown => {
+            OrderReply::Unreachable | OrderReply::NotSent | OrderReply::OutcomeUnknown => {
                 self.orders.stop_retries.push((ctx.now + STOP_RETRY_DELAY, stop));
             }
         }
--- a/crates/control/tests/paths.rs
+++ b/crates/control/tests/paths.rs
@@ -71,6 +71,27 @@
     assert_eq!((sim.violations.as_slice(), sim.started_runs), (&[][..], 1));
 }
 
+/// Guards against a worker that is taken for silent because other orders use its connections.
+#[test]
+fn start_without_free_connection_is_sent_again() {
+    let mut sim = start_cell();
+    sim.faults.path = PathFaults {
+        not_connected_share: 0.5,
+        has_busy_connections: true,
+        spares_renewals: true,
+        ..PathFaults::default()
+    };
+    assert_eq!(sim.submit(job("j1", vec![step(4, 3000)])), Some(Answer::Accepted));
+    sim.run(ms(200));
+    assert!((1..4).contains(&sim.started_runs), "{} started at once", sim.started_runs);
+    sim.lossy_workers.clear();
+    assert!(sim.run_until(ms(1000), |sim| sim.started_runs == 4));
+    let runs = sim.workers.values().flat_map(|worker| worker.running.values());
+    assert_eq!(runs.map(|run| run.run).collect::<Vec<u32>>(), [1; 4]);
+    assert!(sim.wait_for_state("j1", JobState::Completed, ms(10_000)));
+    assert_eq!(sim.violations, Vec::<String>::new());
+}
+
 /// Guards against the clock of a former incarnation that makes the lease of the next look expired.
 #[test]
 fn late_answer_of_former_incarnation_leaves_lease() {
@@ -146,11 +167,16 @@
     /// Chooses new faults, or none, for the paths to some workers.
     fn change_paths(&mut self) {
         let share = |sim: &mut Simulation| sim.random(4) as f64 / 10.0;
+        let not_connected_share = share(&mut self.sim);
+        let lost_request_share = share(&mut self.sim);
+        let lost_answer_share = share(&mut self.sim);
+        let max_delay_ms = self.sim.random(400);
         self.sim.faults.path = PathFaults {
-            not_connected_share: share(&mut self.sim),
-            lost_request_share: share(&mut self.sim),
-            lost_answer_share: share(&mut self.sim),
-            max_delay: ms(self.sim.random(400)),
+            not_connected_share,
+            has_busy_connections: max_delay_ms.is_multiple_of(2),
+            lost_request_share,
+            lost_answer_share,
+            max_delay: ms(max_delay_ms),
             spares_renewals: self.sim.random(3) == 0,
             ..PathFaults::default()
         };
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -103,6 +103,8 @@
 pub struct PathFaults {
     /// Share of requests for which no connection is established in time.
     pub not_connected_share: f64,
+    /// Whether these requests had waited for a free connection instead of an answer.
+    pub has_busy_connections: bool,
     /// Share of requests that are sent and never arrive.
     pub lost_request_share: f64,
     /// Share of answers that never arrive.
@@ -700,6 +702,9 @@
             self.request_path(node, &worker.clone(), timeout)
         };
         let unanswered = match &path {
+            RequestPath::NotConnected if self.faults.path.has_busy_connections => {
+                Some(control::OrderReply::NotSent)
+            }
             RequestPath::NotConnected => Some(control::OrderReply::Unreachable),
             RequestPath::Lost | RequestPath::Delivered { answer: AnswerPath::Lost, .. } => {
                 Some(control::OrderReply::OutcomeUnknown)
@@ -925,6 +930,7 @@
             target_offset: ms(250),
             advice: needs_advice.then_some(advice),
         }],
+        services: Vec::new(),
         limits: Limits {
             header_bytes: 16_384,
             body_bytes: 262_144,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/decisions/014-hyper-beside-stakker.md`.
 
 pub mod client;
+mod connections;
 pub mod log;
 pub mod mesh;
 pub mod operator_api;
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -315,6 +315,7 @@
             target_offset: Duration::from_millis(250),
             advice: None,
         }],
+        services: Vec::new(),
         limits: Limits {
             header_bytes: 16_384,
             body_bytes: 262_144,
--- a/crates/measure/src/pass.rs
+++ b/crates/measure/src/pass.rs
@@ -107,7 +107,7 @@
     };
     let limits =
         Limits { header_bytes: 1, body_bytes: 1, header_timeout: second, idle_timeout: second };
-    Rules { version: 1, queues: vec![queue], limits }
+    Rules { version: 1, queues: vec![queue], services: Vec::new(), limits }
 }
 
 /// Mean duration of a pass; the answers to its advice calls arrive before the next one.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,7 +33,7 @@
     ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
     Step, StepRecord, Submission, TaskRecord, TaskStates,
 };
-pub use rules::{AdvicePolicy, Limits, Queue, Rules};
+pub use rules::{AdvicePolicy, Limits, Queue, Rules, Service};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
 pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState};
--- a/crates/scheduler/src/rules.rs
+++ b/crates/scheduler/src/rules.rs
@@ -39,6 +39,14 @@
         pub advice: Option<AdvicePolicy>,
     }
 
+    /// A service whose workers run tasks.
+    pub struct Service {
+        /// Name of the service.
+        pub name: Name,
+        /// Most open connections at one of its workers; `None` if the operator states none.
+        pub max_connections: Option<u32>,
+    }
+
     /// Limits on requests.
     pub struct Limits {
         /// Largest header, in bytes.
@@ -57,6 +65,8 @@
         pub version: u64,
         /// The queues.
         pub queues: Vec<Queue>,
+        /// The services.
+        pub services: Vec<Service>,
         /// Limits on requests.
         pub limits: Limits,
     }
@@ -69,6 +79,11 @@
         self.queues.iter().filter(matches).max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Most open connections at a worker of a service; `None` if the operator states none.
+    pub fn max_connections(&self, service: &str) -> Option<u32> {
+        self.services.iter().find(|own| &*own.name == service)?.max_connections
+    }
+
     /// The queue with a name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| &*queue.name == name)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -228,6 +228,11 @@
         current.or_else(|| self.removed_queues.get(name))
     }
 
+    /// Most open connections at a worker of a service; `None` if that is unknown.
+    pub fn max_connections(&self, service: &str) -> Option<u32> {
+        self.rules.as_ref().and_then(|rules| rules.max_connections(service))
+    }
+
     /// Sort key among open jobs: priority, due time, id.
     fn rank(&self, job: &Job) -> (u32, Duration, Name) {
         let queue = self.queue(&job.queue);
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -34,7 +34,7 @@
     };
     let limits =
         Limits { header_bytes: 1, body_bytes: 1, header_timeout: secs(1), idle_timeout: secs(1) };
-    Rules { version: 1, queues: vec![queue], limits }
+    Rules { version: 1, queues: vec![queue], services: Vec::new(), limits }
 }
 
 pub fn advice_policy() -> AdvicePolicy {
