Single failed runs no longer make other workers preferred

Cause: from the first failed run on, other workers with room were preferred, but tasks also fail by their own fault, and the preference scatters what packs well. Change: others are preferred only to a worker that takes trial starts, after refused starts or a quarantine. The test worker_that_fails_is_passed_over_and_returns_by_one_trial expected the preference; it now expects three runs on the worker, then the quarantine and the trial as before.

--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -65,11 +65,6 @@
 }
 
 impl Worker {
-    /// Whether it refused a start or failed a run since it last proved to be healthy.
-    pub(crate) fn is_suspect(&self) -> bool {
-        self.refused_starts > 0 || self.consecutive_failures > 0
-    }
-
     /// Whether it takes trial starts only.
     pub(crate) fn needs_trial(&self) -> bool {
         self.refused_starts > 0 || self.consecutive_failures >= QUARANTINE_AFTER_FAILURES
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -56,9 +56,8 @@
     lent: Resources,
     /// Earliest time at which a job is expected to need what is lent.
     lent_until: Duration,
-    /// Whether other workers with room are preferred.
-    is_suspect: bool,
-    /// Whether its worker takes one task, or the tasks of one gang, as a trial.
+    /// Whether its worker takes one task, or the tasks of one gang, as a trial, and others with room
+    /// are preferred.
     is_trial: bool,
 }
 
@@ -129,7 +128,6 @@
             reserved_for: None,
             lent: Resources::default(),
             lent_until: Duration::ZERO,
-            is_suspect: worker.is_suspect(),
             is_trial: worker.needs_trial(),
         });
         let slots: Vec<_> = slots.collect();
@@ -344,7 +342,7 @@
     /// Whether a slot's worker refused or failed tasks, or refused this step.
     fn is_doubtful(&self, pending: &PendingStep<'_>, slot: usize) -> bool {
         let slot = &self.slots[slot];
-        slot.is_suspect || pending.refused_by.contains(&slot.id)
+        slot.is_trial || pending.refused_by.contains(&slot.id)
     }
 
     /// Whether a slot's worker has the step's preferred label, if any.
