soak: half of the drawn cuts last until tasks start again elsewhere

Cause: a cut shorter than about 11.5 s heals before the next leader starts the tasks again, and most drawn cuts were shorter. Change: half of the cuts of leaders and zones last 11.5 to 14 s.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -21,6 +21,9 @@
 /// Longest cut of a drawn plan, in ms.
 const MAX_CUT_MS: u64 = 14_000;
 
+/// Shortest cut, in ms, that lasts until tasks on the cut off side start again elsewhere.
+const RESTART_CUT_MS: u64 = 11_500;
+
 /// Most faults that a drawn step starts together.
 const MAX_BURST: usize = 2;
 
@@ -202,6 +205,8 @@
     };
     let worker = random.random_range(0..spec.workers);
     let long = Duration::from_millis(random.random_range(1_000..=MAX_CUT_MS));
+    let shortest = if random.random_bool(0.5) { RESTART_CUT_MS } else { 1_000 };
+    let cut = Duration::from_millis(random.random_range(shortest..=MAX_CUT_MS));
     let short = Duration::from_millis(random.random_range(100..=4_000));
     let delay = Duration::from_millis(random.random_range(5..=800));
     let (lasts, kind) = match random.random_range(0..21) {
@@ -209,11 +214,11 @@
             let share = random.random_range(0.0..0.8);
             let workers = some_workers(random, spec, share);
             let workers_reach_store = random.random();
-            (long, Kind::Cut { daemons: vec![Target::Leader], workers, workers_reach_store })
+            (cut, Kind::Cut { daemons: vec![Target::Leader], workers, workers_reach_store })
         }
         4 => {
             let zone = random.random_range(0..spec.zones);
-            (long, spec.cut_zone(zone, false))
+            (cut, spec.cut_zone(zone, false))
         }
         5 | 6 => (long, Kind::OneWay { daemon, outbound: random.random() }),
         7 => (short, Kind::Kill(daemon)),
