Runs that are lost with their worker are logged

What operators saw: a job's trace shows a start after a start, with nothing between; 5307 names the worker but not its runs, whether their starts were confirmed, or what proved that it is gone. So a task without a bound on its restarts cannot be told from repeated sends of one start.

5311 names each run, the reason (another process answers, a departure, or an expired lease), whether it was confirmed, how long it ran and how many runs were lost with it; the counter runs_lost has the same reasons. No logic changes.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -65,6 +65,7 @@
     5308 WorkerQuarantined "worker quarantined after failed runs";
     5309 LeasesNotExtended "leadership unconfirmed; leases are not extended";
     5310 LeasesExtended "leadership confirmed; leases are extended again";
+    5311 RunLost "run lost with its worker";
     5401 JobAccepted "job accepted";
     5402 JobEnded "job ended";
     5403 RequestRefused "request refused";
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Outcome, Registration};
+use scheduler::{Loss, Outcome, Registration};
 
 use crate::action::Action;
 use crate::event::{log_event, log_job_event};
@@ -372,7 +372,7 @@
                     log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
                         "reason" => "lease expired", "epoch" => self.epoch,
                         "answered" => has_answered, "led_ms" => led_for.as_millis() as u64);
-                    self.abandon_runs(ctx, &id);
+                    self.abandon_runs(ctx, &id, Loss::Silence);
                 }
                 LeaseCheck::Later(next_check) => self.leases.schedule_check(&id, next_check),
             }
@@ -451,10 +451,14 @@
     }
 
     /// Abandons all runs of a worker, whose tasks are then placed again.
-    pub(super) fn abandon_runs(&mut self, ctx: &mut Context, id: &Name) {
+    pub(super) fn abandon_runs(&mut self, ctx: &mut Context, id: &Name, loss: Loss) {
         ctx.meter.add(Counter::Workers, "written_off", 1);
         let store_clock_ms = self.store_time_ms(ctx.now);
-        self.scheduler.abandon_runs(id, ctx.now, store_clock_ms);
+        let worker = self.scheduler.pool.get(id);
+        let is_draining = worker.is_some_and(|worker| worker.registration.is_draining);
+        let loss = if is_draining { Loss::Departure } else { loss };
+        self.scheduler.abandon_runs(id, loss, ctx.now, store_clock_ms);
+        self.log_lost_runs(ctx);
         if self.scheduler.pool.get(id).is_none() {
             self.leases.remove(id);
         }
@@ -470,7 +474,7 @@
         log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
             "reason" => "another incarnation answers");
         self.scheduler.mark_unlisted(id);
-        self.abandon_runs(ctx, id);
+        self.abandon_runs(ctx, id, Loss::Crash);
         true
     }
 
@@ -556,6 +560,7 @@
             store_clock_ms,
         );
         self.log_ended_runs(ctx, id);
+        self.log_lost_runs(ctx);
         if self.scheduler.pool.get(id).is_some_and(|worker| !worker.is_described()) {
             self.workers_watch_at = self.workers_watch_at.map(|at| at.min(now));
         }
@@ -573,6 +578,18 @@
         }
     }
 
+    /// Logs and counts the runs that were lost with their worker.
+    fn log_lost_runs(&mut self, ctx: &mut Context) {
+        for lost in std::mem::take(&mut self.scheduler.lost_runs) {
+            let (key, loss) = (&lost.key, loss_label(lost.loss));
+            ctx.meter.add(Counter::RunsLost, loss, 1);
+            log_job_event!(ctx, &key.job, RunLost, "step" => key.step, "index" => key.index,
+                "run" => lost.run, "worker" => %lost.worker, "reason" => loss,
+                "confirmed" => lost.is_confirmed, "ran_ms" => lost.ran_for.as_millis() as u64,
+                "together" => lost.lost_together, "epoch" => self.epoch);
+        }
+    }
+
     /// Logs and counts the runs that a worker listed as finished.
     fn log_ended_runs(&mut self, ctx: &mut Context, worker: &Name) {
         for ended in std::mem::take(&mut self.scheduler.ended_runs) {
@@ -589,6 +606,15 @@
     }
 }
 
+/// The label of a loss in logs and metrics.
+fn loss_label(loss: Loss) -> &'static str {
+    match loss {
+        Loss::Crash => "crash",
+        Loss::Departure => "departure",
+        Loss::Silence => "silence",
+    }
+}
+
 /// The label of a run's outcome in logs and metrics.
 fn outcome_label(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -14,6 +14,8 @@
         StartsRejected,
         /// Runs that ended.
         RunsEnded,
+        /// Runs that were lost with their worker.
+        RunsLost,
         /// Jobs that ended.
         JobsEnded,
         /// Workers that stopped responding, were quarantined, or whose runs were abandoned.
@@ -112,11 +114,12 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
         Self::RunsEnded,
+        Self::RunsLost,
         Self::JobsEnded,
         Self::Workers,
         Self::Leadership,
@@ -137,6 +140,7 @@
             Self::Starts => "bronzerail.starts",
             Self::StartsRejected => "bronzerail.starts.rejected",
             Self::RunsEnded => "bronzerail.runs.ended",
+            Self::RunsLost => "bronzerail.runs.lost",
             Self::JobsEnded => "bronzerail.jobs.ended",
             Self::Workers => "bronzerail.workers.events",
             Self::Leadership => "bronzerail.leadership.changes",
--- a/crates/scheduler/src/fate.rs
+++ b/crates/scheduler/src/fate.rs
@@ -78,6 +78,11 @@
         self.is_seen
     }
 
+    /// Whether a send may have taken effect, as far as it is known.
+    pub fn may_have_started(&self) -> bool {
+        self.is_seen || self.open_sends > 0 || self.unanswered_sends > 0
+    }
+
     /// Whether a send without an answer may still take effect.
     pub fn has_unanswered_send(&self) -> bool {
         self.unanswered_sends > self.withdrawn_sends
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod advice;
+mod crash;
 mod estimate;
 mod explain;
 mod fate;
@@ -26,6 +27,7 @@
 mod worker;
 
 pub use advice::{AdviceCapacity, CallClass};
+pub use crash::{Loss, LostRun};
 pub use explain::{Awaited, Progress, Wait, WaitReason};
 pub use fate::{Fate, NotStarted, StopMark};
 pub use health::Doubt;
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -5,6 +5,7 @@
 
 use common::Name;
 
+use crate::crash::Loss;
 use crate::job::{Phase, TaskKey};
 use crate::runs::{FinishedRun, Listing, Outcome};
 use crate::scheduler::{EndedRun, Scheduler, StopOrder};
@@ -158,12 +159,16 @@
             .iter()
             .filter(|(key, assignment)| is_missing(key) && has_ended(assignment));
         let ended_runs: Vec<_> =
-            ended_runs.map(|(key, assignment)| (key.clone(), assignment.run)).collect();
-        for (key, run) in &ended_runs {
-            worker.release(key, *run);
+            ended_runs.map(|(key, assignment)| (key.clone(), assignment.clone())).collect();
+        for (key, assignment) in &ended_runs {
+            worker.release(key, assignment.run);
         }
-        for (key, run) in ended_runs {
-            self.finish_run(&key, run, Outcome::LeaseExpired, now, store_clock_ms);
+        if is_new_incarnation {
+            let lost = ended_runs.iter().map(|(key, run)| (key, run));
+            self.note_lost_runs(id, Loss::Crash, lost, now);
+        }
+        for (key, assignment) in ended_runs {
+            self.finish_run(&key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
         for key in listed {
             self.mark_job_started(&key.job, now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use common::Name;
 
 use crate::admission::Admission;
+use crate::crash::{Loss, LostRun};
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, TaskKey};
@@ -119,6 +120,8 @@
     pub advice_calls: Vec<AdviceCall>,
     /// Runs that ended, for the log.
     pub ended_runs: Vec<EndedRun>,
+    /// Runs that were lost with their workers, for the log.
+    pub lost_runs: Vec<LostRun>,
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
     /// Jobs of which a checkpoint was too long to be kept, for the log.
@@ -364,14 +367,16 @@
         is_empty
     }
 
-    /// Ends all runs of a worker with an expired lease, once none can still be active.
-    pub fn abandon_runs(&mut self, id: &str, now: Duration, store_clock_ms: u64) {
+    /// Ends all runs of a worker once none can still be active, as it is gone or its lease has
+    /// expired.
+    pub fn abandon_runs(&mut self, id: &Name, loss: Loss, now: Duration, store_clock_ms: u64) {
         let Some(worker) = self.pool.get_mut(id) else { return };
         worker.allocated = crate::Resources::default();
         let lost_runs: Vec<_> = worker.assignments.drain().collect();
         if !worker.is_listed {
             self.pool.remove(id);
         }
+        self.note_lost_runs(id, loss, lost_runs.iter().map(|(key, run)| (key, run)), now);
         for (key, assignment) in lost_runs {
             self.finish_run(&key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
