Tests of tasks that crash their workers, failing

Simulated workers crash 10 to 700 ms after they have started a deadly task and come back after 1.5 to 7 s, under a new id at their address or under their own. Beside it leaders are lost, all daemons are lost, the store is away, answers are lost and orders come late.

--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -132,6 +132,8 @@
     /// Whether orders and renewals reach the worker.
     pub is_reachable: bool,
     pub is_dead: bool,
+    /// Whether another worker has taken its place at its address.
+    pub is_replaced: bool,
     pub fails_all: bool,
     /// Checkpoint that it lists for each run; it tells the time of the listing if not empty.
     pub checkpoint: Name,
@@ -160,6 +162,7 @@
             is_draining: false,
             is_reachable: true,
             is_dead: false,
+            is_replaced: false,
             fails_all: false,
             checkpoint: Name::default(),
             refuses_starts: false,
@@ -181,6 +184,11 @@
         *self = Self { incarnation, address, started_at: now, ..Self::new(id, self.capacity) };
     }
 
+    /// Starts its clock.
+    pub fn begin_clock(&mut self, now: Duration) {
+        self.started_at = now;
+    }
+
     /// Reading of its clock, in ms.
     fn clock_ms(&self, now: Duration) -> u64 {
         now.saturating_sub(self.started_at).as_millis() as u64
@@ -293,7 +301,7 @@
             }
             Action::Stop { call, stop, address, fencing_token, .. } => {
                 let Some(worker) = self.workers.get_mut(&stop.worker) else { return };
-                let reply = if worker.address != address {
+                let reply = if worker.address != address || worker.is_replaced {
                     OrderReply::OtherIncarnation
                 } else if !worker.is_reachable {
                     OrderReply::OutcomeUnknown
@@ -336,7 +344,7 @@
         let Some(worker) = self.workers.get_mut(&start.worker) else {
             return OrderReply::OutcomeUnknown;
         };
-        if worker.address != *address {
+        if worker.address != *address || worker.is_replaced {
             return OrderReply::OtherIncarnation;
         }
         if !worker.is_reachable {
@@ -372,6 +380,7 @@
         }
         self.started_runs += 1;
         let key = &start.key;
+        self.note_deadly_start(key, &start.worker);
         self.last_start.insert(key.clone(), now);
         if self.succeeded_tasks.contains(key) {
             self.violations.push(format!(
@@ -421,7 +430,7 @@
         };
         let id = worker.clone();
         let Some(worker) = self.workers.get_mut(&id) else { return };
-        if worker.address != *address {
+        if worker.address != *address || worker.is_replaced {
             if let AnswerPath::After(delay) = answer {
                 let input = Input::Renew { call, reply: RenewReply::OtherIncarnation };
                 self.schedule(now + delay, Event::Input { node, incarnation, input });
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code, reason = "each test file uses only some items")]
 
 pub mod cost;
+pub mod crashes;
 pub mod fakes;
 mod waits;
 
@@ -74,6 +75,10 @@
         until: Duration,
         answer: AnswerPath,
     },
+    /// A worker's process ends, with all that runs on it.
+    Crash(Name),
+    /// A worker that crashed is started again.
+    Return(Name),
 }
 
 /// What becomes of a worker's answer.
@@ -255,6 +260,8 @@
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
+    /// Tasks that crash the workers that start them.
+    pub deadly: crashes::Deadly,
     /// Number of journal rows at which nodes that are started compact.
     pub compaction_row_limit: usize,
     /// Largest row of nodes that are started, in bytes.
@@ -315,6 +322,7 @@
             run_time: None,
             timer_lags: HashMap::new(),
             started_runs: 0,
+            deadly: crashes::Deadly::default(),
             compaction_row_limit: 20,
             max_row_bytes: 48_000,
             capacities: capacities.to_vec(),
@@ -519,6 +527,8 @@
 
     fn process_event(&mut self, event: Event) {
         match event {
+            Event::Crash(id) => self.crash_worker(&id),
+            Event::Return(id) => self.return_worker(&id),
             Event::Tick { node, incarnation } => self.receive(node, incarnation, Input::Tick),
             Event::Input { node, incarnation, input } => self.receive(node, incarnation, input),
             Event::Handled { node, incarnation, actions } => {
@@ -859,6 +869,9 @@
 
     /// Whether a request's connection leads to the worker's current incarnation.
     fn leads_to_worker(&self, order: &Action, incarnation: Option<u64>) -> bool {
+        if self.is_connection_of_crashed(order, incarnation) {
+            return false;
+        }
         incarnation.is_none_or(|incarnation| self.worker_incarnation(order) == incarnation)
     }
 
