Ended jobs are no longer explained as waiting

What operators saw: pool explain says of a job that has failed, and whose end is not stored yet as the store is away, that it is about to be placed.

Cause: the reasons look at tasks without a worker, whatever the job's phase; a failed job keeps them.

explain_ended_job_waits_for_nothing failed before.

--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -7,7 +7,7 @@
 
 use common::Name;
 
-use crate::job::Job;
+use crate::job::{Job, Phase};
 use crate::record::Resources;
 use crate::scheduler::Scheduler;
 use crate::step::StepState;
@@ -218,7 +218,8 @@
             done: count(|task| task.is_done),
             placed: count(|task| task.worker.is_some()),
             failed_runs: step.tasks.iter().map(|task| task.failed_runs).max().unwrap_or(0),
-            wait: step.has_waiting().then(|| self.wait(job, step_index, step, now)),
+            wait: (job.phase == Phase::Open && step.has_waiting())
+                .then(|| self.wait(job, step_index, step, now)),
         }
     }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -260,10 +260,12 @@
         })
     }
 
-    /// Indexes of steps whose waiting tasks may be placed now.
+    /// Indexes of steps whose waiting tasks may be placed now; none once the job has ended.
     pub fn ready_steps(&self) -> impl Iterator<Item = usize> {
         let can_place = |step_index: &usize| {
-            self.steps[*step_index].has_waiting() && self.is_step_ready(*step_index)
+            self.phase == Phase::Open
+                && self.steps[*step_index].has_waiting()
+                && self.is_step_ready(*step_index)
         };
         (0..self.steps.len()).filter(can_place)
     }
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -4,7 +4,7 @@
 
 use common::Name;
 use scheduler::{
-    AdviceCapacity, Resources, Scheduler, Step, Submission, Wait, WaitReason, is_job_id,
+    AdviceCapacity, Phase, Resources, Scheduler, Step, Submission, Wait, WaitReason, is_job_id,
 };
 use support::{NOW, advice_policy, ample_advice, answer_advice, secs, submit};
 
@@ -87,6 +87,17 @@
     assert!(scheduler.explain("j2", NOW).is_none());
 }
 
+// Guards against a failed job that is said to be about to be placed.
+#[test]
+fn explain_ended_job_waits_for_nothing() {
+    let mut scheduler = pool(&["w1", "w2"], false);
+    submit(&mut scheduler, "j1", vec![step(1, 1000)]);
+    scheduler.jobs.get_mut("j1").expect("it is known").phase = Phase::Failed;
+    assert_eq!(wait_reason(&scheduler, "j1"), None);
+    let progress = scheduler.explain("j1", NOW).expect("the job is known");
+    assert!(progress.iter().all(|step| step.wait.is_none()), "{progress:?}");
+}
+
 #[test]
 fn overdue_only_past_target_with_waiting_tasks() {
     let mut scheduler = pool(&["w1"], false);
