Starts are checked against the room that their worker has when they are sent

What callers saw: nothing yet; a worker that does not guard its capacity is overfilled, and all its tasks slow down. Found by a test with a capacity that shrinks while the commit of a placement takes seconds.

Cause: room was checked when a task is placed. Its start is sent once the placement is durable, which takes seconds while the store is slow, and the capacity that was read meanwhile did not count. Class of fault: a decision that is used after what it rests on has changed.

Change: a start that was not sent before is withdrawn if its worker's capacity does not hold all that is assigned to it, runs that are being stopped included; the members of a gang follow. A start that may have arrived is not withdrawn for it. Such a withdrawal no longer counts as an expired ticket.

starts_of_late_commit_respect_shrunk_room failed before (seven starts over the room, gang or not). runs_being_stopped_use_shrunk_room and the schedules of changing capacity passed before and after.

--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -86,7 +86,7 @@
         let (Some(address), Some(lease_end_ms), Some(checkpoint), true, false) =
             (address, lease_end_ms, checkpoint, may_send, has_ended || (is_withdrawn && is_first))
         else {
-            self.withdraw(ctx, start, is_first, needs_ticket);
+            self.withdraw(ctx, start, is_first && is_withdrawn && needs_ticket);
             return;
         };
         if let Some(worker) = self.scheduler.pool.get_mut(&start.worker)
@@ -113,14 +113,8 @@
     }
 
     /// Withdraws a start; stops the run if it was sent before.
-    fn withdraw(
-        &mut self,
-        ctx: &mut Context,
-        start: StartOrder,
-        is_first: bool,
-        needs_ticket: bool,
-    ) {
-        let refusal = if is_first && needs_ticket { Refusal::Ticket } else { Refusal::Withdrawn };
+    fn withdraw(&mut self, ctx: &mut Context, start: StartOrder, lacks_ticket: bool) {
+        let refusal = if lacks_ticket { Refusal::Ticket } else { Refusal::Withdrawn };
         self.settle_start(ctx, start, refusal);
     }
 
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -34,6 +34,9 @@
     write.value.len().div_ceil(3) * 4
 }
 
+/// Time after which a capacity that has shrunk counts for starts.
+const CAPACITY_GRACE: Duration = Duration::from_millis(4500);
+
 /// Most finished runs that a worker lists at a time.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -126,6 +129,8 @@
     /// When its incarnation started; its clock counts from then.
     started_at: Duration,
     pub capacity: u32,
+    /// Capacities before its changes, and until when each counts for its starts.
+    former_capacities: Vec<(Duration, u32)>,
     pub incarnation: u64,
     pub is_listed: bool,
     pub is_draining: bool,
@@ -157,6 +162,7 @@
             started_at: Duration::ZERO,
             id,
             capacity,
+            former_capacities: Vec::new(),
             incarnation: 1,
             is_listed: true,
             is_draining: false,
@@ -184,6 +190,18 @@
         *self = Self { incarnation, address, started_at: now, ..Self::new(id, self.capacity) };
     }
 
+    /// Changes its capacity while it runs.
+    pub fn set_capacity(&mut self, capacity: u32, now: Duration) {
+        let former = std::mem::replace(&mut self.capacity, capacity);
+        self.former_capacities.push((now + CAPACITY_GRACE, former));
+    }
+
+    /// The capacity that its starts must not exceed; one that has shrunk counts after a while.
+    fn bound(&self, now: Duration) -> u32 {
+        let former = self.former_capacities.iter().filter(|(until, _)| now < *until);
+        former.map(|(_, capacity)| *capacity).max().unwrap_or(0).max(self.capacity)
+    }
+
     /// Starts its clock.
     pub fn begin_clock(&mut self, now: Duration) {
         self.started_at = now;
@@ -375,7 +393,7 @@
         let run = FakeRun { run: start.run, started_at: now, length, cpu: 1000, fails: false };
         worker.running.insert(start.key.clone(), run);
         let used: u32 = worker.running.values().map(|run| run.cpu).sum();
-        if used > worker.capacity {
+        if used > worker.bound(now) {
             self.violations.push(format!("{now:?}: {} over its capacity", start.worker));
         }
         self.started_runs += 1;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -386,9 +386,14 @@
     }
 
     /// Whether a placed start may be sent: its worker accepts starts and is still one that the task
-    /// may run on.
+    /// may run on, and has room for it unless it may have received the start before.
     pub fn may_send(&self, start: &StartOrder) -> bool {
         let Some(worker) = self.pool.get(&start.worker) else { return false };
+        let assignment = worker.assignments.get(&start.key);
+        let is_new = assignment.is_some_and(|run| run.state == RunState::Committing);
+        if is_new && !worker.holds_its_runs() {
+            return false;
+        }
         let Some(job) = self.jobs.get(&start.key.job) else { return false };
         let spec = job.submission.steps.get(start.key.step as usize);
         let queue = self.queue(&job.queue);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -152,6 +152,11 @@
             && self.is_described()
     }
 
+    /// Whether its capacity, which may have shrunk, holds all runs that are assigned to it.
+    pub(crate) fn holds_its_runs(&self) -> bool {
+        self.allocated.fits_in(&self.registration.capacity)
+    }
+
     /// Whether the registration is that of the incarnation that lists its runs.
     ///
     /// The next incarnation may have other labels and another capacity. Registrations without an
