A crash counts once for a run, and proves nothing after the run may have ended

What callers saw: nothing yet.

Change: a run that is counted is marked; its stored life is cleared, so that no later leader counts it by that. A crash is proof only in the first half of the run's expected time, up to the moment at which the worker fell silent; later ones are doubtful.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -507,7 +507,7 @@
                 if let Some(worker) = self.scheduler.pool.get_mut(&id)
                     && worker.is_reachable
                 {
-                    worker.is_reachable = false;
+                    worker.record_silence(ctx.now);
                     ctx.meter.add(Counter::Workers, "lost", 1);
                     log_event!(ctx, WorkerLost, "worker" => %id,
                         "reason" => if is_refusal { "connection refused" } else { "no answer" },
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -336,7 +336,7 @@
     /// Treats a worker as unreachable until it answers its next renewal.
     fn mark_unreachable(&mut self, id: &str, now: Duration) {
         if let Some(worker) = self.scheduler.pool.get_mut(id) {
-            worker.is_reachable = false;
+            worker.record_silence(now);
             worker.has_current_token = false;
         }
         self.leases.renew_soon(id, now);
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -9,9 +9,9 @@
 //! the last one ran nothing but its step, or once so many have that it has to end.
 //!
 //! Another process that answers in a worker's place, or a later life under its id, proves a crash. It
-//! counts less for a run of which this leader does not know whether it was there. So does a worker
-//! that became silent, which may have crashed or be cut off; it no longer counts once it answers. A
-//! worker that has announced its departure counts for nothing.
+//! counts less for a run of which this leader does not know whether it was there, or which may have
+//! ended before. So does a worker that became silent, which may have crashed or be cut off; it no
+//! longer counts once it answers. A worker that has announced its departure counts for nothing.
 
 use std::time::Duration;
 
@@ -32,6 +32,10 @@
 /// Lost workers of a task, or crashed ones of its step, from which it needs a worker to itself.
 const ALONE_AFTER: u32 = 2;
 
+/// Part of its expected run time, as a divisor, after which a run may have ended before its worker
+/// crashed.
+const PROVEN_RUN_TIME_DIVISOR: u32 = 2;
+
 /// Time from a confirmed start for which the run of a suspected task is on trial.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 
@@ -73,7 +77,8 @@
         pub loss: Loss,
         /// Whether the worker had confirmed the start or listed the run.
         pub is_confirmed: bool,
-        /// Time since its state last changed, usually since its confirmed start.
+        /// Time from the last change of its state, usually its confirmed start, until its worker fell
+        /// silent.
         pub ran_for: Duration,
         /// Number of runs that were lost at the same time.
         pub lost_together: usize,
@@ -90,9 +95,10 @@
 }
 
 impl Assignment {
-    /// Whether it may have been running when its worker was lost.
+    /// Whether it may have been running when its worker was lost, and that is not counted yet.
     fn may_have_run(&self) -> bool {
-        self.state == RunState::Recovered || self.fate.may_have_started()
+        let may_have_run = self.state == RunState::Recovered || self.fate.may_have_started();
+        may_have_run && !self.is_lost
     }
 
     /// Whether it has not yet run for long enough to clear it of suspicion.
@@ -130,6 +136,7 @@
         let Some(worker) = self.pool.get_mut(id) else { return };
         worker.allocated = crate::Resources::default();
         let runs: Vec<_> = worker.assignments.drain().collect();
+        let until = worker.silent_since.unwrap_or(now);
         let mut silent = std::mem::take(&mut worker.silent_losses);
         if loss == Loss::Silence {
             let silenced = runs.iter().filter(|(_, assignment)| assignment.may_have_run());
@@ -140,33 +147,37 @@
             self.pool.remove(id);
         }
         self.convert_silent_losses(id, &silent, loss == Loss::Crash, store_clock_ms);
-        let tasks = self.record_losses(id, loss, &runs, now);
+        let tasks = self.record_losses(id, loss, &runs, until);
         for (key, assignment) in &runs {
             self.finish_run(key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
         self.fail_crashing(&tasks, is_one_step(&runs), store_clock_ms);
     }
 
-    /// Records the runs of a worker's former life that were lost when it crashed; returns their tasks.
+    /// Records the runs that were lost with a worker, which fell silent at `until`; returns the tasks
+    /// that count it.
     pub(crate) fn record_losses(
         &mut self,
         worker: &Name,
         loss: Loss,
         runs: &[(TaskKey, Assignment)],
-        now: Duration,
+        until: Duration,
     ) -> Vec<TaskKey> {
         let mut tasks = Vec::new();
         for (key, assignment) in runs.iter().filter(|(_, run)| run.may_have_run()) {
+            let ran_for = until.saturating_sub(assignment.changed_at);
             self.lost_runs.push(LostRun {
                 key: key.clone(),
                 run: assignment.run,
                 worker: worker.clone(),
                 loss,
                 is_confirmed: assignment.fate.is_seen(),
-                ran_for: now.saturating_sub(assignment.changed_at),
+                ran_for,
                 lost_together: runs.len(),
             });
-            let is_proven = loss == Loss::Crash && assignment.fate.is_seen();
+            let is_proven = loss == Loss::Crash
+                && assignment.fate.is_seen()
+                && ran_for <= self.expected_run_time(key) / PROVEN_RUN_TIME_DIVISOR;
             if loss != Loss::Departure && self.count_loss(key, assignment, worker, is_proven) {
                 tasks.push(key.clone());
             }
@@ -174,6 +185,15 @@
         tasks
     }
 
+    /// How long a run of a task is expected to take.
+    fn expected_run_time(&self, key: &TaskKey) -> Duration {
+        let job = self.jobs.get(&key.job);
+        let step = job.and_then(|job| Some((job, job.submission.steps.get(key.step as usize)?)));
+        step.map_or(Duration::ZERO, |(job, step)| {
+            self.estimator.run_time(&job.queue, step.estimate)
+        })
+    }
+
     /// Counts a lost worker of a task; false if the run is not the task's present one.
     fn count_loss(
         &mut self,
@@ -343,13 +363,13 @@
     ) -> Vec<(TaskKey, Assignment)> {
         let mut crashed = Vec::new();
         for (key, run) in &mut self.assignments {
-            let is_former = run.incarnation > 0 && run.incarnation < incarnation;
+            let is_former = run.incarnation > 0 && run.incarnation < incarnation && !run.is_lost;
             let has_run = run.state == RunState::Recovered
                 || run.fate.is_seen()
                 || run.fate.has_unanswered_send();
             if is_former && has_run && !is_listed(key) {
                 crashed.push((key.clone(), run.clone()));
-                run.incarnation = incarnation;
+                run.is_lost = true;
             }
         }
         crashed
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -394,6 +394,7 @@
                 changed_at: self.now,
                 fate: Fate::default(),
                 incarnation: 0,
+                is_lost: false,
             };
             if let Some(worker) = self.scheduler.pool.get_mut(&slot.id) {
                 task.site = worker.site();
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -108,6 +108,7 @@
         let Some(worker) = self.pool.get_mut(id) else { return };
         worker.has_current_token = true;
         worker.is_reachable = true;
+        let silent_since = worker.silent_since.take();
         let mut has_unknown_runs = false;
         for run in &listing.running {
             let known = run.key.as_ref().and_then(|key| worker.assignment_mut(key, run.run));
@@ -158,7 +159,7 @@
             if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize))
                 && task.run == run.run
             {
-                task.site.incarnation = listing.incarnation;
+                task.site.incarnation = 0;
             }
         }
         // An unanswered send may still start it, also in the worker's next incarnation.
@@ -182,7 +183,8 @@
         for (key, run) in &ended_runs {
             worker.release(key, *run);
         }
-        let lost = self.record_losses(id, Loss::Crash, &crashed, now);
+        let until = silent_since.unwrap_or(now);
+        let lost = self.record_losses(id, Loss::Crash, &crashed, until);
         for (key, run) in ended_runs {
             self.finish_run(&key, run, Outcome::LeaseExpired, now, store_clock_ms);
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -239,6 +239,7 @@
             changed_at: Duration::ZERO,
             fate: Fate::default(),
             incarnation: site.incarnation,
+            is_lost: false,
         };
         if let Some(worker) = self.pool.get_mut(worker) {
             worker.assign(key, assignment);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -65,6 +65,8 @@
         pub fate: Fate,
         /// Incarnation of the worker when the run was placed; 0 if it is unknown.
         pub incarnation: u64,
+        /// Whether it was lost with that incarnation, which is counted.
+        pub is_lost: bool,
     }
 
     /// State of a worker.
@@ -80,6 +82,8 @@
         pub has_current_token: bool,
         /// Whether its latest call succeeded.
         pub is_reachable: bool,
+        /// Since when it has not listed its runs although it was asked; `None` if it has.
+        pub(crate) silent_since: Option<Duration>,
         /// Capacity allocated to assigned runs.
         pub allocated: Resources,
         /// Assigned runs that have not ended.
@@ -106,6 +110,7 @@
             listed_incarnation: 0,
             has_current_token: false,
             is_reachable: true,
+            silent_since: None,
             allocated: Resources::default(),
             assignments: HashMap::new(),
             has_unknown_runs: false,
@@ -116,6 +121,12 @@
         }
     }
 
+    /// Records that it did not answer a call.
+    pub fn record_silence(&mut self, now: Duration) {
+        self.is_reachable = false;
+        self.silent_since.get_or_insert(now);
+    }
+
     /// Where it takes orders now.
     pub(crate) fn site(&self) -> Site {
         Site {
