No task is started by a list of workers that is older than two seconds

What callers saw: nothing yet; found by the test. While the list of workers cannot be read and commits succeed, tasks go on being started by capacities and states that may have changed long ago: with a capacity that had shrunk for five seconds, seven starts exceeded the room, gang or not.

Cause: the age of what is known of the workers was never looked at.

Change: a start waits, as it does while leadership is unconfirmed, until a read of the list that was sent at most 2 s ago, and since the latest suspension, has reached its end. The users let a room that has shrunk count after 3 s and a heartbeat, and a worker that drains after 2 s or more.

starts_wait_for_recent_list_of_workers failed before.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -136,6 +136,10 @@
     workers_watch_at: Option<Duration>,
     /// Position at which the watch resumes; none to read the full list.
     workers_cursor: Option<u64>,
+    /// When the watch under way was sent.
+    workers_watch_sent: Duration,
+    /// When the latest watch was sent by which the whole list of workers is known.
+    workers_known_at: Duration,
     /// When the latest placement pass ran.
     last_placement: Duration,
     /// Time that it took.
@@ -191,6 +195,8 @@
             rules_cursor: None,
             workers_watch_at: Some(now),
             workers_cursor: None,
+            workers_watch_sent: now,
+            workers_known_at: Duration::ZERO,
             last_placement: Duration::ZERO,
             placement_cost: Duration::ZERO,
             needs_placement: true,
@@ -247,9 +253,11 @@
         }
     }
 
-    /// Shortens the leases that may be granted by a suspension, which the clock did not count.
-    pub fn shorten_leases(&mut self, suspended_for: Duration) {
+    /// Lets what is known and confirmed age by a suspension, which the clock did not count.
+    pub fn add_suspension(&mut self, suspended_for: Duration) {
         self.leases.add_suspension(suspended_for);
+        self.workers_watch_sent = self.workers_watch_sent.saturating_sub(suspended_for);
+        self.workers_known_at = self.workers_known_at.saturating_sub(suspended_for);
     }
 
     /// Holds back starts until a new commit confirms leadership.
@@ -392,7 +400,9 @@
                 let answer = self.job_state(&id).unwrap_or(Answer::JobNotFound);
                 self.send_answer(ctx, &caller, answer);
             }
-            Effect::Start(start) if self.unconfirmed_since.is_some() => {
+            Effect::Start(start)
+                if self.unconfirmed_since.is_some() || !self.knows_workers(ctx) =>
+            {
                 self.journal.defer(Effect::Start(start));
             }
             Effect::Start(start) => self.send_start(ctx, start),
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -20,10 +20,29 @@
 /// Interval between reads of the list of workers.
 const WORKERS_POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Age of what is known of the workers above which no task is started.
+///
+/// A worker may have shrunk or begun to leave since. That must be heeded within seconds.
+const MAX_WORKERS_AGE: Duration = Duration::from_secs(2);
+
 /// Delay before a failed watch is retried.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 impl Leader {
+    /// Whether what is known of the workers is recent enough to start tasks on them.
+    pub(super) fn knows_workers(&self, ctx: &Context) -> bool {
+        ctx.now < self.workers_known_at + MAX_WORKERS_AGE
+    }
+
+    /// Records that the whole list of workers is known; starts that waited for it go on.
+    fn record_workers_known(&mut self, ctx: &Context) {
+        let knew_workers = self.knows_workers(ctx);
+        self.workers_known_at = self.workers_watch_sent;
+        if !knew_workers {
+            self.journal.request_commit();
+        }
+    }
+
     /// Applies the result of a watch and schedules the next one.
     pub(super) fn handle_watch_result(
         &mut self,
@@ -57,6 +76,9 @@
             self.peers.request_list();
         }
         if target == WatchTarget::Workers {
+            if !change.has_more {
+                self.record_workers_known(ctx);
+            }
             if change.is_snapshot {
                 self.unlist_missing(ctx, &change.registrations);
             }
@@ -135,6 +157,7 @@
         }
         if self.workers_watch_at.is_some_and(|at| at <= ctx.now) {
             self.workers_watch_at = None;
+            self.workers_watch_sent = ctx.now;
             let (call, cursor) = (ctx.next_call_id(), self.workers_cursor);
             let max_wait = Duration::from_millis(1);
             ctx.actions.push(Action::Watch {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -438,7 +438,7 @@
         log_event!(self.ctx, Resumed, "gap_ms" => suspended_for.as_millis() as u64);
         self.ctx.resumed_at = self.ctx.now;
         let RoleState::Leader(leader) = &mut self.role_state else { return };
-        leader.shorten_leases(suspended_for);
+        leader.add_suspension(suspended_for);
         if suspended_for >= CONFIRM_AFTER_SUSPENSION {
             leader.require_confirmation(self.ctx.now);
         }
--- a/crates/control/tests/room.rs
+++ b/crates/control/tests/room.rs
@@ -42,6 +42,48 @@
     (0..WORKERS as u64).for_each(|number| set_capacity(sim, number, capacity));
 }
 
+// Guards against starts on workers that have shrunk while the list of workers could not be read.
+#[test]
+fn starts_wait_for_recent_list_of_workers() {
+    for is_gang in [false, true] {
+        let mut sim = start(1);
+        sim.run_time = Some(ms(20_000));
+        sim.faults.is_feed_down = true;
+        set_capacities(&mut sim, 1000);
+        sim.run(ms(5000));
+        let steps = vec![Step { is_gang, ..step(10, 20_000) }];
+        sim.call(0, Operation::Submit(job("j1", steps)));
+        sim.run(ms(4000));
+        sim.faults.is_feed_down = false;
+        sim.run(ms(3000));
+        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+        set_capacities(&mut sim, CAPACITY);
+        let is_completed = sim.wait_for_state("j1", JobState::Completed, RECOVERY_TIME);
+        assert!(is_completed, "gang: {is_gang}: {:?}", sim.state("j1"));
+        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+    }
+}
+
+// Guards against the same after the leader's machine was suspended, which its clock does not count.
+#[test]
+fn suspended_leader_reads_list_of_workers_before_it_starts() {
+    let mut sim = Simulation::new(3, 1, WORKERS);
+    assert!(sim.run_until(ms(5000), |sim| sim.leader().is_some()));
+    sim.run(ms(500));
+    sim.run_time = Some(ms(20_000));
+    sim.suspend(0);
+    set_capacities(&mut sim, 1000);
+    sim.run(ms(6000));
+    sim.resume(0, ms(6000));
+    sim.faults.is_feed_down = true;
+    sim.call(0, Operation::Submit(job("j1", vec![step(10, 20_000)])));
+    sim.run(ms(1500));
+    assert_eq!(sim.started_runs, 0);
+    sim.faults.is_feed_down = false;
+    sim.run(ms(3000));
+    assert_eq!((sim.started_runs, &sim.violations), (WORKERS as u64, &Vec::new()));
+}
+
 // Guards against starts that wait for a slow commit and are sent to workers that have shrunk since.
 #[test]
 fn starts_of_late_commit_respect_shrunk_room() {
@@ -107,13 +149,20 @@
                 }
                 2 => {
                     sim.faults.is_store_down = sim.random(3) == 0;
+                    sim.faults.is_feed_down = sim.random(3) == 0;
                     sim.faults.store_slowdown = [0, 0, 200, 600][sim.random(4) as usize];
                 }
                 3 if killed.is_none() => {
                     killed = sim.leader();
-                    killed.into_iter().for_each(|leader| sim.kill(leader));
+                    if let Some(leader) = killed {
+                        sim.kill(leader);
+                    }
+                }
+                4 => {
+                    if let Some(node) = killed.take() {
+                        sim.start(node);
+                    }
                 }
-                4 => killed.take().into_iter().for_each(|node| sim.start(node)),
                 5 => {
                     let id = Name::from(format!("j{}", sim.random(round + 1)).as_str());
                     sim.call(0, Operation::Cancel(id));
@@ -129,7 +178,9 @@
             sim.run(pause);
         }
         sim.faults = support::FaultConfig::default();
-        killed.into_iter().for_each(|node| sim.start(node));
+        if let Some(node) = killed {
+            sim.start(node);
+        }
         set_capacities(&mut sim, CAPACITY);
         sim.run(RECOVERY_TIME);
         let leader = sim.leader().and_then(|leader| sim.slots[leader].node.as_ref());
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -154,6 +154,7 @@
 }
 
 /// Faults of the store and the network; none by default.
+#[expect(clippy::struct_excessive_bools, reason = "each fault is switched on its own")]
 #[derive(Debug, Clone, Copy, Default)]
 pub struct FaultConfig {
     /// Share of commits whose answers are lost.
