Stand-in: the capacity of a worker can change while it runs

The users' workers may shrink and grow; the stand-in's could not, so no test of real daemons met it. A start beyond a capacity that has shrunk is recorded 4.5 s after the change, as the users count it.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -61,6 +61,18 @@
     pub store: Arc<Store>,
     /// Workers that the stand-in serves.
     pub workers: Vec<Arc<Worker>>,
+    /// Address of each worker.
+    addresses: Vec<SocketAddr>,
+}
+
+/// Entry of a worker in the store.
+fn entry(worker: &Worker, address: SocketAddr, cpu: u32) -> serde_json::Value {
+    json!({
+        "service": SERVICE, "address": address.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+        "capacity": {"cpu": cpu, "mem_mb": 64_000, "gpus": 0},
+        "labels": ["a", "r1"], "sequence": 1, "born": worker.started_unix_ms(),
+    })
 }
 
 impl Platform {
@@ -78,16 +90,18 @@
         for number in 0..workers {
             let worker = Arc::new(Worker::new(format!("i-{number}"), cpu));
             let address = worker.serve(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-            let entry = json!({
-                "service": SERVICE, "address": address.to_string(), "zone": "zone-a",
-                "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-                "capacity": {"cpu": cpu, "mem_mb": 64_000, "gpus": 0},
-                "labels": ["a", "r1"], "sequence": 1, "born": worker.started_unix_ms(),
-            });
-            store.put("servers", worker.id(), &entry);
-            started.push(worker);
+            store.put("servers", worker.id(), &entry(&worker, address, cpu));
+            started.push((worker, address));
         }
-        Ok(Self { store_address, advice_address, store, workers: started })
+        let (workers, addresses) = started.into_iter().unzip();
+        Ok(Self { store_address, advice_address, store, workers, addresses })
+    }
+
+    /// Changes the capacity of a worker and of its entry, in thousandths of a core.
+    pub fn set_cpu(&self, worker: usize, cpu: u32) {
+        let (worker, address) = (&self.workers[worker], self.addresses[worker]);
+        worker.set_cpu(cpu);
+        self.store.put("servers", worker.id(), &entry(worker, address, cpu));
     }
 
     /// Text of the settings file for a daemon on 127.0.0.HOST.
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -301,3 +301,17 @@
     // The token and the lease of that call counted for nothing.
     assert_eq!(bench.start("a.0.0.0", 1, "ms=100", 5000), accepted());
 }
+
+#[test]
+fn shrunk_room_counts_after_grace() {
+    let bench = Bench::new(|worker| worker);
+    bench.worker.set_cpu(1000);
+    assert_eq!(bench.start("a", 1, "ms=9000", 10_000), accepted());
+    assert_eq!(bench.start("b", 1, "ms=9000", 10_000), accepted());
+    bench.set_ms(4500);
+    assert_eq!(bench.start("c", 1, "ms=9000", 10_000), accepted());
+    bench.worker.set_cpu(8000);
+    assert_eq!(bench.start("d", 1, "ms=9000", 10_000), accepted());
+    let over = bench.events().into_iter().filter(|(_, kind)| matches!(kind, Kind::OverRoom { .. }));
+    assert_eq!(over.collect::<Vec<_>>(), [(4500, Kind::OverRoom { used: 3000 })]);
+}
