Bodies are copied out of the buffers that they were read into

What callers saw: a process runs out of memory while clients send bodies in very small chunks.

Cause: a body was collected as the frames in which it arrived. A frame of one byte takes 32 bytes in the list and keeps the read buffer that it is a part of.

Change: the frames' bytes are appended to one buffer, whose limit is checked before. A body whose stated length exceeds the limit is refused before it is read.

--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -59,6 +59,15 @@
 #[snafu(display("request ended without a response"))]
 pub struct NoResponse;
 
+/// Reason for which a body was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyError {
+    /// It exceeds the limit.
+    TooLarge,
+    /// It is not valid, or the client has gone.
+    Invalid,
+}
+
 /// Produces the responses of a server.
 pub trait Handler {
     /// Handles one request; an error closes the connection without a response.
@@ -144,13 +153,11 @@
     stage: &watch::Receiver<ShutdownStage>,
 ) -> Result<Response<Full<Bytes>>, NoResponse> {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, limits.max_body_bytes).collect();
+    let body = read_body(body, limits.max_body_bytes);
     let mut response = match tokio::time::timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => handler.handle(HttpRequest { head, body: body.to_bytes() }).await?,
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            empty_response(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Ok(Err(_)) => empty_response(StatusCode::BAD_REQUEST),
+        Ok(Ok(body)) => handler.handle(HttpRequest { head, body }).await?,
+        Ok(Err(BodyError::TooLarge)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(BodyError::Invalid)) => empty_response(StatusCode::BAD_REQUEST),
         Err(_) => empty_response(StatusCode::REQUEST_TIMEOUT),
     };
     if *stage.borrow() != ShutdownStage::Serving {
@@ -159,6 +166,24 @@
     Ok(response)
 }
 
+/// Reads a body of at most `max_bytes`.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    // The frames are copied: each keeps the whole buffer that it was read into.
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are not used.
+        let Ok(data) = frame.map_err(|_error| BodyError::Invalid)?.into_data() else { continue };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Bytes::from(bytes))
+}
+
 /// Builds a response without a body.
 pub fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
