Connections of callers are bounded

Cause: every connection was accepted and kept for up to 15 s until its first request is complete.

Change: an intake for each listener, bounded by the machine's descriptors and memory. At the bound the oldest connection without a complete request gives way to a new one, then the longest idle one, never one whose request is being handled. So callers who end their requests are served beside a crowd that does not.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -38,6 +38,7 @@
     5007 LinesDropped "log lines about jobs dropped by sampling";
     5008 LoopLoad "load of the event loop";
     5009 StartFailed "process cannot start";
+    5010 IntakeFull "listener at its bound";
     5101 LeaderFound "leader found";
     5102 LeaderLost "leader lost";
     5103 Claiming "claiming leadership";
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 mod connections;
+pub mod intake;
 pub mod log;
 pub mod mesh;
 pub mod operator_api;
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -16,6 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::intake::{Intake, Place};
+
 /// Delay after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -83,6 +85,7 @@
 pub async fn serve<H>(
     listener: TcpListener,
     handler: Rc<H>,
+    intake: Rc<Intake>,
     limit_updates: watch::Receiver<RequestLimits>,
     mut stage: watch::Receiver<ShutdownStage>,
 ) where
@@ -98,13 +101,20 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                // Without a place, the connection is closed.
+                let Some(place) = intake.admit() else { continue };
                 let connection = handle_connection(
                     stream,
                     Rc::clone(&handler),
+                    place,
                     limit_updates.clone(),
                     stage.clone(),
                 );
                 tokio::task::spawn_local(connection);
+                if intake.is_full() {
+                    // Connections that give way are closed by their own tasks.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
@@ -114,6 +124,7 @@
 async fn handle_connection<H>(
     stream: TcpStream,
     handler: Rc<H>,
+    place: Place,
     limit_updates: watch::Receiver<RequestLimits>,
     mut stage: watch::Receiver<ShutdownStage>,
 ) where
@@ -124,10 +135,17 @@
     }
     let limits = *limit_updates.borrow();
     let request_stage = stage.clone();
+    let place = Rc::new(place);
+    let request_place = Rc::clone(&place);
     let service = service_fn(move |request| {
         let (handler, request_stage) = (Rc::clone(&handler), request_stage.clone());
+        let place = Rc::clone(&request_place);
         let limits = *limit_updates.borrow();
-        async move { respond(&*handler, request, limits, &request_stage).await }
+        async move {
+            let response = respond(&*handler, request, limits, &place, &request_stage).await;
+            place.end_request();
+            response
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -138,6 +156,7 @@
     tokio::pin!(http_connection);
     tokio::select! {
         result = &mut http_connection => drop(result),
+        () = place.closed() => {}
         closed = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => {
             drop(closed);
             http_connection.as_mut().graceful_shutdown();
@@ -150,12 +169,17 @@
     handler: &H,
     request: Request<Incoming>,
     limits: RequestLimits,
+    place: &Place,
     stage: &watch::Receiver<ShutdownStage>,
 ) -> Result<Response<Full<Bytes>>, NoResponse> {
     let (head, body) = request.into_parts();
+    place.begin_body();
     let body = read_body(body, limits.max_body_bytes);
     let mut response = match tokio::time::timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => handler.handle(HttpRequest { head, body }).await?,
+        Ok(Ok(body)) => {
+            place.begin_handling();
+            handler.handle(HttpRequest { head, body }).await?
+        }
         Ok(Err(BodyError::TooLarge)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(BodyError::Invalid)) => empty_response(StatusCode::BAD_REQUEST),
         Err(_) => empty_response(StatusCode::REQUEST_TIMEOUT),
