Bodies of callers' requests are bounded together

What callers saw: in the users' trial a process ran out of memory by many large bodies of legal size, whole or in chunks, most of which stop short of their end and stay open.

Cause: each body is bounded, and 800 of them take 213 MB while each waits for its last bytes.

Beyond it the largest unfinished one is refused with 503 and Retry-After, as its request has not run; it is not held until its time is over. Bodies of up to 8 KB are always read, so ordinary requests pass beside a crowd. Requests that are complete are never refused for it.

--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -1,9 +1,10 @@
-//! Bound on the connections of a listener.
+//! Bounds on what all connections of a listener take up together.
 //!
 //! The limits on a single request leave open how many come at a time. At the bound on
-//! connections the oldest one without a complete request gives way, then the longest idle one. So
-//! callers who end their requests are served beside a crowd that does not. Requests that are being
-//! handled never give way: what they do may have an effect.
+//! connections the oldest one without a complete request gives way, then the longest idle one; at
+//! the bound on bodies the largest unfinished one. So callers who end their requests are served beside
+//! a crowd that does not. Requests that are being handled never give way: what they do may
+//! have an effect.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -15,6 +16,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Size up to which a body is read even if all bodies exceed their bound.
+const SMALL_BODY_BYTES: usize = 8 * 1024;
+
 /// Shortest interval between two log lines of a listener.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -23,6 +27,8 @@
     pub struct Bounds {
         /// Most open connections.
         pub max_connections: usize,
+        /// Most bytes of their requests' bodies.
+        pub max_body_bytes: usize,
     }
 
     /// What a connection is doing.
@@ -43,8 +49,14 @@
     since: u64,
     /// Whether it has had a complete request.
     is_proven: bool,
+    /// Memory that its request's body takes up, in bytes.
+    body_bytes: usize,
+    /// Whether its body has to be refused.
+    is_refused: bool,
     /// Notified when it is to be closed.
     closing: Rc<Notify>,
+    /// Notified when its body is to be refused.
+    refusing: Rc<Notify>,
 }
 
 /// The open connections of a listener.
@@ -52,6 +64,8 @@
 pub struct Intake {
     bounds: Bounds,
     connections: RefCell<BTreeMap<u64, Connection>>,
+    /// Sum over the connections, in bytes.
+    body_bytes: Cell<usize>,
     /// Number of the latest connection or phase.
     last_number: Cell<u64>,
     /// When the listener was last logged to be at a bound.
@@ -65,6 +79,7 @@
     intake: Rc<Intake>,
     id: u64,
     closing: Rc<Notify>,
+    refusing: Rc<Notify>,
 }
 
 impl Intake {
@@ -73,6 +88,7 @@
         Self {
             bounds,
             connections: RefCell::default(),
+            body_bytes: Cell::new(0),
             last_number: Cell::new(0),
             logged_at: Cell::new(None),
             log,
@@ -86,15 +102,18 @@
             self.close_one()?;
         }
         let id = self.next_number();
-        let closing = Rc::new(Notify::new());
+        let (closing, refusing) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
         let connection = Connection {
             phase: Phase::Waiting,
             since: id,
             is_proven: false,
+            body_bytes: 0,
+            is_refused: false,
             closing: Rc::clone(&closing),
+            refusing: Rc::clone(&refusing),
         };
         self.connections.borrow_mut().insert(id, connection);
-        Some(Place { intake: Rc::clone(self), id, closing })
+        Some(Place { intake: Rc::clone(self), id, closing, refusing })
     }
 
     /// Whether another connection needs the place of an open one.
@@ -122,7 +141,28 @@
 
     /// Removes a connection, if it still has its place.
     fn remove(&self, id: u64) -> Option<Connection> {
-        self.connections.borrow_mut().remove(&id)
+        let connection = self.connections.borrow_mut().remove(&id)?;
+        self.body_bytes.set(self.body_bytes.get() - connection.body_bytes);
+        Some(connection)
+    }
+
+    /// Refuses the largest unfinished body; false if that is the body of `own`.
+    fn refuse_one(&self, own: u64) -> bool {
+        let mut connections = self.connections.borrow_mut();
+        let unfinished = connections
+            .iter_mut()
+            .filter(|(_, other)| other.phase == Phase::Receiving && !other.is_refused);
+        let Some((id, largest)) = unfinished.max_by_key(|(_, other)| other.body_bytes) else {
+            return false;
+        };
+        if *id == own {
+            return false;
+        }
+        self.body_bytes.set(self.body_bytes.get() - largest.body_bytes);
+        largest.body_bytes = 0;
+        largest.is_refused = true;
+        largest.refusing.notify_one();
+        true
     }
 
     /// Logs that the listener is at a bound, at most once in a while.
@@ -134,7 +174,8 @@
         self.logged_at.set(Some(now));
         slog::info!(self.log, "{}", Event::IntakeFull.text();
             "event" => Event::IntakeFull.number(), "bound" => what,
-            "connections" => self.connections.borrow().len());
+            "connections" => self.connections.borrow().len(),
+            "body_bytes" => self.body_bytes.get());
     }
 }
 
@@ -144,6 +185,11 @@
         self.closing.notified().await;
     }
 
+    /// Waits until the body that it receives has to be refused.
+    pub async fn refused(&self) {
+        self.refusing.notified().await;
+    }
+
     /// Begins a phase.
     fn begin(&self, phase: Phase) {
         let since = self.intake.next_number();
@@ -152,6 +198,7 @@
         connection.phase = phase;
         connection.since = since;
         connection.is_proven |= phase == Phase::Handling;
+        connection.is_refused &= phase != Phase::Receiving;
     }
 
     /// Records that a request's head has arrived.
@@ -164,9 +211,38 @@
         self.begin(Phase::Handling);
     }
 
-    /// Records that a request has its response.
+    /// Records that a request has its response, and that its body takes up no more memory.
     pub fn end_request(&self) {
         self.begin(Phase::Waiting);
+        // A connection that was refused or closed holds none.
+        self.set_body_bytes(0);
+    }
+
+    /// Takes up memory for a body, as a total in bytes; false if the body has to be refused.
+    pub fn hold_body(&self, bytes: usize) -> bool {
+        if !self.set_body_bytes(bytes) {
+            return false;
+        }
+        while self.intake.body_bytes.get() > self.intake.bounds.max_body_bytes {
+            self.intake.report("bodies");
+            if !self.intake.refuse_one(self.id) {
+                return bytes <= SMALL_BODY_BYTES;
+            }
+        }
+        true
+    }
+
+    /// Sets the memory of the body, in bytes; false if the body has been refused.
+    fn set_body_bytes(&self, bytes: usize) -> bool {
+        let mut connections = self.intake.connections.borrow_mut();
+        let Some(connection) = connections.get_mut(&self.id) else { return false };
+        if connection.is_refused {
+            return false;
+        }
+        let others = self.intake.body_bytes.get() - connection.body_bytes;
+        connection.body_bytes = bytes;
+        self.intake.body_bytes.set(others + bytes);
+        true
     }
 }
 
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -21,6 +21,9 @@
 /// Delay after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Delay after which a client whose body was refused may send it again.
+const REFUSED_BODY_RETRY: Duration = Duration::from_secs(1);
+
 common::key! {
     /// Progress of the server's graceful shutdown.
     pub enum ShutdownStage {
@@ -68,6 +71,8 @@
     TooLarge,
     /// It is not valid, or the client has gone.
     Invalid,
+    /// All bodies together exceed their bound.
+    Refused,
 }
 
 /// Produces the responses of a server.
@@ -174,7 +179,7 @@
 ) -> Result<Response<Full<Bytes>>, NoResponse> {
     let (head, body) = request.into_parts();
     place.begin_body();
-    let body = read_body(body, limits.max_body_bytes);
+    let body = read_body(body, limits.max_body_bytes, place);
     let mut response = match tokio::time::timeout(limits.body_timeout, body).await {
         Ok(Ok(body)) => {
             place.begin_handling();
@@ -182,6 +187,12 @@
         }
         Ok(Err(BodyError::TooLarge)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
         Ok(Err(BodyError::Invalid)) => empty_response(StatusCode::BAD_REQUEST),
+        Ok(Err(BodyError::Refused)) => {
+            let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+            set_retry_after(&mut response, REFUSED_BODY_RETRY);
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            response
+        }
         Err(_) => empty_response(StatusCode::REQUEST_TIMEOUT),
     };
     if *stage.borrow() != ShutdownStage::Serving {
@@ -190,22 +201,34 @@
     Ok(response)
 }
 
-/// Reads a body of at most `max_bytes`.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+/// Reads a body of at most `max_bytes` into memory that its place in the intake holds.
+async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    place: &Place,
+) -> Result<Bytes, BodyError> {
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLarge);
     }
     // The frames are copied: each keeps the whole buffer that it was read into.
     let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = place.refused() => return Err(BodyError::Refused),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { return Ok(Bytes::from(bytes)) };
         // Trailers are not used.
         let Ok(data) = frame.map_err(|_error| BodyError::Invalid)?.into_data() else { continue };
         if bytes.len() + data.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
         bytes.extend_from_slice(&data);
+        if !place.hold_body(bytes.capacity()) {
+            return Err(BodyError::Refused);
+        }
     }
-    Ok(Bytes::from(bytes))
 }
 
 /// Builds a response without a body.
