Placement looks up no worker for steps without suspicion; tasks store less

Cause: each comparison of two slots looked the worker up by its id, also for steps without suspicion.

Change: it is looked up for steps under suspicion only. The workers' sites are shared, and a task holds 8 bytes for it and 4 for its counts.

--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -24,7 +24,7 @@
 use crate::worker::{Assignment, RunState, Worker};
 
 /// Workers that crash under a task before its job fails, if the last ran nothing but its step.
-const MAX_CRASHES_ALONE: u32 = 2;
+const MAX_CRASHES_ALONE: u16 = 2;
 
 /// Workers that crash or become silent under a task before its job fails, whatever else ran there.
 const MAX_LOST_WORKERS: u32 = 4;
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -1,5 +1,6 @@
 //! State of a job and its conversion to and from the stored record.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::Name;
@@ -68,11 +69,11 @@
         /// Worker of its current run; `None` while it has no run.
         pub worker: Option<Name>,
         /// Where that worker was when the run was placed; of no meaning without a worker.
-        pub site: Site,
+        pub site: Option<Arc<Site>>,
         /// Workers that crashed under it.
-        pub crashes: u32,
+        pub crashes: u16,
         /// Workers that may have crashed under it.
-        pub doubtful_crashes: u32,
+        pub doubtful_crashes: u16,
         /// Latest checkpoint; empty for none. A gang keeps it on its first task.
         pub checkpoint: Name,
     }
@@ -120,6 +121,11 @@
 }
 
 impl Task {
+    /// Incarnation of its worker when the run was placed; 0 if it is unknown.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.site.as_ref().map_or(0, |site| site.incarnation)
+    }
+
     /// Creates a task without runs.
     pub(crate) fn new() -> Self {
         Self {
@@ -127,7 +133,7 @@
             run: 0,
             failed_runs: 0,
             worker: None,
-            site: Site::default(),
+            site: None,
             crashes: 0,
             doubtful_crashes: 0,
             checkpoint: Name::default(),
@@ -145,7 +151,7 @@
 
     /// Number of workers that crashed under it, or may have.
     pub fn lost_workers(&self) -> u32 {
-        self.crashes.saturating_add(self.doubtful_crashes)
+        u32::from(self.crashes) + u32::from(self.doubtful_crashes)
     }
 
     /// Whether it is neither done nor assigned to a worker.
@@ -296,11 +302,10 @@
     /// Indexes of steps whose waiting tasks may be placed now; none once the job has ended.
     pub fn ready_steps(&self) -> impl Iterator<Item = usize> {
         let can_place = |step_index: &usize| {
-            self.phase == Phase::Open
-                && self.steps[*step_index].has_waiting()
-                && self.is_step_ready(*step_index)
+            self.steps[*step_index].has_waiting() && self.is_step_ready(*step_index)
         };
-        (0..self.steps.len()).filter(can_place)
+        let steps = if self.phase == Phase::Open { self.steps.len() } else { 0 };
+        (0..steps).filter(can_place)
     }
 
     /// Whether all steps that a step depends on have completed.
--- a/crates/scheduler/src/placement/isolation.rs
+++ b/crates/scheduler/src/placement/isolation.rs
@@ -44,8 +44,11 @@
         if slot.suspect.as_ref().is_some_and(|suspect| !is_own(suspect)) {
             return true;
         }
+        if pending.care == Care::Usual {
+            return false;
+        }
         let worker = self.scheduler.pool.get(&slot.id);
-        pending.care != Care::Usual && worker.is_some_and(|worker| !worker.runs_only(pending.key))
+        worker.is_some_and(|worker| !worker.runs_only(pending.key))
     }
 
     /// Whether the care that a step needs lets it use a slot.
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -397,8 +397,8 @@
                 is_lost: false,
             };
             if let Some(worker) = self.scheduler.pool.get_mut(&slot.id) {
-                task.site = worker.site();
-                let incarnation = task.site.incarnation;
+                task.site = Some(worker.site());
+                let incarnation = task.incarnation();
                 worker.assign(key.clone(), Assignment { incarnation, ..assignment });
             }
             let start = StartOrder { key, run: task.run, worker: slot.id.clone() };
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -159,7 +159,7 @@
             if let Some(task) = step.and_then(|step| step.tasks.get_mut(key.index as usize))
                 && task.run == run.run
             {
-                task.site.incarnation = 0;
+                task.site = None;
             }
         }
         // An unanswered send may still start it, also in the worker's next incarnation.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -167,7 +167,8 @@
                 let Some(name) = &task.worker else { continue };
                 let key = TaskKey { job: id.clone(), step: step_index as u32, index: index as u32 };
                 let need = job.submission.steps[step_index].need;
-                self.recover_run(name, &task.site, key, task.run, need);
+                let site = task.site.as_deref().cloned().unwrap_or_default();
+                self.recover_run(name, &site, key, task.run, need);
             }
         }
         self.jobs.insert(id, job);
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -5,6 +5,7 @@
 //! for a segment is split: the further parts are changes, in segments that follow it.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::Name;
@@ -68,15 +69,16 @@
 pub struct StoredWorker {
     /// Id of the worker.
     pub id: Name,
-    /// Where it was when the runs were placed.
-    pub site: Site,
+    /// Where it was when the runs were placed; `None` if that is unknown.
+    pub site: Option<Arc<Site>>,
 }
 
 /// Collects records into a segment.
 #[derive(Debug, Default)]
 pub struct SegmentBuilder {
     segment: Segment,
-    worker_positions: HashMap<StoredWorker, u32>,
+    /// Position of each worker in the segment's list, by id and incarnation.
+    worker_positions: HashMap<(Name, u64), u32>,
     /// Upper bound of the encoded size.
     size: usize,
 }
@@ -234,7 +236,7 @@
     /// Upper bound of its size.
     size: usize,
     /// Workers that it names; a segment lists each once.
-    workers: HashSet<(&'a Name, &'a Site)>,
+    workers: HashSet<(&'a Name, u64)>,
 }
 
 impl<'a> Splitter<'a> {
@@ -248,7 +250,7 @@
     fn add_task(&mut self, number: u32, task: &'a Task) -> Option<()> {
         let state_size = max_state_size(number, task);
         let worker_size = max_worker_size(task);
-        let worker = task.worker.as_ref().map(|worker| (worker, &task.site));
+        let worker = task.worker.as_ref().map(|worker| (worker, task.incarnation()));
         let is_known = worker.is_some_and(|worker| self.workers.contains(&worker));
         let added = state_size + if is_known { 0 } else { worker_size };
         if self.size + added <= self.max_size {
@@ -312,7 +314,8 @@
 /// Upper bound of the bytes that a task's worker takes in a segment.
 fn max_worker_size(task: &Task) -> usize {
     let size = |worker: &Name| {
-        let names = worker.len() + task.site.address.len();
+        let address = task.site.as_ref().map_or(0, |site| site.address.len());
+        let names = worker.len() + address;
         names + MAX_INCARNATION_BYTES + 2 * FIELD_OVERHEAD_BYTES
     };
     task.worker.as_ref().map_or(0, size)
@@ -394,15 +397,16 @@
 
     /// Position of a worker in the segment's list plus 1, or 0 for none.
     fn worker_number(&mut self, task: &Task) -> u32 {
-        let Some(id) = task.worker.clone() else { return 0 };
-        let worker = StoredWorker { id, site: task.site.clone() };
+        let Some(worker) = &task.worker else { return 0 };
         let next = self.worker_positions.len() as u32;
-        let position = *self.worker_positions.entry(worker.clone()).or_insert(next);
+        let life = (worker.clone(), task.incarnation());
+        let position = *self.worker_positions.entry(life).or_insert(next);
         if position == next {
             self.size += max_worker_size(task);
-            self.segment.workers.push(worker.id.to_string());
-            self.segment.worker_addresses.push(worker.site.address.to_string());
-            self.segment.worker_incarnations.push(worker.site.incarnation);
+            self.segment.workers.push(worker.to_string());
+            let address = task.site.as_ref().map_or("", |site| &site.address);
+            self.segment.worker_addresses.push(address.to_owned());
+            self.segment.worker_incarnations.push(task.incarnation());
         }
         position + 1
     }
@@ -418,7 +422,11 @@
                 states.failed.extend([*number, task.failed_runs]);
             }
             if task.lost_workers() > 0 {
-                states.lost_workers.extend([*number, task.crashes, task.doubtful_crashes]);
+                states.lost_workers.extend([
+                    *number,
+                    task.crashes.into(),
+                    task.doubtful_crashes.into(),
+                ]);
             }
             if !task.checkpoint.is_empty() {
                 states.saved_tasks.push(*number);
@@ -438,9 +446,11 @@
         let mut addresses = self.worker_addresses.iter();
         let mut incarnations = self.worker_incarnations.iter();
         let workers = self.workers.iter().map(|id| {
-            let address = addresses.next().map_or_else(Name::default, |text| Name::new(text));
-            let incarnation = incarnations.next().copied().unwrap_or_default();
-            StoredWorker { id: Name::new(id), site: Site { address, incarnation } }
+            let address = addresses.next().map(|address| Name::new(address));
+            let site = address.zip(incarnations.next().copied());
+            let site = site.map(|(address, incarnation)| Site { address, incarnation });
+            let site = site.filter(|site| *site != Site::default()).map(Arc::new);
+            StoredWorker { id: Name::new(id), site }
         });
         let workers: Vec<StoredWorker> = workers.collect();
         for record in self.jobs {
@@ -483,8 +493,8 @@
                     found => found.cloned(),
                 },
             };
-            let site = worker.as_ref().map(|worker| worker.site.clone()).unwrap_or_default();
-            let worker = worker.map(|worker| worker.id);
+            let (worker, site) =
+                worker.map_or((None, None), |worker| (Some(worker.id), worker.site));
             **task = Task { is_done: run % 2 == 1, run: run / 2, worker, site, ..Task::new() };
             self.has_started |= task.is_done;
         }
@@ -495,9 +505,10 @@
             self.has_started = true;
         }
         for lost in states.lost_workers.chunks(3) {
-            let [number, crashes, silences] = *lost else { return false };
+            let [number, crashes, doubtful] = *lost else { return false };
             let Some(task) = tasks.get_mut(number as usize) else { return false };
-            (task.crashes, task.doubtful_crashes) = (crashes, silences);
+            let count = |lost: u32| lost.try_into().unwrap_or(u16::MAX);
+            (task.crashes, task.doubtful_crashes) = (count(crashes), count(doubtful));
             self.has_started = true;
         }
         for (number, checkpoint) in states.saved_tasks.iter().zip(states.saved) {
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,6 +1,7 @@
 //! A worker of a pool: capacity and assigned runs. `health` judges what they say of it.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::Name;
@@ -74,6 +75,8 @@
     pub struct Worker {
         /// Its latest registration.
         pub registration: Registration,
+        /// Where it took orders when its latest run was placed.
+        site: Arc<Site>,
         /// Whether the list of workers contains it.
         pub is_listed: bool,
         /// Incarnation that sent the latest list of its runs; 0 before the first.
@@ -106,6 +109,7 @@
     pub fn new(registration: Registration) -> Self {
         Self {
             registration,
+            site: Arc::default(),
             is_listed: true,
             listed_incarnation: 0,
             has_current_token: false,
@@ -128,11 +132,13 @@
     }
 
     /// Where it takes orders now.
-    pub(crate) fn site(&self) -> Site {
-        Site {
-            address: self.registration.address.clone(),
-            incarnation: self.registration.incarnation.max(self.listed_incarnation),
+    pub(crate) fn site(&mut self) -> Arc<Site> {
+        let incarnation = self.registration.incarnation.max(self.listed_incarnation);
+        let address = &self.registration.address;
+        if self.site.incarnation != incarnation || self.site.address != *address {
+            self.site = Arc::new(Site { address: address.clone(), incarnation });
         }
+        Arc::clone(&self.site)
     }
 
     /// Whether it runs nothing but tasks of a step, given as job id and index.
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -177,7 +177,8 @@
     let job: Job = restored.expect("the job is restored");
     assert_eq!(job.steps[0].tasks, stored.steps[0].tasks);
     let site = Site { address: Name::new("a"), incarnation: 1 };
-    assert_eq!((&job.steps[0].tasks[0].site, job.steps[0].tasks[0].crashes), (&site, 1));
+    let task = &job.steps[0].tasks[0];
+    assert_eq!((task.site.as_deref(), task.crashes), (Some(&site), 1));
 
     // The next leader, which has not heard of the worker, asks at its former address.
     let mut next = pool(&[], None);
