A connection that gives way begins no request

Found by reading: a connection that was told to close, and whose next request had arrived meanwhile, could begin to handle it before it looked, and was then closed without a response. Its notice is looked at first now. Not shown by a test: the order of two events in one poll of the connection's task.

--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -160,8 +160,10 @@
     let http_connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(http_connection);
     tokio::select! {
-        result = &mut http_connection => drop(result),
+        // A connection that gives way begins no request.
+        biased;
         () = place.closed() => {}
+        result = &mut http_connection => drop(result),
         closed = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => {
             drop(closed);
             http_connection.as_mut().graceful_shutdown();
