Losses of a silent worker are settled only if they were counted

Found by reading: when a worker became silent, each task that may have run on it was noted for settlement, also one whose present run is another and which had counted nothing; settling took a count of another worker away, or added a crash. The tasks that have counted it are noted now. A step is said to wait for a worker to itself only while it does, so that the simulation's check for waits sees it otherwise.

silent_worker_that_restarted_has_crashed is new and passed before as well.

--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -113,6 +113,13 @@
         self.crashed.contains(worker)
     }
 
+    /// Records that a worker crashed under the step.
+    fn record_crash(&mut self, worker: &Name) {
+        if !self.has_crashed(worker) {
+            self.crashed.push(worker.clone());
+        }
+    }
+
     /// Records that tasks wait for a worker to themselves; false if they have waited for too long.
     pub(crate) fn may_wait(&mut self, now: Duration) -> bool {
         now < *self.waits_since.get_or_insert(now) + ISOLATION_WAIT
@@ -123,6 +130,11 @@
         self.waits_since = None;
     }
 
+    /// Whether tasks wait for a worker to themselves and may do so any longer.
+    fn is_waiting(&self, now: Duration) -> bool {
+        self.waits_since.is_some() && !self.has_waited(now)
+    }
+
     /// Whether tasks have waited for a worker to themselves for too long.
     pub(crate) fn has_waited(&self, now: Duration) -> bool {
         self.waits_since.is_some_and(|since| now >= since + ISOLATION_WAIT)
@@ -137,17 +149,19 @@
         worker.allocated = crate::Resources::default();
         let runs: Vec<_> = worker.assignments.drain().collect();
         let until = worker.silent_since.unwrap_or(now);
-        let mut silent = std::mem::take(&mut worker.silent_losses);
-        if loss == Loss::Silence {
-            let silenced = runs.iter().filter(|(_, assignment)| assignment.may_have_run());
-            silent.extend(silenced.map(|(key, _)| key.clone()));
-            worker.silent_losses = std::mem::take(&mut silent);
+        let is_listed = worker.is_listed;
+        if loss != Loss::Silence {
+            let silent = std::mem::take(&mut worker.silent_losses);
+            self.convert_silent_losses(id, &silent, loss == Loss::Crash, store_clock_ms);
         }
-        if !worker.is_listed {
+        let tasks = self.record_losses(id, loss, &runs, until);
+        if !is_listed {
             self.pool.remove(id);
+        } else if loss == Loss::Silence
+            && let Some(worker) = self.pool.get_mut(id)
+        {
+            worker.silent_losses.extend(tasks.iter().cloned());
         }
-        self.convert_silent_losses(id, &silent, loss == Loss::Crash, store_clock_ms);
-        let tasks = self.record_losses(id, loss, &runs, until);
         for (key, assignment) in &runs {
             self.finish_run(key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
@@ -209,8 +223,8 @@
         let Some(task) = task else { return false };
         let count = if is_proven { &mut task.crashes } else { &mut task.doubtful_crashes };
         *count = count.saturating_add(1);
-        if is_proven && !step.suspicion.has_crashed(worker) {
-            step.suspicion.crashed.push(worker.clone());
+        if is_proven {
+            step.suspicion.record_crash(worker);
         }
         self.changed_jobs.insert(key.job.clone());
         self.suspects.insert((key.job.clone(), key.step));
@@ -232,7 +246,7 @@
             task.doubtful_crashes = task.doubtful_crashes.saturating_sub(1);
             if is_crash {
                 task.crashes = task.crashes.saturating_add(1);
-                step.suspicion.crashed.push(worker.clone());
+                step.suspicion.record_crash(worker);
             }
             self.changed_jobs.insert(key.job.clone());
         }
@@ -339,7 +353,7 @@
         }
         let step = self.jobs.get(job).and_then(|job| job.steps.get(step_index as usize));
         let is_of_step = |(_, step): &(Name, (Name, u32))| step.0 == *job && step.1 == step_index;
-        step.is_some_and(|step| !step.suspicion.has_waited(now))
+        step.is_some_and(|step| step.suspicion.is_waiting(now))
             || self.trials(now).iter().any(is_of_step)
     }
 }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -242,6 +242,24 @@
     assert_eq!(phase(&scheduler, "j1"), Phase::Open);
 }
 
+// Guards against a crash that stays doubtful although the worker's next life shows it.
+#[test]
+fn silent_worker_that_restarted_has_crashed() {
+    let mut scheduler = pool(&["w1"], None);
+    let id = Name::new("w1");
+    scheduler.apply_listing(&id, &empty_listing(1), false, NOW, NOW, 0);
+    submit(&mut scheduler, "j1", vec![step(1)]);
+    place(&mut scheduler, NOW);
+    scheduler.abandon_runs(&id, Loss::Silence, NOW, 0);
+    let counts = |scheduler: &Scheduler| {
+        let task = &scheduler.jobs["j1"].steps[0].tasks[0];
+        (task.crashes, task.doubtful_crashes)
+    };
+    assert_eq!(counts(&scheduler), (0, 1));
+    scheduler.apply_listing(&id, &empty_listing(7), true, NOW + secs(9), NOW + secs(9), 0);
+    assert_eq!(counts(&scheduler), (1, 0));
+}
+
 // Guards against the same if the workers never answer again: four of them are enough.
 #[test]
 fn task_on_four_silent_workers_fails_its_job() {
