--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -8,7 +8,7 @@
 
 use control::{Answer, Operation};
 use scheduler::{JobState, Step, TaskKey};
-use support::{Simulation, job, step};
+use support::{Simulation, for_seeds, job, step};
 
 /// Daemons of a cell.
 const NODES: usize = 4;
@@ -35,15 +35,6 @@
     is_deadly(key) && (key.index == 0 || &*key.job == "d22")
 }
 
-/// Runs a test for each seed.
-fn for_seeds(test: impl Fn(u64)) {
-    let number = |name: &str, default: u64| {
-        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
-    let first = number("BRONZERAIL_SEED", 1);
-    (first..first + number("BRONZERAIL_SCHEDULES", DEFAULT_SEEDS)).for_each(test);
-}
-
 /// Starts a cell with a leader, and a way of crashing that depends on the seed.
 fn start(seed: u64) -> Simulation {
     let mut sim = Simulation::new(seed, NODES, WORKERS);
@@ -94,7 +85,7 @@
 // Guards against a task that is started again without end while it crashes worker after worker.
 #[test]
 fn crashing_task_is_given_up() {
-    for_seeds(|seed| {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         submit_jobs(&mut sim);
         check(&mut sim, seed);
@@ -104,7 +95,7 @@
 // Guards against the same if each leader is lost soon after it has started the task.
 #[test]
 fn crashing_task_is_given_up_by_changing_leaders() {
-    for_seeds(|seed| {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         submit_jobs(&mut sim);
         for _ in 0..5 {
@@ -125,7 +116,7 @@
 // Guards against the same if all daemons are lost, and a store that is away before it.
 #[test]
 fn crashing_task_is_given_up_after_cold_recovery() {
-    for_seeds(|seed| {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         submit_jobs(&mut sim);
         for round in 0..3 {
@@ -149,7 +140,7 @@
 // Guards against the same if answers of workers and of the store are lost and orders come late.
 #[test]
 fn crashing_task_is_given_up_over_lost_answers() {
-    for_seeds(|seed| {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         sim.faults.late_order_share = 0.05;
         sim.faults.lost_commit_share = 0.1;
@@ -164,7 +155,7 @@
 // Guards against tasks that are given up because they shared workers with one that crashes them.
 #[test]
 fn neighbours_of_crashing_tasks_complete() {
-    for_seeds(|seed| {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         sim.run_time = Some(ms(2500));
         let mut others = Vec::new();
--- a/crates/control/tests/room.rs
+++ b/crates/control/tests/room.rs
@@ -9,7 +9,7 @@
 use common::Name;
 use control::Operation;
 use scheduler::{JobState, Step};
-use support::{Simulation, job, step};
+use support::{Simulation, for_seeds, job, step};
 
 /// Workers of a cell, and the cores of each.
 const WORKERS: usize = 5;
@@ -42,6 +42,15 @@
     (0..WORKERS as u64).for_each(|number| set_capacity(sim, number, capacity));
 }
 
+/// Checks that nothing exceeded its room, and that the job completes once the workers have grown.
+fn grow_and_complete(sim: &mut Simulation, is_gang: bool) {
+    assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+    set_capacities(sim, CAPACITY);
+    let is_completed = sim.wait_for_state("j1", JobState::Completed, RECOVERY_TIME);
+    assert!(is_completed, "gang: {is_gang}: {:?}", sim.state("j1"));
+    assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+}
+
 // Guards against starts on workers that have shrunk while the list of workers could not be read.
 #[test]
 fn starts_wait_for_recent_list_of_workers() {
@@ -56,11 +65,7 @@
         sim.run(ms(4000));
         sim.faults.is_feed_down = false;
         sim.run(ms(3000));
-        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
-        set_capacities(&mut sim, CAPACITY);
-        let is_completed = sim.wait_for_state("j1", JobState::Completed, RECOVERY_TIME);
-        assert!(is_completed, "gang: {is_gang}: {:?}", sim.state("j1"));
-        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+        grow_and_complete(&mut sim, is_gang);
     }
 }
 
@@ -99,11 +104,7 @@
         sim.run(ms(12_000));
         sim.faults.store_slowdown = 0;
         sim.run(ms(5000));
-        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
-        set_capacities(&mut sim, CAPACITY);
-        let is_completed = sim.wait_for_state("j1", JobState::Completed, RECOVERY_TIME);
-        assert!(is_completed, "gang: {is_gang}: {:?}", sim.state("j1"));
-        assert_eq!(sim.violations, Vec::<String>::new(), "gang: {is_gang}");
+        grow_and_complete(&mut sim, is_gang);
     }
 }
 
@@ -132,11 +133,7 @@
 // Guards against starts over the room at any moment of changes of leaders, commits and cancels.
 #[test]
 fn schedules_of_changing_capacity_keep_within_room() {
-    let number = |name: &str, default: u64| {
-        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
-    let first = number("BRONZERAIL_SEED", 1);
-    for seed in first..first + number("BRONZERAIL_SCHEDULES", DEFAULT_SEEDS) {
+    for_seeds(DEFAULT_SEEDS, |seed| {
         let mut sim = start(seed);
         sim.rules = support::rules(seed.is_multiple_of(2));
         let mut killed = None;
@@ -187,5 +184,5 @@
         let scheduler = leader.and_then(control::Node::scheduler).expect("a node leads");
         assert_eq!(scheduler.open_jobs(), 0, "seed {seed}");
         assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
-    }
+    });
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -975,6 +975,15 @@
     }
 }
 
+/// Runs a test for consecutive seeds: `default_count` of them, unless the environment says otherwise.
+pub fn for_seeds(default_count: u64, test: impl FnMut(u64)) {
+    let number = |name: &str, default: u64| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let first = number("BRONZERAIL_SEED", 1);
+    (first..first + number("BRONZERAIL_SCHEDULES", default_count)).for_each(test);
+}
+
 /// Rules with one queue, with or without advice.
 pub fn rules(needs_advice: bool) -> Rules {
     let advice = AdvicePolicy {
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -24,7 +24,7 @@
 use crate::worker::{Assignment, RunState, Worker};
 
 /// Workers that crash under a task before its job fails, if the last ran nothing but its step.
-const MAX_CRASHES_ALONE: u16 = 2;
+const MAX_CRASHES_ALONE: u8 = 2;
 
 /// Workers that crash or become silent under a task before its job fails, whatever else ran there.
 const MAX_LOST_WORKERS: u32 = 4;
@@ -107,37 +107,56 @@
     }
 }
 
-impl Suspicion {
-    /// Whether a worker crashed under the step.
-    pub(crate) fn has_crashed(&self, worker: &Name) -> bool {
-        self.crashed.contains(worker)
+impl StepState {
+    /// Tasks that have not succeeded and lost workers, with their indexes.
+    fn suspected_tasks(&self) -> impl Iterator<Item = (usize, &crate::Task)> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(|(_, task)| task.lost_workers() > 0 && !task.is_done)
     }
 
     /// Records that a worker crashed under the step.
     fn record_crash(&mut self, worker: &Name) {
         if !self.has_crashed(worker) {
-            self.crashed.push(worker.clone());
+            self.suspicion.get_or_insert_default().crashed.push(worker.clone());
         }
     }
 
+    /// Whether a worker crashed under the step.
+    pub(crate) fn has_crashed(&self, worker: &Name) -> bool {
+        self.suspicion.as_ref().is_some_and(|suspicion| suspicion.crashed.contains(worker))
+    }
+
+    /// Number of workers that crashed under the step.
+    fn crashed_workers(&self) -> u32 {
+        self.suspicion.as_ref().map_or(0, |suspicion| suspicion.crashed.len() as u32)
+    }
+
     /// Records that tasks wait for a worker to themselves; false if they have waited for too long.
-    pub(crate) fn may_wait(&mut self, now: Duration) -> bool {
-        now < *self.waits_since.get_or_insert(now) + ISOLATION_WAIT
+    pub(crate) fn may_isolate(&mut self, now: Duration) -> bool {
+        let suspicion = self.suspicion.get_or_insert_default();
+        now < *suspicion.waits_since.get_or_insert(now) + ISOLATION_WAIT
     }
 
     /// Records that tasks are placed.
-    pub(crate) fn end_wait(&mut self) {
-        self.waits_since = None;
+    pub(crate) fn end_isolation(&mut self) {
+        if let Some(suspicion) = &mut self.suspicion {
+            suspicion.waits_since = None;
+        }
+    }
+
+    /// Since when tasks wait for a worker to themselves; `None` if they do not.
+    fn isolating_since(&self) -> Option<Duration> {
+        self.suspicion.as_ref()?.waits_since
     }
 
     /// Whether tasks wait for a worker to themselves and may do so any longer.
-    fn is_waiting(&self, now: Duration) -> bool {
-        self.waits_since.is_some() && !self.has_waited(now)
+    fn is_isolating(&self, now: Duration) -> bool {
+        self.isolating_since().is_some_and(|since| now < since + ISOLATION_WAIT)
     }
 
     /// Whether tasks have waited for a worker to themselves for too long.
-    pub(crate) fn has_waited(&self, now: Duration) -> bool {
-        self.waits_since.is_some_and(|since| now >= since + ISOLATION_WAIT)
+    pub(crate) fn has_isolated_too_long(&self, now: Duration) -> bool {
+        self.isolating_since().is_some_and(|since| now >= since + ISOLATION_WAIT)
     }
 }
 
@@ -224,7 +243,7 @@
         let count = if is_proven { &mut task.crashes } else { &mut task.doubtful_crashes };
         *count = count.saturating_add(1);
         if is_proven {
-            step.suspicion.record_crash(worker);
+            step.record_crash(worker);
         }
         self.changed_jobs.insert(key.job.clone());
         self.suspects.insert((key.job.clone(), key.step));
@@ -246,7 +265,7 @@
             task.doubtful_crashes = task.doubtful_crashes.saturating_sub(1);
             if is_crash {
                 task.crashes = task.crashes.saturating_add(1);
-                step.suspicion.record_crash(worker);
+                step.record_crash(worker);
             }
             self.changed_jobs.insert(key.job.clone());
         }
@@ -316,9 +335,7 @@
         let open = step.suspected_tasks().filter(is_open);
         match open.map(|(_, task)| task.lost_workers()).max() {
             None => Care::Usual,
-            Some(lost) if lost.max(step.suspicion.crashed.len() as u32) >= ALONE_AFTER => {
-                Care::Alone
-            }
+            Some(lost) if lost.max(step.crashed_workers()) >= ALONE_AFTER => Care::Alone,
             Some(_) => Care::Apart,
         }
     }
@@ -353,16 +370,7 @@
         }
         let step = self.jobs.get(job).and_then(|job| job.steps.get(step_index as usize));
         let is_of_step = |(_, step): &(Name, (Name, u32))| step.0 == *job && step.1 == step_index;
-        step.is_some_and(|step| step.suspicion.is_waiting(now))
-            || self.trials(now).iter().any(is_of_step)
-    }
-}
-
-impl StepState {
-    /// Tasks that have not succeeded and lost workers, with their indexes.
-    fn suspected_tasks(&self) -> impl Iterator<Item = (usize, &crate::Task)> {
-        let tasks = self.tasks.iter().enumerate();
-        tasks.filter(|(_, task)| task.lost_workers() > 0 && !task.is_done)
+        step.is_some_and(|step| step.is_isolating(now)) || self.trials(now).iter().any(is_of_step)
     }
 }
 
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -96,7 +96,7 @@
         /// Most failed runs of any one task.
         pub failed_runs: u32,
         /// Most workers that crashed under any one task.
-        pub crashes: u16,
+        pub crashes: u8,
         /// What the other tasks wait for; `None` if none waits.
         pub wait: Option<Wait>,
     }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -71,9 +71,9 @@
         /// Where that worker was when the run was placed; of no meaning without a worker.
         pub site: Option<Arc<Site>>,
         /// Workers that crashed under it.
-        pub crashes: u16,
+        pub crashes: u8,
         /// Workers that may have crashed under it.
-        pub doubtful_crashes: u16,
+        pub doubtful_crashes: u8,
         /// Latest checkpoint; empty for none. A gang keeps it on its first task.
         pub checkpoint: Name,
     }
--- a/crates/scheduler/src/placement/isolation.rs
+++ b/crates/scheduler/src/placement/isolation.rs
@@ -1,6 +1,7 @@
 //! Keeps tasks under which workers crashed apart from others.
 
 use std::cmp::Reverse;
+use std::rc::Rc;
 
 use common::Name;
 
@@ -17,7 +18,7 @@
             if self.scheduler.care(&job, step, self.now) == Care::Alone {
                 self.reserve_rest(slot, &job);
             }
-            self.slots[slot].suspect = Some((job, step));
+            self.slots[slot].suspect = Some(Rc::new((job, step)));
         }
     }
 
@@ -40,8 +41,7 @@
     /// itself may, and others run there.
     pub(super) fn is_shunned(&self, pending: &PendingStep<'_>, slot: usize) -> bool {
         let slot = &self.slots[slot];
-        let is_own = |(job, step): &(Name, u32)| (job, *step) == pending.key;
-        if slot.suspect.as_ref().is_some_and(|suspect| !is_own(suspect)) {
+        if slot.suspect.as_ref().is_some_and(|step| (&step.0, step.1) != pending.key) {
             return true;
         }
         if pending.care == Care::Usual {
@@ -56,8 +56,8 @@
         match pending.care {
             Care::Usual => true,
             Care::Apart => {
-                let is_own = |(job, step): &(Name, u32)| (job, *step) == pending.key;
-                self.slots[slot].suspect.as_ref().is_none_or(is_own)
+                let suspect = self.slots[slot].suspect.as_ref();
+                suspect.is_none_or(|step| (&step.0, step.1) == pending.key)
             }
             Care::Alone => {
                 let worker = self.scheduler.pool.get(&self.slots[slot].id);
@@ -70,7 +70,7 @@
     pub(super) fn may_wait(&mut self, pending: &PendingStep<'_>) -> bool {
         let (id, step) = pending.key;
         let job = self.scheduler.jobs.get_mut(id);
-        job.is_some_and(|job| job.steps[step as usize].suspicion.may_wait(self.now))
+        job.is_some_and(|job| job.steps[step as usize].may_isolate(self.now))
     }
 
     /// Whether tasks wait for the trial of others of their step.
@@ -80,13 +80,14 @@
     }
 
     /// Number of tasks of a step that fit on a slot which the care that it needs lets it use.
+    #[inline]
     pub(super) fn isolated_places(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
         if pending.care == Care::Usual {
             return self.fitting_tasks(pending, slot);
         }
         let (id, step) = pending.key;
         let step = self.scheduler.jobs.get(id).and_then(|job| job.steps.get(step as usize));
-        let has_waited = step.is_some_and(|step| step.suspicion.has_waited(self.now));
+        let has_waited = step.is_some_and(|step| step.has_isolated_too_long(self.now));
         if has_waited || self.is_isolated(pending, slot) {
             self.fitting_tasks(pending, slot)
         } else {
@@ -123,7 +124,7 @@
         let lost = |index: &u32| step.tasks[*index as usize].lost_workers();
         pending.waiting_tasks.sort_by_key(|index| Reverse(lost(index)));
         let others = isolated.iter().copied();
-        let others = others.filter(|slot| !step.suspicion.has_crashed(&self.slots[*slot].id));
+        let others = others.filter(|slot| !step.has_crashed(&self.slots[*slot].id));
         let others: Vec<usize> = others.collect();
         let best = self.best_slot(pending, &others).or_else(|| self.best_slot(pending, &isolated));
         best.into_iter().collect()
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -62,7 +62,7 @@
     /// are preferred.
     is_trial: bool,
     /// The step, as job id and index, that may crash the worker; others keep away.
-    suspect: Option<(Name, u32)>,
+    suspect: Option<Rc<(Name, u32)>>,
 }
 
 /// Slots whose workers have a service and a label.
@@ -206,7 +206,6 @@
     /// Places a step, unless its tasks cannot fit or its gang has runs.
     fn place_step(&mut self, id: &Name, step_index: usize, queue: &Queue) {
         let ends_at = self.latest_end(id, step_index, queue);
-        let care = self.scheduler.care(id, step_index as u32, self.now);
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let spec = &job.submission.steps[step_index];
         let state = &mut job.steps[step_index];
@@ -247,6 +246,7 @@
         let waiting_tasks = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
         let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32).collect();
         let refused_by = state.doubt.refused_by.clone();
+        let care = self.scheduler.care(id, step_index as u32, self.now);
         let candidates = self.find_candidates(queue, &spec);
         let pending = PendingStep {
             key: (id, step_index as u32),
@@ -378,7 +378,7 @@
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let step = &mut job.steps[step_index as usize];
         step.gang_wait = None;
-        step.suspicion.end_wait();
+        step.end_isolation();
         let gang_run = step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         for (index, slot) in chosen {
             let slot = &mut self.slots[*slot];
@@ -407,7 +407,7 @@
         for (_, slot) in chosen {
             self.slots[*slot].end_trial();
             if pending.care != Care::Usual {
-                self.slots[*slot].suspect = Some((id.clone(), step_index));
+                self.slots[*slot].suspect = Some(Rc::new((id.clone(), step_index)));
             }
         }
         self.scheduler.changed_jobs.insert(id.clone());
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -507,7 +507,7 @@
         for lost in states.lost_workers.chunks(3) {
             let [number, crashes, doubtful] = *lost else { return false };
             let Some(task) = tasks.get_mut(number as usize) else { return false };
-            let count = |lost: u32| lost.try_into().unwrap_or(u16::MAX);
+            let count = |lost: u32| lost.try_into().unwrap_or(u8::MAX);
             (task.crashes, task.doubtful_crashes) = (count(crashes), count(doubtful));
             self.has_started = true;
         }
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -50,8 +50,8 @@
         pub(crate) gang_wait: Option<GangWait>,
         /// What workers said of its starts and runs.
         pub(crate) doubt: Doubt,
-        /// Workers that crashed under its tasks.
-        pub(crate) suspicion: Suspicion,
+        /// Workers that crashed under its tasks; `None` if there are none.
+        pub(crate) suspicion: Option<Box<Suspicion>>,
     }
 }
 
@@ -72,7 +72,7 @@
             last_advice_at: Duration::ZERO,
             gang_wait: None,
             doubt: Doubt::default(),
-            suspicion: Suspicion::default(),
+            suspicion: None,
         }
     }
 
