--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -222,6 +222,24 @@
     assert_eq!((task.crashes, task.doubtful_crashes), (0, 1));
 }
 
+// Guards against a run that is counted for each later life of its worker until its stop is confirmed.
+#[test]
+fn run_that_is_being_stopped_counts_one_crash() {
+    let mut scheduler = pool(&["w1"], None);
+    scheduler.apply_listing(&Name::new("w1"), &empty_listing(1), false, NOW, NOW, 0);
+    submit(&mut scheduler, "j1", vec![step(1)]);
+    scheduler.plan(NOW, NO_DELAY, ample_advice());
+    let start = scheduler.starts.remove(0);
+    send(&mut scheduler, &start);
+    let worker = scheduler.pool.get_mut("w1").expect("the worker is known");
+    worker.assignment_mut(&start.key, 1).expect("it is assigned").fate.record_unanswered(NOW);
+    for (later, incarnation) in [(3, 7), (6, 9), (9, 11)] {
+        let now = NOW + secs(later);
+        scheduler.apply_listing(&start.worker, &empty_listing(incarnation), false, now, now, 0);
+    }
+    assert_eq!(scheduler.jobs["j1"].steps[0].tasks[0].lost_workers(), 1);
+}
+
 // Guards against a job that fails as its workers were cut off and lost their leases.
 #[test]
 fn silent_worker_that_answers_again_counts_for_nothing() {
