Log lines say why a connection ends without an answer

The log could not tell the hypotheses of docs/incidents/unanswered-over-a-new-leader.md apart. 5409 now has the time that the caller had left, the rule that ended the wait, the epoch of the leader known last and the time without one; 5102 is also logged by a daemon that leaves a living leader to claim or to follow another. No decision changes: tests of control as before.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -20,6 +20,7 @@
 use crate::head::{HEAD_KEY, Head, POOL_TABLE, read_head};
 use crate::input::PeerEvent;
 use crate::node::Context;
+use crate::pending::Contact;
 use crate::store::{CommitResult, Page, Row, RowKey, RowWrite, Transaction};
 
 use reads::Reads;
@@ -213,9 +214,13 @@
         (!is_joined).then(|| now.saturating_sub(self.leaderless_since))
     }
 
-    /// Whether the leader is alive but unreachable from here.
-    pub fn is_cut_off(&self) -> bool {
-        self.is_cut_off
+    /// How the latest known leader is reached.
+    pub fn contact(&self, now: Duration) -> Contact {
+        Contact {
+            epoch: self.known_head.as_ref().map_or(0, |(head, _)| head.epoch),
+            lost_for: self.time_without_leader(now),
+            is_cut_off: self.is_cut_off,
+        }
     }
 
     /// Epoch and address of the connected leader; 0 and empty if there is none.
@@ -358,6 +363,9 @@
         let is_own = *head.address == *ctx.config.peer_address;
         let is_released = head.is_released;
         let is_new = self.known_head.as_ref().is_none_or(|(known, _)| known.epoch != epoch);
+        if is_new && !is_own && !is_released {
+            self.leave_leader(ctx, "head row names another leader");
+        }
         self.known_head = Some((head, version));
         if is_released && self.released_epoch != epoch {
             self.released_epoch = epoch;
@@ -436,6 +444,14 @@
         }
     }
 
+    /// Leaves the joined leader, if there is one, to join another or to claim.
+    fn leave_leader(&self, ctx: &Context, reason: &'static str) {
+        if matches!(self.stage, Stage::Joined { .. }) {
+            let epoch = self.known_head.as_ref().map_or(0, |(head, _)| head.epoch);
+            log_event!(ctx, LeaderLost, "epoch" => epoch, "reason" => reason);
+        }
+    }
+
     /// Opens a connection to the last known leader.
     fn connect_to_leader(&mut self, ctx: &mut Context) {
         let Some((head, _)) = &self.known_head else { return };
@@ -454,6 +470,7 @@
             log_event!(ctx, RowIgnored, "key" => HEAD_KEY, "reason" => "no epoch is higher");
             return;
         };
+        self.leave_leader(ctx, "claiming leadership");
         if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
             ctx.actions.push(Action::Close { link });
         }
--- a/crates/control/src/follow/probe.rs
+++ b/crates/control/src/follow/probe.rs
@@ -86,6 +86,7 @@
         if epoch < last_epoch || (epoch == last_epoch && is_joined) {
             return;
         }
+        self.leave_leader(ctx, "another leader announced itself");
         if let Stage::Joined { link, .. } | Stage::Joining { link, .. } = self.stage {
             ctx.actions.push(Action::Close { link });
         }
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -218,6 +218,11 @@
         leader
     }
 
+    /// Epoch in which it leads.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Whether it accepts requests.
     pub fn is_serving(&self) -> bool {
         self.recovery.is_none() && !self.is_resigning && self.scheduler.rules.is_some()
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -21,7 +21,7 @@
 use crate::lead::{Caller, Leader};
 use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
-use crate::pending::PendingRequests;
+use crate::pending::{Contact, PendingRequests};
 use crate::request_codec::decode_answer;
 use crate::sampler::Sampler;
 
@@ -289,7 +289,8 @@
         }
         self.pending_requests.admit(&mut self.ctx, token, call);
         if self.has_exited {
-            self.pending_requests.answer_all(&mut self.ctx);
+            let contact = self.leader_contact();
+            self.pending_requests.answer_all(&mut self.ctx, contact);
         }
     }
 
@@ -469,13 +470,8 @@
             }
         }
         self.step_down_if_replaced();
-        let (without_leader, is_cut_off) = match &self.role_state {
-            RoleState::Follower(follower) => {
-                (follower.time_without_leader(self.ctx.now), follower.is_cut_off())
-            }
-            RoleState::Leader(_) => (None, false),
-        };
-        self.pending_requests.expire(&mut self.ctx, without_leader, is_cut_off);
+        let contact = self.leader_contact();
+        self.pending_requests.expire(&mut self.ctx, contact);
         if self.stop_requested_at.is_some() && self.role() != Role::Following {
             self.pending_requests.refuse_unsent(&mut self.ctx);
         }
@@ -484,6 +480,16 @@
         self.report_gauges();
     }
 
+    /// How the leader is reached, which may be this daemon.
+    fn leader_contact(&self) -> Contact {
+        match &self.role_state {
+            RoleState::Follower(follower) => follower.contact(self.ctx.now),
+            RoleState::Leader(leader) => {
+                Contact { epoch: leader.epoch(), lost_for: None, is_cut_off: false }
+            }
+        }
+    }
+
     /// Reports gauges and the number of log lines dropped by sampling.
     fn report_gauges(&mut self) {
         if self.ctx.now < self.gauges_reported_at + GAUGE_INTERVAL {
@@ -536,7 +542,8 @@
         if !self.has_exited && ((is_idle && elapsed >= READINESS_DRAIN) || is_grace_over) {
             self.has_exited = true;
             log_event!(self.ctx, ShutdownCompleted, "requests" => self.pending_requests.len());
-            self.pending_requests.answer_all(&mut self.ctx);
+            let contact = self.leader_contact();
+            self.pending_requests.answer_all(&mut self.ctx, contact);
             self.ctx.actions.push(Action::Exit);
         }
     }
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -45,6 +45,42 @@
 /// Part of the caller's timeout reserved for returning the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+common::key! {
+    /// How a daemon reaches the leader.
+    pub(crate) struct Contact {
+        /// Epoch of the latest known leader; 0 for none.
+        pub epoch: u64,
+        /// Time since a leader was last reached; none while one is reached.
+        pub lost_for: Option<Duration>,
+        /// Whether a leader is alive but unreachable from here.
+        pub is_cut_off: bool,
+    }
+
+    /// Why a request is no longer waited for.
+    enum GiveUp {
+        /// The caller's timeout is over.
+        Timeout,
+        /// No leader was reached for too long.
+        NoLeader,
+        /// The leader is alive but unreachable.
+        CutOff,
+        /// The daemon exits.
+        Exit,
+    }
+}
+
+impl GiveUp {
+    /// Reason in the log.
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Timeout => "caller's timeout",
+            Self::NoLeader => "no leader",
+            Self::CutOff => "cut off from the leader",
+            Self::Exit => "exit",
+        }
+    }
+}
+
 /// A request that has no answer yet.
 #[derive(Debug)]
 struct PendingRequest {
@@ -243,35 +279,19 @@
     }
 
     /// Answers requests whose deadline has passed or that waited too long for a leader.
-    ///
-    /// `without_leader` is the time since a leader was last reached, or none while one is reached;
-    /// `is_cut_off` means that a leader is alive but unreachable.
-    pub fn expire(
-        &mut self,
-        ctx: &mut Context,
-        without_leader: Option<Duration>,
-        is_cut_off: bool,
-    ) {
-        if without_leader.is_none() {
+    pub fn expire(&mut self, ctx: &mut Context, contact: Contact) {
+        if contact.lost_for.is_none() {
             self.refuse_waiting(ctx);
         }
         let now = ctx.now;
-        let wait_timeout = if is_cut_off { CUT_OFF_WAIT_TIMEOUT } else { LEADER_WAIT_TIMEOUT };
-        let is_expired = |pending: &PendingRequest| {
-            let is_leader_overdue = without_leader.is_some_and(|absence| {
-                absence >= wait_timeout && now >= pending.arrived + wait_timeout
-            });
-            now >= pending.deadline || is_leader_overdue
-        };
-        let expired = self.requests.iter().filter(|(_, pending)| is_expired(pending));
-        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
-        for id in expired {
+        let expired = self.requests.iter().filter_map(|(id, pending)| {
+            let reason = pending.give_up_reason(now, contact)?;
+            Some((*id, reason))
+        });
+        let expired: Vec<_> = expired.collect();
+        for (id, reason) in expired {
             let Some(pending) = self.requests.remove(&id) else { continue };
-            let waited = now.saturating_sub(pending.arrived).as_millis() as u64;
-            log_event!(ctx, RequestTimedOut, "path" => %pending.call.target, "waited_ms" => waited,
-                "sent" => pending.was_sent, "cut_off" => is_cut_off);
-            let answer = pending.unanswered(without_leader.is_some());
-            ctx.answer_caller(pending.token, answer);
+            pending.give_up(ctx, reason, contact);
         }
     }
 }
@@ -309,16 +329,41 @@
     }
 
     /// Answers all remaining requests of a daemon that exits.
-    pub fn answer_all(&mut self, ctx: &mut Context) {
+    pub fn answer_all(&mut self, ctx: &mut Context, contact: Contact) {
         for (_, pending) in std::mem::take(&mut self.requests) {
-            log_event!(ctx, RequestTimedOut, "path" => %pending.call.target,
-                "sent" => pending.was_sent, "reason" => "exit");
-            ctx.answer_caller(pending.token, pending.unanswered(true));
+            pending.give_up(ctx, GiveUp::Exit, contact);
         }
     }
 }
 
 impl PendingRequest {
+    /// Why it is no longer waited for; none while it is.
+    fn give_up_reason(&self, now: Duration, contact: Contact) -> Option<GiveUp> {
+        if now >= self.deadline {
+            return Some(GiveUp::Timeout);
+        }
+        let (limit, reason) = if contact.is_cut_off {
+            (CUT_OFF_WAIT_TIMEOUT, GiveUp::CutOff)
+        } else {
+            (LEADER_WAIT_TIMEOUT, GiveUp::NoLeader)
+        };
+        let is_overdue = contact.lost_for? >= limit && now >= self.arrived + limit;
+        is_overdue.then_some(reason)
+    }
+
+    /// Answers it although no leader did.
+    fn give_up(&self, ctx: &mut Context, reason: GiveUp, contact: Contact) {
+        let left = (self.arrived + self.call.timeout).saturating_sub(ctx.now);
+        let lost_ms = contact.lost_for.map(|lost_for| lost_for.as_millis() as u64);
+        log_event!(ctx, RequestTimedOut, "path" => %self.call.target, "reason" => reason.reason(),
+            "waited_ms" => ctx.now.saturating_sub(self.arrived).as_millis() as u64,
+            "left_ms" => left.as_millis() as u64, "sent" => self.was_sent,
+            "epoch" => contact.epoch, "without_leader_ms" => lost_ms,
+            "cut_off" => contact.is_cut_off);
+        let try_other_daemon = reason == GiveUp::Exit || contact.lost_for.is_some();
+        ctx.answer_caller(self.token, self.unanswered(try_other_daemon));
+    }
+
     /// The answer to a request that no leader has answered.
     fn unanswered(&self, try_other_daemon: bool) -> Answer {
         match self.call.op {
