Submissions that arrive too late to be answered are refused unsent

What was never sent and is due to be refused is no longer sent; what was sent before still goes to the next leader. Test little_time_left_*: fails before (0, 1, 50 and 99 ms left, at a follower and at the leader).

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -98,6 +98,11 @@
         self.sent_on != Some(link)
     }
 
+    /// Whether it is to be refused instead of being sent for the first time.
+    fn is_too_late_to_send(&self, now: Duration) -> bool {
+        !self.was_sent && now >= self.refuse_at
+    }
+
     /// Longest time that it waits to be sent, if requests have waited for `backlogged`.
     fn max_queue_time(&self, backlogged: Duration) -> Duration {
         let burst_limit = self.call.timeout / MAX_QUEUE_SHARE;
@@ -204,7 +209,7 @@
         let mut free_slots = self.in_flight.free_slots(now);
         for (id, pending) in &mut self.requests {
             let class = Class::of(&pending.call.op);
-            if !pending.is_unsent(link) {
+            if !pending.is_unsent(link) || pending.is_too_late_to_send(now) {
                 continue;
             }
             let Some(slots) = free_slots.get_mut(&class).filter(|slots| **slots > 0) else {
