--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -1,9 +1,10 @@
-//! Submissions that a leader has received and not answered.
+//! Requests that a leader has received and not answered.
 
 mod support;
 
 use std::time::Duration;
 
+use common::Name;
 use control::{Answer, Operation};
 use support::{Simulation, job, step};
 
@@ -23,36 +24,62 @@
     (sim, leader)
 }
 
-/// Submits a job at each daemon but the leader, and lets the leader receive them.
-fn submit_at_followers(sim: &mut Simulation, leader: usize) -> Vec<u64> {
+/// Sends a request at each daemon but the leader, which receives them all.
+fn send_at_followers(
+    sim: &mut Simulation,
+    leader: usize,
+    request: impl Fn(usize) -> Operation,
+) -> Vec<u64> {
     let followers = (0..NODES).filter(|node| *node != leader);
-    let submit = |node| {
-        let id = format!("j{node}");
-        sim.call(node, Operation::Submit(job(&id, vec![step(1, 300)])))
-    };
-    let tokens = followers.map(submit).collect();
+    let tokens = followers.map(|node| sim.call(node, request(node))).collect();
     sim.run(ms(4));
     tokens
 }
 
-/// Asserts that submissions are accepted by the time at which their callers leave.
-fn assert_accepted(sim: &mut Simulation, tokens: &[u64], left: Duration) {
+fn submission(node: usize) -> Operation {
+    Operation::Submit(job(&format!("j{node}"), vec![step(1, 300)]))
+}
+
+/// A query that is answered after a commit.
+fn query_of_unknown_job(_node: usize) -> Operation {
+    Operation::GetState(Name::new("none"))
+}
+
+/// Asserts that requests are answered by the time at which their callers leave.
+fn assert_answered(sim: &mut Simulation, tokens: &[u64], expected: &Answer, left: Duration) {
     sim.run(left);
     let answers: Vec<_> = tokens.iter().map(|token| sim.answers.get(token)).collect();
-    assert!(answers.iter().all(|answer| *answer == Some(&Answer::Accepted)), "{answers:?}");
+    assert!(answers.iter().all(|answer| *answer == Some(expected)), "{answers:?}");
     assert_eq!(sim.violations, Vec::<String>::new());
 }
 
+/// Sends requests to a leader that then loses the store, and is replaced by a daemon that claims
+/// while the others follow it.
+fn announce_next_leader(seed: u64, request: impl Fn(usize) -> Operation) -> (Simulation, Vec<u64>) {
+    let (mut sim, leader) = start_cell(seed);
+    let next = (leader + 1) % NODES;
+    sim.faults.store_slowdown = 20;
+    sim.cut_from_store.extend((0..NODES).filter(|node| *node != next));
+    let tokens = send_at_followers(&mut sim, leader, request);
+    (sim, tokens)
+}
+
 // Guards against submissions that are broken off when the next leader announces itself.
 #[test]
 fn next_leader_announced_sent_submissions_are_answered() {
     for seed in 1..=5 {
-        let (mut sim, leader) = start_cell(seed);
-        let next = (leader + 1) % NODES;
-        sim.faults.store_slowdown = 20;
-        sim.cut_from_store.extend((0..NODES).filter(|node| *node != next));
-        let tokens = submit_at_followers(&mut sim, leader);
-        assert_accepted(&mut sim, &tokens, ms(2990));
+        let (mut sim, tokens) = announce_next_leader(seed, submission);
+        assert_answered(&mut sim, &tokens, &Answer::Accepted, ms(2990));
+    }
+}
+
+// Guards against a time without a leader that is counted from an earlier loss: the queries of
+// daemons that change from a living leader to the next one are refused at once then.
+#[test]
+fn next_leader_announced_queries_are_answered() {
+    for seed in 6..=10 {
+        let (mut sim, tokens) = announce_next_leader(seed, query_of_unknown_job);
+        assert_answered(&mut sim, &tokens, &Answer::JobNotFound, ms(2890));
     }
 }
 
@@ -62,10 +89,10 @@
     for seed in 11..=15 {
         let (mut sim, leader) = start_cell(seed);
         sim.faults.is_store_busy = true;
-        let tokens = submit_at_followers(&mut sim, leader);
+        let tokens = send_at_followers(&mut sim, leader, submission);
         sim.run(ms(1500));
         sim.faults.is_store_busy = false;
-        assert_accepted(&mut sim, &tokens, ms(1490));
+        assert_answered(&mut sim, &tokens, &Answer::Accepted, ms(1490));
     }
 }
 
@@ -75,11 +102,11 @@
     for seed in 21..=25 {
         let (mut sim, leader) = start_cell(seed);
         sim.faults.is_store_busy = true;
-        let tokens = submit_at_followers(&mut sim, leader);
+        let tokens = send_at_followers(&mut sim, leader, submission);
         sim.kill(leader);
         sim.run(ms(1700));
         sim.faults.is_store_busy = false;
-        assert_accepted(&mut sim, &tokens, ms(1290));
+        assert_answered(&mut sim, &tokens, &Answer::Accepted, ms(1290));
     }
 }
 
@@ -88,12 +115,12 @@
 fn leader_unreachable_for_a_moment_sent_submissions_are_answered() {
     for seed in 26..=30 {
         let (mut sim, leader) = start_cell(seed);
-        let tokens = submit_at_followers(&mut sim, leader);
+        let tokens = send_at_followers(&mut sim, leader, submission);
         let cut = (leader + 1) % NODES;
         sim.cut_from_peers.insert(cut);
         sim.run(ms(1650));
         sim.cut_from_peers.clear();
-        assert_accepted(&mut sim, &tokens, ms(1340));
+        assert_answered(&mut sim, &tokens, &Answer::Accepted, ms(1340));
     }
 }
 
@@ -104,8 +131,8 @@
     for node in [leader, (leader + 1) % NODES] {
         for left in [0, 1, 50, 99] {
             let id = format!("j{node}x{left}");
-            let submission = Operation::Submit(job(&id, vec![step(1, 300)]));
-            let token = sim.call_within(node, submission, ms(left));
+            let call = Operation::Submit(job(&id, vec![step(1, 300)]));
+            let token = sim.call_within(node, call, ms(left));
             sim.run(ms(300));
             let answer = sim.answers.get(&token);
             assert!(matches!(answer, Some(Answer::Refused { .. })), "{left} ms left: {answer:?}");
@@ -123,8 +150,8 @@
     let followers: Vec<_> = (0..NODES).filter(|node| *node != leader).collect();
     let timeouts = (100..2000).step_by(5).map(ms);
     let submit = |(number, timeout)| {
-        let submission = Operation::Submit(job(&format!("j{number}"), vec![step(1, 300)]));
-        (timeout, sim.call_within(followers[number % followers.len()], submission, timeout))
+        let node = followers[number % followers.len()];
+        (timeout, sim.call_within(node, submission(number), timeout))
     };
     let calls: Vec<_> = timeouts.enumerate().map(submit).collect();
     sim.run(ms(3000));
