Tests: no process that is being started holds a port that was found free

start_store_resets_is_logged failed once beside other tests, and start_taken_port_is_logged in 2 of 60 runs of its file, with "cannot listen for peers: Address already in use" on a port that the test had just found free and released. Cause: a new process holds its parent's sockets until it executes its program, so a port that another thread found free is in use for a moment. Ruled out: ports given twice (the hosts differ), the test's own taken port, sockets that wait after a close (the daemon binds over them). A lock now keeps starts of processes out of the time in which free ports are found. The checks are the same.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -13,7 +13,8 @@
 mod worker;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::process::{Child, Command};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde_json::json;
 
@@ -31,12 +32,31 @@
 /// Host and path prefix of the queue whose starts need a ticket.
 pub const ADVISED: (&str, &str) = ("advised.example", "/advised/");
 
+/// Held while free ports are found and while a process is started.
+///
+/// A new process keeps the sockets of its parent open until it executes its program, so that a
+/// port that was found free by another thread would still be in use for a moment.
+static FORK: Mutex<()> = Mutex::new(());
+
+/// Starts a process.
+///
+/// # Errors
+///
+/// The I/O error if it cannot be started.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _fork = FORK.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Finds free ports on 127.0.0.HOST: for callers, readiness check and peers.
 ///
+/// Processes that are started meanwhile by [`spawn`] do not hold them.
+///
 /// # Errors
 ///
 /// The I/O error if no port can be bound.
 pub fn free_ports(host: u8) -> std::io::Result<[u16; 3]> {
+    let _fork = FORK.lock().unwrap_or_else(PoisonError::into_inner);
     let address = Ipv4Addr::new(127, 0, 0, host);
     let listeners = [
         TcpListener::bind((address, 0))?,
