The wait for an answer is bounded by the time for which ended jobs are kept

Found by review: a submission that stays open and is sent to each next leader could reach one that no longer knows that its job has ended, and the job ran again (ended_job_forgotten_submission_runs_once: "run 2 started on w0 after its success" before). With status_s 120 it needs a caller that waits for over 120 s. A test more: neither a submission nor a cancellation that was sent is refused when no leader follows (passes before as well; nothing guarded cancellations).

--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -42,6 +42,11 @@
 /// Part of the caller's timeout that a refusal needs to reach it, or a leader to answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+/// Divisor of the time for which ended jobs are kept that gives the longest wait for an answer.
+///
+/// A leader that is sent a submission again must still know the job.
+const RETENTION_SHARE: u32 = 4;
+
 common::key! {
     /// How a daemon reaches the leader.
     pub(crate) struct Contact {
@@ -86,6 +91,8 @@
     arrived: Duration,
     /// When it is refused, unless it may have had an effect.
     refuse_at: Duration,
+    /// When its answer is no longer awaited.
+    ends_at: Duration,
     /// Link to the current leader on which it was sent; none if it is to be sent.
     sent_on: Option<u64>,
     /// Whether any leader may have received it.
@@ -135,10 +142,19 @@
             ctx.answer_caller(token, refusal(false));
             return None;
         }
-        let refuse_at = ctx.now + call.timeout.saturating_sub(ANSWER_MARGIN);
+        let timeout = call.timeout.min(ctx.config.ended_job_retention / RETENTION_SHARE);
+        let ends_at = ctx.now + timeout;
+        let refuse_at = ctx.now + timeout.saturating_sub(ANSWER_MARGIN);
         let arrived = ctx.now;
-        let pending =
-            PendingRequest { token, call, arrived, refuse_at, sent_on: None, was_sent: false };
+        let pending = PendingRequest {
+            token,
+            call,
+            arrived,
+            refuse_at,
+            ends_at,
+            sent_on: None,
+            was_sent: false,
+        };
         let wait = self.expected_wait(ctx.now);
         if wait > pending.max_queue_time(self.backlogged_for(ctx.now)) {
             Self::refuse_overloaded(ctx, &pending, wait);
@@ -347,15 +363,10 @@
         self.was_sent && matches!(self.call.op, Operation::Submit(_) | Operation::Cancel(_))
     }
 
-    /// Whether its caller no longer waits.
-    fn has_left(&self, now: Duration) -> bool {
-        now >= self.arrived + self.call.timeout
-    }
-
     /// Why it is no longer waited for; none while it is.
     fn give_up_reason(&self, now: Duration, contact: Contact) -> Option<GiveUp> {
         if self.may_have_effect() {
-            return self.has_left(now).then_some(GiveUp::Timeout);
+            return (now >= self.ends_at).then_some(GiveUp::Timeout);
         }
         if now >= self.refuse_at {
             return Some(GiveUp::Timeout);
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -141,7 +141,7 @@
     }
 }
 
-// Guards against submissions that wait until their time is over and are sent and broken off then.
+// Guards against submissions that end without an answer although no leader had received them.
 #[test]
 fn leader_found_late_submissions_have_an_answer() {
     let (mut sim, leader) = start_cell(32);
@@ -161,3 +161,41 @@
         assert!(has_answer, "{timeout:?}: {answer:?}");
     }
 }
+
+// Guards against submissions that are sent to a leader which no longer knows that their jobs have ended.
+#[test]
+fn ended_job_forgotten_submission_runs_once() {
+    let (mut sim, leader) = start_cell(33);
+    for node in 0..NODES {
+        sim.reload(node, |config| config.ended_job_retention = ms(1000));
+    }
+    sim.run(ms(100));
+    let node = (leader + 1) % NODES;
+    let token = sim.call_within(node, submission(node), ms(6000));
+    sim.run(ms(4));
+    sim.cut_from_peers.insert(node);
+    sim.run(ms(4000));
+    sim.cut_from_peers.clear();
+    sim.run(ms(4000));
+    assert_eq!(sim.violations, Vec::<String>::new());
+    assert_eq!(sim.started_runs, 1);
+    assert_eq!(sim.answers.get(&token), Some(&Answer::OutcomeUnknown));
+}
+
+// Guards against refusals of what a leader may have carried out.
+#[test]
+fn no_next_leader_sent_requests_are_not_refused() {
+    let (mut sim, leader) = start_cell(34);
+    let node = (leader + 1) % NODES;
+    sim.call(node, submission(node));
+    sim.run(ms(100));
+    sim.faults.is_store_down = true;
+    let cancellation = Operation::Cancel(Name::from(format!("j{node}").as_str()));
+    let tokens = [submission(node + NODES), cancellation].map(|op| sim.call(node, op));
+    sim.run(ms(4));
+    sim.kill(leader);
+    sim.run(ms(3500));
+    for token in tokens {
+        assert_eq!(sim.answers.get(&token), Some(&Answer::OutcomeUnknown));
+    }
+}
