A daemon that is about to exit refuses what it has not sent

Found by review: in the last moments of a stop, requests were still sent to the leader and broken off as the process exited, 21 to 80 ms later, though a true refusal was to be had. Test exit_near_submissions_are_refused: fails before (1, 20, 60 and 99 ms before the exit).

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -21,7 +21,7 @@
 use crate::lead::{Caller, Leader};
 use crate::load::{Late, Load, Work};
 use crate::meter::{Counter, Gauge, Meter};
-use crate::pending::{Contact, PendingRequests};
+use crate::pending::{ANSWER_MARGIN, Contact, PendingRequests};
 use crate::request_codec::decode_answer;
 use crate::sampler::Sampler;
 
@@ -445,8 +445,19 @@
         }
     }
 
+    /// Whether the process exits before a request that is sent now would be answered.
+    fn is_exit_near(&self) -> bool {
+        self.stop_requested_at.is_some_and(|since| {
+            let elapsed = self.ctx.now.saturating_sub(since);
+            elapsed + EXIT_MARGIN + ANSWER_MARGIN >= self.ctx.config.grace_period
+        })
+    }
+
     /// Runs the work that is due after a batch of inputs.
     fn run_due_work(&mut self) {
+        if self.is_exit_near() {
+            self.pending_requests.refuse_unsent(&mut self.ctx, "exiting");
+        }
         match &mut self.role_state {
             RoleState::Follower(follower) => {
                 follower.tick(&mut self.ctx);
@@ -473,7 +484,7 @@
         let contact = self.leader_contact();
         self.pending_requests.expire(&mut self.ctx, contact);
         if self.stop_requested_at.is_some() && self.role() != Role::Following {
-            self.pending_requests.refuse_unsent(&mut self.ctx);
+            self.pending_requests.refuse_unsent(&mut self.ctx, "stopping without a leader");
         }
         self.report_readiness();
         self.exit_if_stopped();
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -40,7 +40,7 @@
 const MAX_PENDING_REQUESTS: usize = 1000;
 
 /// Part of the caller's timeout that a refusal needs to reach it, or a leader to answer.
-const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
 /// Divisor of the time for which ended jobs are kept that gives the longest wait for an answer.
 ///
@@ -339,10 +339,10 @@
 
 impl PendingRequests {
     /// Refuses the requests that no leader has received, as another daemon may serve them.
-    pub fn refuse_unsent(&mut self, ctx: &mut Context) {
+    pub fn refuse_unsent(&mut self, ctx: &mut Context, reason: &'static str) {
         for (_, pending) in self.requests.extract_if(.., |_, pending| !pending.was_sent) {
             log_event!(ctx, RequestRefused, "path" => %pending.call.target,
-                "reason" => "stopping without a leader");
+                "reason" => reason);
             ctx.answer_caller(pending.token, refusal(true));
         }
     }
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -199,3 +199,22 @@
         assert_eq!(sim.answers.get(&token), Some(&Answer::OutcomeUnknown));
     }
 }
+
+// Guards against requests that a stopping daemon sends and breaks off as it exits.
+#[test]
+fn exit_near_submissions_are_refused() {
+    for before in [1, 20, 60, 99] {
+        let (mut sim, leader) = start_cell(35);
+        let node = (leader + 1) % NODES;
+        sim.stop(node);
+        sim.run(ms(2600));
+        sim.faults.is_store_busy = true;
+        sim.call_within(node, submission(node), ms(60_000));
+        sim.run(ms(2900 - before));
+        let token = sim.call(node, submission(node + NODES));
+        sim.run(ms(300));
+        assert!(sim.exited_nodes.contains(&node));
+        let answer = sim.answers.get(&token);
+        assert!(matches!(answer, Some(Answer::Refused { .. })), "{before} ms before: {answer:?}");
+    }
+}
