A head row of an earlier leader does not replace the present one

A row with a lower epoch than the known one is ignored now. Test head_row_read_late_leader_is_not_left: fails before (four daemons leave, leader silent for 1,100 ms), passes now. Longer silences are not in it: there a daemon claims anew, as the new leader's commits take over a second too.

--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -362,7 +362,12 @@
         let (epoch, version) = (head.epoch, row.version);
         let is_own = *head.address == *ctx.config.peer_address;
         let is_released = head.is_released;
-        let is_new = self.known_head.as_ref().is_none_or(|(known, _)| known.epoch != epoch);
+        let known_epoch = self.known_head.as_ref().map(|(known, _)| known.epoch);
+        if known_epoch.is_some_and(|known| known > epoch) {
+            // Read before the leader claimed that has announced itself since.
+            return;
+        }
+        let is_new = known_epoch != Some(epoch);
         if is_new && !is_own && !is_released {
             self.leave_leader(ctx, "head row names another leader");
         }
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Answer, Operation};
+use control::{Answer, Operation, Role};
 use support::{Simulation, job, step};
 
 /// Number of daemons.
@@ -218,3 +218,28 @@
         assert!(matches!(answer, Some(Answer::Refused { .. })), "{before} ms before: {answer:?}");
     }
 }
+
+// Guards against daemons that leave the present leader for a head row that they read before it led.
+#[test]
+fn head_row_read_late_leader_is_not_left() {
+    for silent_for in (1000..=1100).step_by(20) {
+        let (mut sim, leader) = start_cell(41);
+        sim.suspend(leader);
+        sim.run(ms(silent_for));
+        // Head rows that are read now are answered when the next leader is known.
+        sim.faults.store_slowdown = 150;
+        sim.run(ms(20));
+        sim.faults.store_slowdown = 1;
+        let mut has_joined = [false; NODES];
+        for _ in 0..3500 {
+            sim.run(ms(1));
+            for (node, slot) in sim.slots.iter().enumerate().filter(|(node, _)| *node != leader) {
+                let role = slot.node.as_ref().map(control::Node::role);
+                let is_following = role == Some(Role::Following);
+                assert!(!has_joined[node] || is_following, "n{node}, {silent_for} ms: {role:?}");
+                has_joined[node] |= is_following && sim.store.epoch() == 2;
+            }
+        }
+        assert_eq!(sim.store.epoch(), 2);
+    }
+}
