Copies of a request on former links are not taken, nor refusals of them

Found by review, shown by two tests that failed before: a leader took a submission from a link that its daemon had given up, and a daemon passed on a refusal from a link on which it no longer waits. A copy that is held up on the former link while the present one is refused could thus run (REFUSED); the longer wait for answers makes this less unlikely. A leader takes requests from its followers' present links only, and a refusal counts only from the link on which the request was sent last; all other answers state stored facts.

--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -272,7 +272,10 @@
                     peer.is_stopping = heartbeat.is_stopping;
                 }
             }
-            Body::Request(request) if self.is_serving() => {
+            // A copy on a former link may come after the present one was refused.
+            Body::Request(request)
+                if self.is_serving() && self.peers.followers.contains_key(&link) =>
+            {
                 let (id, queued) = (request.id, ctx.load.input_age());
                 if let Some(call) = decode_request(request) {
                     self.handle_request(ctx, Caller::Peer { link, id, queued }, call);
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -332,7 +332,7 @@
                 let answer = decode_answer(reply);
                 let queued = Duration::from_micros(reply.queued_us);
                 self.pending_requests.record_queue_time(self.ctx.now, queued);
-                self.pending_requests.answer(&mut self.ctx, reply.id, answer);
+                self.pending_requests.answer_on(&mut self.ctx, link, reply.id, answer);
             }
             Body::Ask(request) => self.proxy_advice_call(link, request),
             Body::Announce(announcement) => self.handle_announce(announcement),
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -262,6 +262,19 @@
         self.in_flight.record_queue_time(now, queued);
     }
 
+    /// Same as [`Self::answer`], for an answer that came on a link.
+    ///
+    /// A refusal says nothing of what was sent on another link since.
+    pub fn answer_on(&mut self, ctx: &mut Context, link: u64, id: u64, answer: Answer) {
+        let sent_on = self.requests.get(&id).and_then(|pending| pending.sent_on);
+        let is_refusal = matches!(answer, Answer::Refused { .. } | Answer::QueueNotFound);
+        if is_refusal && sent_on.is_some_and(|latest| latest != link) {
+            ctx.load.count_late(Late::Answer);
+            return;
+        }
+        self.answer(ctx, id, answer);
+    }
+
     /// Passes the leader's answer to the caller; ignored if the request is no longer pending.
     pub fn answer(&mut self, ctx: &mut Context, id: u64, answer: Answer) {
         self.in_flight.record_answer(id, ctx.now);
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Answer, Operation, Role};
+use control::{Action, Answer, Body, Frame, Input, Operation, PeerEvent, Reply, Request, Role};
 use support::{Simulation, job, step};
 
 /// Number of daemons.
@@ -243,3 +243,45 @@
         assert_eq!(sim.store.epoch(), 2);
     }
 }
+
+/// An input on a link that the daemon no longer uses.
+fn on_former_link(body: Body) -> Input {
+    Input::Peer { link: u64::MAX - 1, event: PeerEvent::Frame(Frame::from(body)) }
+}
+
+// Guards against jobs that run although a copy of their submission on a newer link was refused.
+#[test]
+fn former_link_submission_is_not_taken() {
+    let (mut sim, leader) = start_cell(36);
+    let request = Request {
+        id: 1,
+        host: support::HOST.to_owned(),
+        path: format!("{}late", support::PREFIX),
+        op: 1,
+        submission: Some(job("late", vec![step(1, 300)])),
+        ..Request::default()
+    };
+    let now = sim.now;
+    let node = sim.slots[leader].node.as_mut().expect("the leader runs");
+    node.handle(now, on_former_link(Body::Request(request)));
+    let scheduler = node.scheduler().expect("the node leads");
+    assert!(!scheduler.jobs.contains_key("late"));
+}
+
+// Guards against refusals by a former leader of what was sent to the present one since.
+#[test]
+fn former_link_refusal_is_no_answer() {
+    let (mut sim, leader) = start_cell(37);
+    let node = (leader + 1) % NODES;
+    sim.faults.is_store_busy = true;
+    let token = sim.call(node, submission(node));
+    sim.run(ms(4));
+    let refusal = Reply { id: 1, answer: 7, value: 500, ..Reply::default() };
+    let now = sim.now;
+    let follower = sim.slots[node].node.as_mut().expect("the follower runs");
+    let actions = follower.handle(now, on_former_link(Body::Reply(refusal)));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Answer { .. })), "{actions:?}");
+    sim.faults.is_store_busy = false;
+    sim.run(ms(1000));
+    assert_eq!(sim.answers.get(&token), Some(&Answer::Accepted));
+}
