A submission whose caller leaves without an answer is logged and counted

They are logged with the reason "caller left" now, and counted as answers of the kind caller_left. Test caller_left_is_counted: the kind did not exist before.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -233,7 +233,10 @@
         match input {
             Input::Tick => self.ctx.lag.record_tick(now, self.tick_interval()),
             Input::Call { token, call } => self.handle_call(token, call),
-            Input::CallerDisconnected { token } => self.pending_requests.remove_caller(token),
+            Input::CallerDisconnected { token } => {
+                let contact = self.leader_contact();
+                self.pending_requests.remove_caller(&self.ctx, token, contact);
+            }
             Input::Peer { link, event } => self.handle_peer_event(link, event),
             Input::Advice { call, result } => self.handle_advice_result(call, result),
             Input::Stop => self.begin_stop(),
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -66,6 +66,8 @@
         NoLeader,
         /// The leader is alive but unreachable.
         CutOff,
+        /// The caller closed its connection.
+        CallerLeft,
         /// The daemon exits.
         Exit,
     }
@@ -78,6 +80,7 @@
             Self::Timeout => "caller's timeout",
             Self::NoLeader => "no leader",
             Self::CutOff => "cut off from the leader",
+            Self::CallerLeft => "caller left",
             Self::Exit => "exit",
         }
     }
@@ -194,8 +197,13 @@
     }
 
     /// Drops the request of a caller that disconnected.
-    pub fn remove_caller(&mut self, token: u64) {
-        self.requests.retain(|_, pending| pending.token != token);
+    pub fn remove_caller(&mut self, ctx: &Context, token: u64, contact: Contact) {
+        for (_, pending) in self.requests.extract_if(.., |_, pending| pending.token == token) {
+            if pending.may_have_effect() {
+                ctx.meter.add(Counter::Answers, "caller_left", 1);
+                pending.log_given_up(ctx, GiveUp::CallerLeft, contact);
+            }
+        }
     }
 
     /// Forwards the oldest requests that have not been sent on this link, within the limits.
@@ -395,6 +403,13 @@
 
     /// Answers it although no leader did.
     fn give_up(&self, ctx: &mut Context, reason: GiveUp, contact: Contact) {
+        self.log_given_up(ctx, reason, contact);
+        let try_other_daemon = reason == GiveUp::Exit || contact.lost_for.is_some();
+        ctx.answer_caller(self.token, self.unanswered(try_other_daemon));
+    }
+
+    /// Logs that its answer is no longer awaited.
+    fn log_given_up(&self, ctx: &Context, reason: GiveUp, contact: Contact) {
         let left = (self.arrived + self.call.timeout).saturating_sub(ctx.now);
         let lost_ms = contact.lost_for.map(|lost_for| lost_for.as_millis() as u64);
         log_event!(ctx, RequestTimedOut, "path" => %self.call.target, "reason" => reason.reason(),
@@ -402,8 +417,6 @@
             "left_ms" => left.as_millis() as u64, "sent" => self.was_sent,
             "epoch" => contact.epoch, "without_leader_ms" => lost_ms,
             "cut_off" => contact.is_cut_off);
-        let try_other_daemon = reason == GiveUp::Exit || contact.lost_for.is_some();
-        ctx.answer_caller(self.token, self.unanswered(try_other_daemon));
     }
 
     /// The answer to a request that no leader has answered.
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -2,10 +2,15 @@
 
 mod support;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::Name;
-use control::{Action, Answer, Body, Frame, Input, Operation, PeerEvent, Reply, Request, Role};
+use control::{
+    Action, Answer, Body, Counter, Frame, Gauge, Input, Meter, Operation, PeerEvent, Reply,
+    Request, Role, Timing,
+};
 use support::{Simulation, job, step};
 
 /// Number of daemons.
@@ -285,3 +290,40 @@
     sim.run(ms(1000));
     assert_eq!(sim.answers.get(&token), Some(&Answer::Accepted));
 }
+
+/// Labels under which answers were counted.
+#[derive(Debug, Default)]
+struct AnswerLabels(RefCell<Vec<&'static str>>);
+
+impl Meter for AnswerLabels {
+    fn add(&self, counter: Counter, label: &'static str, _by: u64) {
+        if counter == Counter::Answers {
+            self.0.borrow_mut().push(label);
+        }
+    }
+
+    fn record_duration(&self, _timing: Timing, _duration: Duration) {}
+
+    fn set_gauge(&self, _gauge: Gauge, _value: u64) {}
+}
+
+// Guards against submissions without an answer that no metric shows, as their callers left first.
+#[test]
+fn caller_left_is_counted() {
+    let (mut sim, leader) = start_cell(38);
+    let labels = Rc::new(AnswerLabels::default());
+    sim.meter = Rc::clone(&labels) as Rc<dyn Meter>;
+    let node = (leader + 1) % NODES;
+    sim.kill(node);
+    sim.start(node);
+    sim.run(ms(1000));
+    sim.faults.is_store_busy = true;
+    let tokens = [submission(node), Operation::CountPending].map(|op| sim.call(node, op));
+    sim.run(ms(4));
+    let now = sim.now;
+    let follower = sim.slots[node].node.as_mut().expect("the follower runs");
+    for token in tokens {
+        follower.handle(now, Input::CallerDisconnected { token });
+    }
+    assert_eq!(*labels.0.borrow(), ["pending", "caller_left"]);
+}
