scheduler: use of the pool and idle steps on demand

`Scheduler::usage` tells how much of the usable workers' CPU is used, reserved and not used, lent of that, withheld beside trials, and free, as the last pass left it; how many steps have nothing running though their turn has come, and how many gangs collect room, with and without an advice call under way. Until now neither the log nor the metrics could tell a full pool from one that is half reserved while steps wait.

The shares add up to the capacity. Slots keep the worker's capacity and what a trial leaves empty; a pass notes the gangs that it reserves room for (one entry each). No decision of placement changes. Allocations at the time of the call were ruled out as source: runs that end after the pass would leave a gap between the shares.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod scheduler;
 mod segment;
 mod step;
+mod usage;
 mod validation;
 mod worker;
 
@@ -42,5 +43,6 @@
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
 pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState, StoredWorker, max_base_size};
 pub use step::{Eligibility, StepState};
+pub use usage::Usage;
 pub use validation::{SubmissionError, is_job_id};
 pub use worker::{Assignment, Registration, RunState, Worker};
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -47,7 +47,9 @@
 #[derive(Debug)]
 pub(crate) struct Slot {
     pub(crate) id: Name,
-    free_capacity: Resources,
+    /// Capacity of the worker.
+    pub(crate) capacity: Resources,
+    pub(crate) free_capacity: Resources,
     /// Capacity that gangs whose calls are under way are expected to use, not reserved.
     expected_use: Resources,
     /// Capacity reserved for jobs, which `free_capacity` no longer contains.
@@ -55,12 +57,14 @@
     /// The first job that capacity was reserved for.
     pub(crate) reserved_for: Option<Name>,
     /// Part of the reserved capacity that tasks may use which end by `lent_until`.
-    lent: Resources,
+    pub(crate) lent: Resources,
     /// Earliest time at which a job is expected to need what is lent.
     lent_until: Duration,
     /// Whether its worker takes one task, or the tasks of one gang, as a trial, and others with room
     /// are preferred.
     is_trial: bool,
+    /// Capacity that was free when a trial was placed.
+    pub(crate) withheld: Resources,
     /// The step, as job id and index, that may crash the worker; others keep away.
     suspect: Option<Rc<(Name, u32)>>,
 }
@@ -128,6 +132,7 @@
         let usable = self.pool.iter().filter(|worker| worker.is_usable(now));
         let slots = usable.map(|worker| Slot {
             id: worker.registration.id.clone(),
+            capacity: worker.registration.capacity,
             free_capacity: worker.free(),
             expected_use: Resources::default(),
             reserved: Resources::default(),
@@ -135,10 +140,12 @@
             lent: Resources::default(),
             lent_until: Duration::ZERO,
             is_trial: worker.needs_trial(),
+            withheld: Resources::default(),
             suspect: None,
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
+        self.collecting_gangs.clear();
         if slots.is_empty() || self.rules.is_none() {
             return;
         }
@@ -427,6 +434,9 @@
             if taken == 0 {
                 continue;
             }
+            if pending.spec.is_gang && remaining as usize == pending.waiting_tasks.len() {
+                self.scheduler.record_collecting(pending.key);
+            }
             let capacity = pending.spec.need.times(taken);
             let slot = &mut self.slots[*slot];
             slot.reserve(&capacity, pending.key.0);
@@ -446,6 +456,7 @@
     /// Leaves no room once the trial of its worker is placed.
     fn end_trial(&mut self) {
         if self.is_trial {
+            self.withheld = self.withheld.plus(&self.free_capacity);
             (self.free_capacity, self.lent) = Default::default();
         }
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,7 +2,7 @@
 //!
 //! Placement is in `placement`; worker listings are applied in `reconcile`.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use common::Name;
@@ -138,6 +138,9 @@
     pub(crate) admission: Admission,
     /// Usable workers and what was reserved on them at the end of the last pass, by id.
     pub(crate) last_slots: Vec<Slot>,
+    /// Gangs, as job id and index of the step, for which the last pass reserved room; whether an
+    /// advice call was under way.
+    pub(crate) collecting_gangs: BTreeMap<(Name, u32), bool>,
     /// Open jobs by rank: priority, due time, id.
     pub(crate) ranked_jobs: BTreeSet<(u32, Duration, Name)>,
 }
