scheduler: count rounds of advice calls that run out unused

`Scheduler::take_wasted_rounds` returns the rounds, and their tickets, that expired without a task placed with any of them since the last call. A round is the calls of a step under way at a time; it counts once, after all of them have ended and the last ticket has expired. Tickets renewed by a later round belong to that one. Rounds without tickets, and answers for jobs that have ended, do not count.

`StepState::has_unused_tickets`, behind the log's `unused_tickets`, counts answers that arrive when every earlier ticket of a step has expired and none of its tasks was ever placed: steps that had a run, and rounds that no answer follows, are not in it. It stays as it is.

The rounds live beside the steps, so that no state of placement changes; times are those that callers pass.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod reconcile;
 mod record;
 mod room;
+mod rounds;
 mod rules;
 mod runs;
 mod scheduler;
@@ -38,6 +39,7 @@
     ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
     Step, StepRecord, Submission, TaskRecord, TaskStates,
 };
+pub use rounds::Waste;
 pub use rules::{AdvicePolicy, Limits, Queue, Rules, Service};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -393,6 +393,7 @@
             task.run = if pending.spec.is_gang { gang_run } else { task.run + 1 };
             task.worker = Some(slot.id.clone());
             slot.take(&pending.spec.need);
+            self.scheduler.rounds.record_use(pending.key, &slot.id);
             let key = TaskKey { job: id.clone(), step: step_index, index: *index };
             let assignment = Assignment {
                 run: task.run,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::placement::Slot;
 use crate::pool::Pool;
 use crate::record::Submission;
+use crate::rounds::Rounds;
 use crate::rules::{Queue, Rules};
 use crate::runs::Outcome;
 use crate::step::Eligibility;
@@ -141,6 +142,8 @@
     /// Gangs, as job id and index of the step, for which the last pass reserved room; whether an
     /// advice call was under way.
     pub(crate) collecting_gangs: BTreeMap<(Name, u32), bool>,
+    /// Rounds of advice calls whose tickets may not have expired.
+    pub(crate) rounds: Rounds,
     /// Open jobs by rank: priority, due time, id.
     pub(crate) ranked_jobs: BTreeSet<(u32, Duration, Name)>,
 }
@@ -484,6 +487,7 @@
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(step) = job.steps.get_mut(key.step as usize) else { return };
+        let last_call = step.pending_advice.keys().next_back().copied().unwrap_or_default();
         let Some(named_workers) = step.pending_advice.remove(&key.number) else { return };
         let Some((allowed, validity)) = allowed else {
             let doublings = step.advice_failures.min(MAX_ADVICE_RETRY_DOUBLINGS);
@@ -495,7 +499,7 @@
         step.advice_failures = 0;
         let newly_named =
             named_workers.iter().filter(|worker| !step.eligibility.contains_key(*worker)).count();
-        let mut newly_allowed = 0;
+        let (mut newly_allowed, mut ticketed) = (0, Vec::new());
         let expires = (now + validity).saturating_sub(TICKET_MARGIN);
         step.tickets_until = step.tickets_until.max(expires);
         for worker in named_workers {
@@ -503,10 +507,14 @@
             let ticket = allowed.iter().find(|(id, _)| *id == worker);
             let eligibility = ticket.map_or(Eligibility::Denied, |(_, ticket)| {
                 newly_allowed += usize::from(is_new);
+                ticketed.push(worker.clone());
                 Eligibility::Allowed { ticket: ticket.clone(), expires }
             });
             step.eligibility.insert(worker, eligibility);
         }
+        if job.phase == Phase::Open {
+            self.rounds.record_tickets(key, last_call, ticketed, expires);
+        }
         self.estimator.observe_advice(&job.queue, newly_named, newly_allowed);
     }
 
