control: the leader reports use of the pool and wasted rounds

Event 5008 of the leader and the metrics now tell the shares of the pool's CPU (thousandths of a core, and percent in the log), idle steps and gangs, gangs that collect room with and without a call, and rounds of advice calls whose tickets ran out unused. Operators saw open jobs and late answers only, so that a full pool, slow advice and gangs that hold room looked alike.

Lines of others do not have the fields. `unused_tickets` and `late` stay as they are.

--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -9,6 +9,7 @@
 use crate::lead::Leader;
 use crate::meter::{Counter, Gauge, Timing};
 use crate::node::Context;
+use crate::usage::UsageFields;
 
 /// Interval between checks of what overdue jobs wait for.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -74,8 +75,9 @@
         job.drop_details();
     }
 
-    /// Reports the gauges of the leader's jobs, workers, followers and commits.
-    pub fn report_gauges(&self, ctx: &Context) {
+    /// Reports the gauges of the leader's jobs, workers, followers and commits; returns the fields
+    /// of the log event about the pool.
+    pub fn report_gauges(&mut self, ctx: &Context) -> UsageFields {
         let meter = &ctx.meter;
         let usable = self.scheduler.pool.iter().filter(|worker| worker.is_usable(ctx.now));
         let (mut count, mut free) = (0, 0);
@@ -91,5 +93,7 @@
         meter.set_gauge(Gauge::FreeCpu, free);
         meter.set_gauge(Gauge::Followers, self.peers.count() as u64);
         meter.set_gauge(Gauge::CommitAge, self.journal.commit_age(ctx.now).as_millis() as u64);
+        let waste = self.scheduler.take_wasted_rounds(ctx.now);
+        UsageFields::report(&**meter, self.scheduler.usage(), waste)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 mod request_codec;
 mod sampler;
 mod store;
+mod usage;
 
 pub use action::{Action, WatchTarget};
 pub use answer::{Answer, CallerRequest, Operation, Target, View};
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -38,6 +38,8 @@
         Placement,
         /// Checks of workers' leases, and renewals sent.
         Leases,
+        /// Rounds of advice calls whose tickets all expired unused, and these tickets.
+        Waste,
     }
 
     /// Duration that is measured.
@@ -74,6 +76,26 @@
         UsableWorkers,
         /// Free CPU capacity of the usable workers, in thousandths of a core.
         FreeCpu,
+        /// CPU of the usable workers as of the last placement pass, in thousandths of a core.
+        PoolCpu,
+        /// Part of it in use by assigned runs.
+        PoolUsedCpu,
+        /// Part of it reserved for steps and not used.
+        PoolReservedCpu,
+        /// Part of the reserved CPU that is lent.
+        PoolLentCpu,
+        /// Part of it withheld on workers on trial.
+        PoolWithheldCpu,
+        /// Part of it that is neither used, reserved nor withheld.
+        PoolFreeCpu,
+        /// Steps whose turn has come and of which no task is assigned.
+        IdleSteps,
+        /// Gangs among them.
+        IdleGangs,
+        /// Gangs for which the last placement pass reserved room.
+        CollectingGangs,
+        /// Gangs among those without an advice call under way.
+        UncalledGangs,
         /// Connected followers.
         Followers,
         /// Time since the last commit, in ms.
@@ -114,7 +136,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
@@ -131,6 +153,7 @@
         Self::Late,
         Self::Placement,
         Self::Leases,
+        Self::Waste,
     ];
 
     /// The metric's name.
@@ -152,6 +175,7 @@
             Self::Late => "bronzerail.late",
             Self::Placement => "bronzerail.placement",
             Self::Leases => "bronzerail.leases",
+            Self::Waste => "bronzerail.advice.wasted",
         }
     }
 }
@@ -186,13 +210,23 @@
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 21] = [
         Self::IsLeader,
         Self::Requests,
         Self::OpenJobs,
         Self::AssignedTasks,
         Self::UsableWorkers,
         Self::FreeCpu,
+        Self::PoolCpu,
+        Self::PoolUsedCpu,
+        Self::PoolReservedCpu,
+        Self::PoolLentCpu,
+        Self::PoolWithheldCpu,
+        Self::PoolFreeCpu,
+        Self::IdleSteps,
+        Self::IdleGangs,
+        Self::CollectingGangs,
+        Self::UncalledGangs,
         Self::Followers,
         Self::CommitAge,
         Self::TimerLag,
@@ -209,6 +243,16 @@
             Self::AssignedTasks => "bronzerail.tasks.assigned",
             Self::UsableWorkers => "bronzerail.workers.usable",
             Self::FreeCpu => "bronzerail.workers.free_cpu",
+            Self::PoolCpu => "bronzerail.pool.cpu",
+            Self::PoolUsedCpu => "bronzerail.pool.used_cpu",
+            Self::PoolReservedCpu => "bronzerail.pool.reserved_cpu",
+            Self::PoolLentCpu => "bronzerail.pool.lent_cpu",
+            Self::PoolWithheldCpu => "bronzerail.pool.withheld_cpu",
+            Self::PoolFreeCpu => "bronzerail.pool.free_cpu",
+            Self::IdleSteps => "bronzerail.steps.idle",
+            Self::IdleGangs => "bronzerail.gangs.idle",
+            Self::CollectingGangs => "bronzerail.gangs.collecting",
+            Self::UncalledGangs => "bronzerail.gangs.uncalled",
             Self::Followers => "bronzerail.followers",
             Self::CommitAge => "bronzerail.store.age",
             Self::TimerLag => "bronzerail.loop.lag",
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -24,6 +24,7 @@
 use crate::pending::{ANSWER_MARGIN, Contact, PendingRequests};
 use crate::request_codec::decode_answer;
 use crate::sampler::Sampler;
+use crate::usage::UsageFields;
 
 /// Time for which a stopping daemon still accepts connections.
 ///
@@ -510,23 +511,23 @@
             return;
         }
         self.gauges_reported_at = self.ctx.now;
-        let leader = match &self.role_state {
+        let leader = match &mut self.role_state {
             RoleState::Leader(leader) => Some(leader),
             RoleState::Follower(_) => None,
         };
         self.ctx.meter.set_gauge(Gauge::IsLeader, u64::from(leader.is_some()));
         self.ctx.meter.set_gauge(Gauge::TimerLag, self.ctx.lag.mean().as_millis() as u64);
         self.ctx.meter.set_gauge(Gauge::Requests, self.pending_requests.len() as u64);
-        if let Some(leader) = leader {
-            leader.report_gauges(&self.ctx);
-        }
-        let is_logged = leader.is_some() || self.ctx.load.is_late();
+        let is_leader = leader.is_some();
+        let open_jobs = leader.as_ref().map(|leader| leader.scheduler().open_jobs());
+        let usage = leader.map_or_else(UsageFields::none, |leader| leader.report_gauges(&self.ctx));
+        let is_logged = is_leader || self.ctx.load.is_late();
         let load = self.ctx.load.report(self.ctx.now);
         if is_logged {
-            log_event!(self.ctx, LoopLoad, "leads" => leader.is_some(),
+            log_event!(self.ctx, LoopLoad, "leads" => is_leader,
                 "lag_us" => self.ctx.lag.mean().as_micros() as u64,
                 "requests_open" => self.pending_requests.len(),
-                "jobs_open" => leader.map(|leader| leader.scheduler().open_jobs()), load);
+                "jobs_open" => open_jobs, load, usage);
         }
         let dropped_lines = self.ctx.sampler.take_dropped_lines();
         if dropped_lines > 0 {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -275,6 +275,8 @@
     pub member_lists: u64,
     /// Meter of nodes that are started from now on.
     pub meter: Rc<dyn control::Meter>,
+    /// Log of nodes that are started from now on; none for that of the tests.
+    pub log: Option<slog::Logger>,
     store_free_at: Duration,
     rng: SmallRng,
     event_times: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -331,6 +333,7 @@
             capacities: capacities.to_vec(),
             member_lists: 0,
             meter: Rc::new(control::NoopMeter),
+            log: None,
             store_free_at: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             event_times: BinaryHeap::new(),
@@ -369,7 +372,7 @@
         self.slots[number].incarnation += 1;
         let config = self.config(number);
         let slot = &mut self.slots[number];
-        let log = test_log(&config.member);
+        let log = self.log.clone().unwrap_or_else(|| test_log(&config.member));
         slot.node = Some(Node::new(config, log, Rc::clone(&self.meter), self.now));
         slot.is_suspended = false;
         let incarnation = slot.incarnation;
