Wasted rounds of gangs are counted apart

One sum would have been read as rounds of gangs. Event 5008 and the metric tell the part of gangs; a test keeps other steps out of it.

--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -38,7 +38,7 @@
         Placement,
         /// Checks of workers' leases, and renewals sent.
         Leases,
-        /// Rounds of advice calls whose tickets all expired unused, and these tickets.
+        /// Rounds of advice calls whose tickets all expired unused, these tickets, and those for gangs.
         Waste,
     }
 
--- a/crates/control/src/usage.rs
+++ b/crates/control/src/usage.rs
@@ -26,6 +26,10 @@
             meter.add(Counter::Waste, "rounds", waste.rounds);
             meter.add(Counter::Waste, "tickets", waste.tickets);
         }
+        if waste.gang_rounds > 0 {
+            meter.add(Counter::Waste, "gang_rounds", waste.gang_rounds);
+            meter.add(Counter::Waste, "gang_tickets", waste.gang_tickets);
+        }
         Self(Some((usage, waste)))
     }
 
@@ -55,6 +59,8 @@
         serializer.emit_usize("collecting_gangs", usage.collecting_gangs)?;
         serializer.emit_usize("uncalled_gangs", usage.uncalled_gangs)?;
         serializer.emit_u64("wasted_rounds", waste.rounds)?;
-        serializer.emit_u64("wasted_tickets", waste.tickets)
+        serializer.emit_u64("wasted_tickets", waste.tickets)?;
+        serializer.emit_u64("wasted_gang_rounds", waste.gang_rounds)?;
+        serializer.emit_u64("wasted_gang_tickets", waste.gang_tickets)
     }
 }
--- a/crates/control/tests/usage.rs
+++ b/crates/control/tests/usage.rs
@@ -133,9 +133,9 @@
 fn wasted_round_is_reported_once() {
     let (mut sim, sums, lines) = collecting_gang();
     sim.run(REPORT_TIME);
-    assert_eq!(sums.count(Counter::Waste, "rounds"), 1);
-    assert_eq!(sums.count(Counter::Waste, "tickets"), 2);
+    let labels = ["rounds", "tickets", "gang_rounds", "gang_tickets"];
+    assert_eq!(labels.map(|label| sums.count(Counter::Waste, label)), [1, 2, 1, 2]);
     let lines = lines.0.lock().expect("no test panicked");
-    let sum = |key| lines.iter().map(|line| line.number(key)).sum::<u64>();
-    assert_eq!((sum("wasted_rounds"), sum("wasted_tickets")), (1, 2));
+    let sum = |key: &str| lines.iter().map(|line| line.number(key)).sum::<u64>();
+    assert_eq!(labels.map(|label| sum(&format!("wasted_{label}"))), [1, 2, 1, 2]);
 }
--- a/crates/scheduler/src/rounds.rs
+++ b/crates/scheduler/src/rounds.rs
@@ -18,12 +18,18 @@
         pub rounds: u64,
         /// Number of their tickets.
         pub tickets: u64,
+        /// Number of those rounds that were for gangs.
+        pub gang_rounds: u64,
+        /// Number of the tickets of these.
+        pub gang_tickets: u64,
     }
 
     /// A round of advice calls that brought tickets.
     struct Round {
         /// Index of the step in its job.
         step: u32,
+        /// Whether the step is a gang.
+        is_gang: bool,
         /// Number of its last call.
         last_call: u32,
         /// Workers that its tickets are for.
@@ -35,6 +41,19 @@
     }
 }
 
+impl Waste {
+    /// Counts a round.
+    fn count(&mut self, round: &Round) {
+        let tickets = round.workers.len() as u64;
+        self.rounds += 1;
+        self.tickets += tickets;
+        if round.is_gang {
+            self.gang_rounds += 1;
+            self.gang_tickets += tickets;
+        }
+    }
+}
+
 /// Rounds with tickets that may not have expired, by job and in the order of their calls.
 #[derive(Debug, Default)]
 pub(crate) struct Rounds(HashMap<Name, Vec<Round>>);
@@ -44,6 +63,7 @@
     pub(crate) fn record_tickets(
         &mut self,
         key: &AdviceKey,
+        is_gang: bool,
         last_call: u32,
         workers: Vec<Name>,
         expires: Duration,
@@ -58,7 +78,7 @@
             round.expires = round.expires.max(expires);
         } else {
             let step = key.step;
-            rounds.push(Round { step, last_call, workers, expires, is_used: false });
+            rounds.push(Round { step, is_gang, last_call, workers, expires, is_used: false });
         }
     }
 
@@ -88,8 +108,7 @@
                 });
                 let is_over = round.expires <= now && !has_calls;
                 if is_over && !round.is_used {
-                    waste.rounds += 1;
-                    waste.tickets += round.workers.len() as u64;
+                    waste.count(round);
                 }
                 !is_over
             });
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -513,7 +513,9 @@
             step.eligibility.insert(worker, eligibility);
         }
         if job.phase == Phase::Open {
-            self.rounds.record_tickets(key, last_call, ticketed, expires);
+            let spec = job.submission.steps.get(key.step as usize);
+            let is_gang = spec.is_some_and(|spec| spec.is_gang);
+            self.rounds.record_tickets(key, is_gang, last_call, ticketed, expires);
         }
         self.estimator.observe_advice(&job.queue, newly_named, newly_allowed);
     }
--- a/crates/scheduler/tests/rounds.rs
+++ b/crates/scheduler/tests/rounds.rs
@@ -10,34 +10,39 @@
 
 const VALIDITY: Duration = Duration::from_secs(1);
 
-/// A pool of two workers with two places each, and a gang whose calls the tests make.
-fn waiting_gang(count: u32) -> Scheduler {
+/// A pool of two workers with two places each, and a step whose calls the tests make.
+fn waiting_step(spec: Step) -> Scheduler {
     let mut scheduler = pool(&["w1", "w2"], Some(advice_policy()));
-    submit(&mut scheduler, "gang", vec![Step { is_gang: true, ..step(count) }]);
+    submit(&mut scheduler, "job", vec![spec]);
     scheduler
 }
 
+fn waiting_gang(count: u32) -> Scheduler {
+    waiting_step(Step { is_gang: true, ..step(count) })
+}
+
 /// Begins a call about workers.
 fn call(scheduler: &mut Scheduler, number: u32, workers: &[&str]) {
-    let job = scheduler.jobs.get_mut("gang").expect("the job is known");
+    let job = scheduler.jobs.get_mut("job").expect("the job is known");
     let workers = workers.iter().map(|id| Name::new(id)).collect();
     job.steps[0].pending_advice.insert(number, workers);
 }
 
 /// Answers a call with tickets for workers.
 fn answer(scheduler: &mut Scheduler, number: u32, workers: &[&str], now: Duration) {
-    let key = AdviceKey { job: Name::new("gang"), step: 0, number };
+    let key = AdviceKey { job: Name::new("job"), step: 0, number };
     let tickets = workers.iter().map(|id| (Name::new(id), Name::new("t"))).collect();
     scheduler.apply_advice(&key, Some((tickets, VALIDITY)), now);
 }
 
 fn fail(scheduler: &mut Scheduler, number: u32, now: Duration) {
-    let key = AdviceKey { job: Name::new("gang"), step: 0, number };
+    let key = AdviceKey { job: Name::new("job"), step: 0, number };
     scheduler.apply_advice(&key, None, now);
 }
 
+/// Waste of rounds that were all for gangs.
 fn waste(rounds: u64, tickets: u64) -> Waste {
-    Waste { rounds, tickets }
+    Waste { rounds, tickets, gang_rounds: rounds, gang_tickets: tickets }
 }
 
 // Guards against a round that is never counted, or again with each report.
@@ -51,6 +56,16 @@
     assert_eq!(scheduler.take_wasted_rounds(NOW + VALIDITY * 2), waste(0, 0));
 }
 
+// Guards against rounds of other steps that count as those of gangs, whose cure differs.
+#[test]
+fn wasted_round_of_tasks() {
+    let mut scheduler = waiting_step(step(4));
+    call(&mut scheduler, 1, &["w1", "w2"]);
+    answer(&mut scheduler, 1, &["w1", "w2"], NOW);
+    let expected = Waste { rounds: 1, tickets: 2, ..Waste::default() };
+    assert_eq!(scheduler.take_wasted_rounds(NOW + VALIDITY), expected);
+}
+
 // Guards against several calls of a round that count as so many rounds.
 #[test]
 fn wasted_round_of_calls() {
@@ -118,7 +133,7 @@
     call(&mut scheduler, 1, &["w1"]);
     call(&mut scheduler, 2, &["w2"]);
     answer(&mut scheduler, 1, &["w1"], NOW);
-    scheduler.cancel("gang", 0);
+    scheduler.cancel("job", 0);
     answer(&mut scheduler, 2, &["w2"], NOW);
     assert_eq!(scheduler.take_wasted_rounds(NOW + VALIDITY), waste(1, 1));
 }
