--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,11 +18,13 @@
 mod reconcile;
 mod record;
 mod room;
+mod rounds;
 mod rules;
 mod runs;
 mod scheduler;
 mod segment;
 mod step;
+mod usage;
 mod validation;
 mod worker;
 
@@ -37,10 +39,12 @@
     ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
     Step, StepRecord, Submission, TaskRecord, TaskStates,
 };
+pub use rounds::Waste;
 pub use rules::{AdvicePolicy, Limits, Queue, Rules, Service};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
 pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState, StoredWorker, max_base_size};
 pub use step::{Eligibility, StepState};
+pub use usage::Usage;
 pub use validation::{SubmissionError, is_job_id};
 pub use worker::{Assignment, Registration, RunState, Worker};
