scheduler tests: check from outside for jobs that are left idle

Adds a check that judges only by what callers submitted and what workers run: for 3 s, a job has nothing running, a step's turn has come, the workers that may run it have room for it twice over, and less than half of the pool is in use. Reserved room counts as free, and room on workers that the advice service denies does not. The existing check asks the scheduler for its reason, so it passes over a step with a call under way and one whose room another step holds.

The check is tested by itself and in a pool model with several queues, each with its own advice, and daemons grouped as the leader groups them: it reports jobs without answers of advice, and none in a full pool, with working advice or with all workers denied.

--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some items")]
 
+pub mod cell;
+pub mod idle;
 pub mod model;
 
 use std::time::Duration;
