control tests: all simulations check for idle jobs

Each simulation now runs the check for idle jobs, every 100 ms of its time. A job counts from its acceptance until it is cancelled, has succeeded or may have failed; unacknowledged ends, and runs lost with a worker until its lease is over, count as running. Nothing is checked while a fault is switched on, while no node leads and for 5 s after each of them, nor with slow or limited nodes.

Fake workers now count what the step of a run needs instead of one core. The advice service of the simulation can allow another share of the workers for each queue, and run times can be given by task.

--- a/crates/control/tests/support/crashes.rs
+++ b/crates/control/tests/support/crashes.rs
@@ -54,6 +54,8 @@
         if !(self.deadly.is_deadly)(key) {
             return;
         }
+        // It may be given up at any time.
+        self.idle_watch.forget(&key.job);
         if self.deadly.by_task.get(key).is_some_and(|crashes| *crashes >= COUNTED_AFTER) {
             let starts = self.deadly.starts_after.entry(key.clone()).or_default();
             *starts += 1;
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -37,6 +37,12 @@
 /// Time after which a capacity that has shrunk counts for starts.
 const CAPACITY_GRACE: Duration = Duration::from_millis(4500);
 
+/// Service of all workers; they have no labels.
+pub const WORKER_SERVICE: &str = "service";
+
+/// Memory of a worker, in MB.
+pub const WORKER_MEM: u32 = 100_000;
+
 /// Most finished runs that a worker lists at a time.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -149,6 +155,8 @@
     /// Tasks that were running at the end of each of its former lives.
     pub lost: Vec<TaskKey>,
     pub finished: Vec<FinishedRun>,
+    /// Tasks whose listed ends were lost with its former lives before they were acknowledged.
+    pub lost_ends: Vec<TaskKey>,
     /// End time of each finished run by its position, and whether the lease has expired since.
     end_times: HashMap<u64, (Duration, bool)>,
     highest_runs: HashMap<TaskKey, u32>,
@@ -178,6 +186,7 @@
             running: HashMap::new(),
             lost: Vec::new(),
             finished: Vec::new(),
+            lost_ends: Vec::new(),
             end_times: HashMap::new(),
             highest_runs: HashMap::new(),
             highest_fencing_token: 0,
@@ -192,8 +201,9 @@
         let (id, address) = (self.id.clone(), self.address.clone());
         self.lose_runs();
         let lost = std::mem::take(&mut self.lost);
-        *self =
-            Self { incarnation, address, started_at: now, lost, ..Self::new(id, self.capacity) };
+        let lost_ends = std::mem::take(&mut self.lost_ends);
+        let new = Self::new(id, self.capacity);
+        *self = Self { incarnation, address, started_at: now, lost, lost_ends, ..new };
     }
 
     /// Changes its capacity while it runs.
@@ -228,6 +238,12 @@
 
     fn lose_runs(&mut self) {
         self.lost.extend(self.running.drain().map(|(key, _)| key));
+        self.lost_ends.extend(self.finished.drain(..).filter_map(|finished| finished.key));
+    }
+
+    /// Whether its lease has ended for a time.
+    pub fn is_lease_over(&self, now: Duration, since: Duration) -> bool {
+        now >= self.started_at + ms(self.lease_end_ms) + since
     }
 
     /// Removes the worker for good; its runs are lost.
@@ -277,10 +293,10 @@
             id: self.id.clone(),
             incarnation: self.incarnation,
             address: self.address.clone(),
-            service: Name::new("service"),
+            service: Name::new(WORKER_SERVICE),
             zone: Name::new("z"),
             labels: Vec::new(),
-            capacity: Resources { cpu: self.capacity, mem: 100_000, gpus: 0 },
+            capacity: Resources { cpu: self.capacity, mem: WORKER_MEM, gpus: 0 },
             is_draining: self.is_draining,
         }
     }
@@ -363,7 +379,8 @@
         lease_end_ms: u64,
     ) -> OrderReply {
         let now = self.now;
-        let length = self.run_time.unwrap_or_else(|| Self::run_duration(&start.key));
+        let length = self.run_time.unwrap_or_else(|| (self.task_run_time)(&start.key));
+        let cpu = self.idle_watch.need(&start.key).cpu;
         let key = (start.key.job.clone(), start.key.step, start.worker.clone());
         let has_ticket = self
             .advice_service
@@ -400,7 +417,7 @@
             return OrderReply::Refused { clock_ms, reason: Refusal::Ticket };
         }
         worker.highest_runs.insert(start.key.clone(), start.run);
-        let run = FakeRun { run: start.run, started_at: now, length, cpu: 1000, fails: false };
+        let run = FakeRun { run: start.run, started_at: now, length, cpu, fails: false };
         worker.running.insert(start.key.clone(), run);
         let used: u32 = worker.running.values().map(|run| run.cpu).sum();
         if used > worker.bound(now) {
@@ -426,12 +443,39 @@
     }
 
     /// Run time of a task, derived from the digits in its job's id.
-    fn run_duration(key: &TaskKey) -> Duration {
+    pub(super) fn run_duration(key: &TaskKey) -> Duration {
         let digits: String = key.job.chars().filter(char::is_ascii_digit).collect();
         let seed: u64 = digits.parse().unwrap_or(0);
         ms(100 + (seed * 37 + u64::from(key.index) * 11) % 900)
     }
 
+    /// Notes finished runs that a leader has acknowledged, with the time of each end and whether the
+    /// lease has expired since.
+    fn note_acknowledged(&mut self, acknowledged: Vec<(FinishedRun, (Duration, bool))>) {
+        let now = self.now;
+        let max_attempts = self.rules.queues.iter().map(|queue| queue.max_attempts).min();
+        for (finished, (ended_at, has_expired)) in acknowledged {
+            let Some(key) = finished.key else { continue };
+            if finished.outcome == Some(Outcome::Failed) {
+                self.idle_watch.note_failure(&key, max_attempts.unwrap_or(0));
+            }
+            if has_expired {
+                // The leader may count the end or not.
+                self.idle_watch.forget(&key.job);
+            }
+            if finished.outcome != Some(Outcome::Done) || has_expired {
+                continue;
+            }
+            if self.last_start.get(&key).is_some_and(|start| *start > ended_at) {
+                self.violations.push(format!(
+                    "{now:?}: {key:?} started again before its success was acknowledged"
+                ));
+            }
+            self.idle_watch.note_success(&key);
+            self.succeeded_tasks.insert(key);
+        }
+    }
+
     pub(super) fn deliver_renewal(
         &mut self,
         node: usize,
@@ -493,20 +537,7 @@
                 .iter()
                 .filter_map(|finished| worker.end_times.remove(&finished.position))
                 .collect();
-            for (finished, (ended_at, has_expired)) in acknowledged.into_iter().zip(end_times) {
-                let Some(key) = finished
-                    .key
-                    .filter(|_| finished.outcome == Some(Outcome::Done) && !has_expired)
-                else {
-                    continue;
-                };
-                if self.last_start.get(&key).is_some_and(|start| *start > ended_at) {
-                    self.violations.push(format!(
-                        "{now:?}: {key:?} started again before its success was acknowledged"
-                    ));
-                }
-                self.succeeded_tasks.insert(key);
-            }
+            self.note_acknowledged(acknowledged.into_iter().zip(end_times).collect());
             let Some(worker) = self.workers.get_mut(&id) else { return };
             if worker.finished.is_empty() && now < until {
                 let worker_incarnation = Some(worker.incarnation);
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,13 +2,14 @@
 //! simulated clock.
 //!
 //! It records violated invariants: a task that runs on two workers at a time or after its
-//! success, and a worker loaded over its capacity.
+//! success, a worker loaded over its capacity, and a job that is left idle.
 
 #![allow(dead_code, reason = "each test file uses only some items")]
 
 pub mod cost;
 pub mod crashes;
 pub mod fakes;
+pub mod idle;
 mod waits;
 
 use std::cmp::Reverse;
@@ -179,13 +180,19 @@
     pub path: PathFaults,
 }
 
+/// Average number of workers of so many that advice allows; others for each step.
+#[derive(Debug, Clone, Copy)]
+pub struct AllowedShare {
+    pub workers: u64,
+    pub of: u64,
+}
+
 /// An advice service that handles the calls of each node one after the other.
 #[derive(Debug)]
 pub struct AdviceService {
-    /// Durations of calls and validity of tickets, by prefix of the job's id.
-    policies: Vec<(&'static str, AdvicePolicy)>,
-    /// Average number of workers in ten that it allows; others for each step.
-    allowed_of_ten: u64,
+    /// Durations of calls, validity of tickets and share of workers allowed, by prefix of the
+    /// job's id.
+    policies: Vec<(&'static str, AdvicePolicy, AllowedShare)>,
     /// When the last call of each node ends.
     free_at: HashMap<usize, Duration>,
     /// When the tickets expire, by job, step and worker.
@@ -193,8 +200,22 @@
 }
 
 impl AdviceService {
+    /// A service that allows the same share of workers for all jobs.
     pub fn new(policies: Vec<(&'static str, AdvicePolicy)>, allowed_of_ten: u64) -> Self {
-        Self { policies, allowed_of_ten, free_at: HashMap::new(), ticket_ends: HashMap::new() }
+        let share = AllowedShare { workers: allowed_of_ten, of: 10 };
+        Self::with_shares(policies.into_iter().map(|(id, policy)| (id, policy, share)).collect())
+    }
+
+    pub fn with_shares(policies: Vec<(&'static str, AdvicePolicy, AllowedShare)>) -> Self {
+        Self { policies, free_at: HashMap::new(), ticket_ends: HashMap::new() }
+    }
+
+    /// Whether it allows a worker for a step, given as job id and index.
+    fn allows(&self, (job, step): (&Name, u32), worker: &Name) -> bool {
+        let policy = self.policies.iter().find(|(prefix, ..)| job.starts_with(prefix));
+        let (.., share) = policy.expect("the job's queue needs advice");
+        let key = format!("{job}.{step}.{worker}");
+        common::stable_hash(key.as_bytes()) % share.of < share.workers
     }
 
     /// Handles a call; returns when it ends and its answer.
@@ -205,21 +226,20 @@
         (job, step): (&Name, u32),
         workers: Vec<Name>,
     ) -> (Duration, control::AdviceResult) {
-        let policy = self.policies.iter().find(|(prefix, _)| job.starts_with(prefix));
-        let (_, policy) = policy.expect("the job's queue needs advice");
-        let free_at = self.free_at.entry(node).or_default();
+        let policy = self.policies.iter().find(|(prefix, ..)| job.starts_with(prefix));
+        let (_, policy, _) = policy.expect("the job's queue needs advice").clone();
         let duration = policy.base_duration + policy.duration_per_worker * workers.len() as u32;
-        *free_at = now.max(*free_at) + duration;
+        let end = self.free_at.get(&node).map_or(now, |free_at| now.max(*free_at)) + duration;
+        self.free_at.insert(node, end);
         let mut allowed = Vec::new();
         for worker in workers {
-            let key = format!("{job}.{step}.{worker}");
-            if common::stable_hash(key.as_bytes()) % 10 < self.allowed_of_ten {
+            if self.allows((job, step), &worker) {
                 let key = (job.clone(), step, worker.clone());
-                self.ticket_ends.insert(key, *free_at + policy.validity);
+                self.ticket_ends.insert(key, end + policy.validity);
                 allowed.push((worker, Name::new("ticket")));
             }
         }
-        (*free_at, control::AdviceResult { allowed, validity: policy.validity })
+        (end, control::AdviceResult { allowed, validity: policy.validity })
     }
 }
 
@@ -258,8 +278,10 @@
     pub allowed_share: f64,
     /// The advice service; if none, calls take 10 ms, however many there are.
     pub advice_service: Option<AdviceService>,
-    /// Run time of all tasks; if none, it is derived from the job's id.
+    /// Run time of all tasks; if none, that of each task counts.
     pub run_time: Option<Duration>,
+    /// Run time of a task; by default it is derived from the job's id.
+    pub task_run_time: fn(&TaskKey) -> Duration,
     /// Lag of the timers of slow nodes.
     pub timer_lags: HashMap<usize, Duration>,
     pub started_runs: u64,
@@ -286,6 +308,7 @@
     succeeded_tasks: HashSet<TaskKey>,
     last_start: HashMap<TaskKey, Duration>,
     wait_check: waits::WaitCheck,
+    pub idle_watch: idle::IdleWatch,
 }
 
 fn ms(ms: u64) -> Duration {
@@ -323,6 +346,7 @@
             allowed_share: 1.0,
             advice_service: None,
             run_time: None,
+            task_run_time: Self::run_duration,
             timer_lags: HashMap::new(),
             started_runs: 0,
             deadly: crashes::Deadly::default(),
@@ -342,6 +366,7 @@
             succeeded_tasks: HashSet::new(),
             last_start: HashMap::new(),
             wait_check: waits::WaitCheck::default(),
+            idle_watch: idle::IdleWatch::default(),
         };
         for number in 0..workers {
             let id = Name::from(format!("w{number}").as_str());
@@ -512,6 +537,7 @@
                 self.process_event(event);
             }
             self.check_waits();
+            self.check_idle();
         }
         self.now = end;
     }
@@ -655,6 +681,7 @@
     fn perform(&mut self, node: usize, incarnation: u64, action: Action) {
         match action {
             Action::Answer { token, answer } => {
+                self.idle_watch.note_answer(token, &answer, &self.succeeded_tasks);
                 self.answers.insert(token, answer);
                 self.answered_at.insert(token, self.now);
             }
@@ -850,13 +877,16 @@
         if let Some(service) = &mut self.advice_service {
             return service.answer(node, self.now, step, workers);
         }
-        let share = (self.allowed_share * 1000.0) as u64;
-        let is_allowed = |id: &Name| common::stable_hash(id.as_bytes()) % 1000 < share;
-        let allowed = workers.into_iter().filter(is_allowed);
+        let allowed = workers.into_iter().filter(|id| self.is_allowed(id));
         let allowed = allowed.map(|id| (id, Name::new("ticket"))).collect();
         (self.now + ms(10), control::AdviceResult { allowed, validity: ms(1500) })
     }
 
+    /// Whether advice allows a worker, unless there is an advice service.
+    fn is_allowed(&self, id: &Name) -> bool {
+        common::stable_hash(id.as_bytes()) % 1000 < (self.allowed_share * 1000.0) as u64
+    }
+
     /// Whether any task of a job was ever started.
     pub fn has_run(&self, job: &str) -> bool {
         self.last_start.keys().any(|key| *key.job == *job)
@@ -936,6 +966,7 @@
     pub fn call_within(&mut self, node: usize, op: Operation, timeout: Duration) -> u64 {
         self.last_token += 1;
         let token = self.last_token;
+        self.idle_watch.note_call(token, &op);
         let path = match &op {
             Operation::Submit(job) => format!("{PREFIX}{}", job.id),
             Operation::GetState(id) | Operation::Cancel(id) => format!("{PREFIX}{id}"),
