--- a/crates/control/tests/support/idle.rs
+++ b/crates/control/tests/support/idle.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub struct IdleWatch {
     check: IdleCheck,
+    /// Whether jobs may be idle for now.
+    pub is_paused: bool,
     next_at: Duration,
     /// Submitted jobs.
     submissions: HashMap<Name, Submission>,
@@ -110,7 +112,7 @@
             self.idle_watch.incarnations = incarnations;
             self.idle_watch.disturbed_at = self.now;
         }
-        if self.now < self.idle_watch.disturbed_at + CONTACT_TIME {
+        if self.idle_watch.is_paused || self.now < self.idle_watch.disturbed_at + CONTACT_TIME {
             self.idle_watch.check.reset();
             return;
         }
