--- a/crates/control/tests/support/idle.rs
+++ b/crates/control/tests/support/idle.rs
@@ -1,7 +1,7 @@
 //! Observes a cell for the check that no job is left idle while the pool has room for it.
 //!
 //! A job counts from the answer that accepted it until its cancel was requested, all its tasks have
-//! succeeded, or so many runs have failed that it may have failed. A task has succeeded once its
+//! succeeded, or so many runs have failed or crashed that it may have failed. A task has succeeded once its
 //! worker's listed end is acknowledged; until then it counts as running.
 
 #[path = "../../../scheduler/tests/support/idle.rs"]
@@ -24,6 +24,9 @@
 /// Time after a fault in which nothing is checked.
 const CONTACT_TIME: Duration = Duration::from_secs(5);
 
+/// Workers lost under a task from which its job may be given up.
+const CRASHES_TO_FAIL: u32 = 2;
+
 /// Need of a task whose job no caller has submitted.
 const DEFAULT_NEED: Resources = Resources { cpu: 1000, mem: 100, gpus: 0 };
 
@@ -108,6 +111,9 @@
         }
         self.idle_watch.next_at = self.now + CHECK_INTERVAL;
         let incarnations = self.incarnations();
+        if self.idle_watch.incarnations != incarnations {
+            self.forget_crashing_jobs();
+        }
         if self.idle_watch.incarnations != incarnations || self.is_disturbed() {
             self.idle_watch.incarnations = incarnations;
             self.idle_watch.disturbed_at = self.now;
@@ -131,6 +137,18 @@
         self.violations.extend(idle);
     }
 
+    /// Stops checking the jobs that may be given up because workers were lost under a task.
+    fn forget_crashing_jobs(&mut self) {
+        let mut crashes: HashMap<&TaskKey, u32> = HashMap::new();
+        for key in self.workers.values().flat_map(|worker| &worker.lost) {
+            *crashes.entry(key).or_default() += 1;
+        }
+        let crashing = crashes.into_iter().filter(|(_, count)| *count >= CRASHES_TO_FAIL);
+        for (key, _) in crashing {
+            self.idle_watch.forget(&key.job);
+        }
+    }
+
     /// Whether a fault is switched on or no node leads.
     fn is_disturbed(&self) -> bool {
         let FaultConfig {
