--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cell;
 pub mod idle;
+pub mod load;
 pub mod model;
 
 use std::time::Duration;
