Daemons that make advice calls of two classes count once

Cause: the capacity listed the daemons of each class, and two thirds of the daemons for slow calls were listed for medium calls too. A pass could request both on the same daemon. Medium calls are sent first, so the slow ones waited in the leader's queue, up to 0.9 s instead of the 0.1 s that `MAX_CALL_WAIT` promises.

Ruled out: slow answers of the service (the calls themselves took their time); counting once alone, as medium steps then starve behind slow ones of higher rank (slow_backlog_does_not_delay_other_calls, 0 of 20 done).

Change: a daemon is counted once, with the classes of its calls. While steps of one class find no daemon, those kept for it make no others. A step in back-off is no longer counted as one that lacks a daemon.

The model of cell.rs groups daemons as the leader does.

--- a/crates/control/src/lead/advice.rs
+++ b/crates/control/src/lead/advice.rs
@@ -7,7 +7,7 @@
 //! that they never wait behind slow ones. Medium calls are sent before slow ones, but never to
 //! all of their daemons.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use scheduler::{AdviceCall, AdviceCapacity, AdviceKey, CallClass, Phase, Scheduler};
@@ -60,25 +60,44 @@
 /// Daemons that make the calls of each class, as links; none is the leader itself.
 ///
 /// Of equally busy daemons, the first gets the next call.
-struct DaemonGroups([Vec<Option<u64>>; CallClass::ALL.len()]);
+struct DaemonGroups {
+    by_class: [Vec<Option<u64>>; CallClass::ALL.len()],
+    /// Daemons that make calls of one class only while it is short of daemons.
+    kept_for: BTreeMap<Option<u64>, CallClass>,
+}
 
 impl DaemonGroups {
-    /// Given three daemons or more, reserves a third for fast calls, and a third of the others
-    /// for slow ones.
+    /// Given three daemons or more, a third is for fast calls. A third of the rest is for slow calls,
+    /// and the others are for slow ones too unless medium ones are short of daemons.
     fn new(peers: &Peers, now: Duration) -> Self {
         // The leader comes first among the fast ones, as its own calls need no relay.
         let mut fast = vec![None];
         fast.extend(peers.responsive_links(now).map(Some));
         if fast.len() < 3 {
-            return Self([fast.clone(), fast.clone(), fast]);
+            let by_class = [fast.clone(), fast.clone(), fast];
+            return Self { by_class, kept_for: BTreeMap::new() };
         }
         let slow = fast.split_off(fast.len() / 3);
-        let medium = slow[slow.len() / 3..].iter().rev().copied().collect();
-        Self([fast, medium, slow])
+        let share = slow.len() / 3;
+        let medium = slow[share..].iter().rev().copied().collect();
+        let kept_for_medium = slow[share..].iter();
+        let kept_for = kept_for_medium.map(|daemon| (*daemon, CallClass::Medium)).collect();
+        Self { by_class: [fast, medium, slow], kept_for }
     }
 
     fn of(&self, class: CallClass) -> &[Option<u64>] {
-        &self.0[class as usize]
+        &self.by_class[class as usize]
+    }
+
+    /// All daemons, with the classes of their calls.
+    fn classes(&self) -> BTreeMap<Option<u64>, Vec<CallClass>> {
+        let mut classes: BTreeMap<_, Vec<CallClass>> = BTreeMap::new();
+        for class in CallClass::ALL {
+            for daemon in self.of(class) {
+                classes.entry(*daemon).or_default().push(class);
+            }
+        }
+        classes
     }
 }
 
@@ -93,11 +112,12 @@
     pub fn capacity(&self, peers: &Peers, now: Duration) -> AdviceCapacity {
         let daemons = DaemonGroups::new(peers, now);
         let mut capacity = AdviceCapacity::default();
-        for class in CallClass::ALL {
-            let waits = daemons.of(class).iter().filter_map(|daemon| self.wait(*daemon, now));
-            for wait in waits {
-                capacity.add_daemon(class, wait);
+        for (daemon, classes) in daemons.classes() {
+            if let Some(wait) = self.wait(daemon, now) {
+                capacity.add_daemon(&classes, daemons.kept_for.get(&daemon).copied(), wait);
             }
+        }
+        for class in CallClass::ALL {
             for advice_call in &self.queued[class as usize] {
                 capacity.assign(advice_call.expected_duration);
             }
--- a/crates/measure/src/pass.rs
+++ b/crates/measure/src/pass.rs
@@ -118,7 +118,7 @@
         let mut capacity = AdviceCapacity::default();
         for class in CallClass::ALL {
             for _ in 0..daemons {
-                capacity.add_daemon(class, Duration::ZERO);
+                capacity.add_daemon(&[class], None, Duration::ZERO);
             }
         }
         let started = Instant::now();
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -100,6 +100,7 @@
         let free_daemons = self.advice_capacity.free_daemons(class);
         if free_daemons == 0 {
             step.steps_ahead = Some(self.advice_capacity.refuse(class));
+            self.scheduler.advice_refused_at[class as usize] = Some(self.now);
             return Vec::new();
         }
         let calls = workers.len().div_ceil(WORKERS_PER_CALL).min(free_daemons);
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -19,7 +19,7 @@
 
 use common::Name;
 
-use crate::advice::{AdviceCapacity, CallClass};
+use crate::advice::{AdviceCapacity, CallClass, SHORTAGE_SPAN};
 use crate::crash::Care;
 use crate::fate::Fate;
 use crate::job::{Job, TaskKey};
@@ -128,7 +128,12 @@
     /// Runs a scheduling pass: assigns tasks and requests missing advice.
     ///
     /// `write_delay` is the expected time until a job's row is committed and its start is sent.
-    pub fn plan(&mut self, now: Duration, write_delay: Duration, advice_capacity: AdviceCapacity) {
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        write_delay: Duration,
+        mut advice_capacity: AdviceCapacity,
+    ) {
         let usable = self.pool.iter().filter(|worker| worker.is_usable(now));
         let slots = usable.map(|worker| Slot {
             id: worker.registration.id.clone(),
@@ -150,6 +155,12 @@
             return;
         }
         self.admission.record_pass(now);
+        for class in CallClass::ALL {
+            let refused_at = self.advice_refused_at[class as usize];
+            if refused_at.is_some_and(|at| now < at + SHORTAGE_SPAN) {
+                advice_capacity.set_short(class);
+            }
+        }
         let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
         let max_reserving_gangs =
             (slots.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
@@ -234,12 +245,13 @@
             && (!spec.is_gang || self.reserving_gangs >= self.max_reserving_gangs)
         {
             // Without tickets, a call or capacity to reserve, there is nothing to do.
-            let class = CallClass::of(advice.base_duration);
-            if !self.advice_capacity.has_free_daemon(class) {
-                state.steps_ahead = Some(self.advice_capacity.refuse(class));
+            if state.advice_not_before > self.now {
                 return;
             }
-            if state.advice_not_before > self.now {
+            let class = CallClass::of(advice.base_duration);
+            let capacity = &mut self.advice_capacity;
+            if capacity.is_short(class) && !capacity.has_free_daemon(class) {
+                state.steps_ahead = Some(capacity.refuse(class));
                 return;
             }
             // In a full pool, more advice is of no use soon after the last.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use common::Name;
 
 use crate::admission::Admission;
+use crate::advice::CallClass;
 use crate::crash::LostRun;
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
@@ -127,6 +128,8 @@
     pub crashing_tasks: Vec<TaskKey>,
     /// Steps of open jobs under which workers crashed, or may have: job id and index.
     pub(crate) suspects: BTreeSet<(Name, u32)>,
+    /// When a step of each class of advice calls last found no daemon.
+    pub(crate) advice_refused_at: [Option<Duration>; CallClass::ALL.len()],
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
     /// Jobs of which a checkpoint was too long to be kept, for the log.
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -191,24 +191,25 @@
         }
     }
 
-    /// Daemons that make the calls of a class: a third of all make only fast calls, a third of the
-    /// others only slow ones, and the rest both slow and medium ones.
-    fn daemons(&self, class: CallClass) -> std::ops::Range<usize> {
+    /// Classes of the calls that a daemon makes, and the one that it is kept for: a third of all make
+    /// fast calls, a third of the others only slow ones, and the rest both slow and medium ones.
+    fn classes(&self, daemon: usize) -> (&'static [CallClass], Option<CallClass>) {
         let fast = self.free_at.len() / 3;
-        let slow = (self.free_at.len() - fast) / 3;
-        match class {
-            CallClass::Fast => 0..fast,
-            CallClass::Medium => fast + slow..self.free_at.len(),
-            CallClass::Slow => fast..self.free_at.len(),
+        let share = (self.free_at.len() - fast) / 3;
+        if daemon < fast {
+            (&[CallClass::Fast], None)
+        } else if daemon < fast + share {
+            (&[CallClass::Slow], None)
+        } else {
+            (&[CallClass::Medium, CallClass::Slow], Some(CallClass::Medium))
         }
     }
 
     fn advice_capacity(&self) -> AdviceCapacity {
         let mut capacity = AdviceCapacity::default();
-        for class in CallClass::ALL {
-            for free_at in &self.free_at[self.daemons(class)] {
-                capacity.add_daemon(class, free_at.saturating_sub(self.now));
-            }
+        for (daemon, free_at) in self.free_at.iter().enumerate() {
+            let (classes, kept_for) = self.classes(daemon);
+            capacity.add_daemon(classes, kept_for, free_at.saturating_sub(self.now));
         }
         capacity
     }
@@ -219,8 +220,13 @@
         if *last < self.now {
             (*last, *rounds) = (self.now, *rounds + 1);
         }
-        let daemons = self.daemons(CallClass::of(call.expected_duration));
-        let free_at = self.free_at[daemons].iter_mut().min().expect("there are daemons");
+        let class = CallClass::of(call.expected_duration);
+        let able =
+            (0..self.free_at.len()).filter(|daemon| self.classes(*daemon).0.contains(&class));
+        let first = able.min_by_key(|daemon| {
+            (self.now.max(self.free_at[*daemon]), self.classes(*daemon).0.len())
+        });
+        let free_at = &mut self.free_at[first.expect("there are daemons")];
         *free_at = self.now.max(*free_at) + call.expected_duration;
         self.last_number += 1;
         if self.has_advice {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -137,7 +137,7 @@
 pub fn advice_daemons(daemons: usize) -> AdviceCapacity {
     let mut capacity = AdviceCapacity::default();
     for class in CallClass::ALL {
-        (0..daemons).for_each(|_| capacity.add_daemon(class, Duration::ZERO));
+        (0..daemons).for_each(|_| capacity.add_daemon(&[class], None, Duration::ZERO));
     }
     capacity
 }
--- a/crates/scheduler/tests/support/model.rs
+++ b/crates/scheduler/tests/support/model.rs
@@ -97,7 +97,7 @@
         }
         let mut capacity = AdviceCapacity::default();
         for free_at in &self.free_at {
-            capacity.add_daemon(CallClass::Slow, free_at.saturating_sub(self.now));
+            capacity.add_daemon(&[CallClass::Slow], None, free_at.saturating_sub(self.now));
         }
         self.scheduler.plan(self.now, NO_DELAY, capacity);
         for call in std::mem::take(&mut self.scheduler.advice_calls) {
