Advice calls hold the room that they name

Gangs ask round after round for tickets, a few places short, while half of the pool is reserved and not used; 300 jobs are open 15 s after the last arrivals.

Cause: what a gang reserved was worked out anew in each pass, on the first allowed workers with room, whatever its call named. A run that ended on an earlier worker moved the reservation, others took the room that the call was for, and the tickets expired. A gang that knew workers for twice its size learned about no others, so its room came together slowly, and 33 gangs collected at a time, each a part of its room.

Change: a call holds the room that it names on allowed workers until its tickets are used or expire, the call fails, the worker is lost or the job ends; what is held is set aside before any placement. A gang calls ahead for room that runs are expected to free before the tickets arrive, and that room is set aside for it first, so that what it holds is not idle while others take the rest. Only tickets that would expire are renewed. Gangs collect on separate workers, with room for four times their tasks at most and only where they get some within 3 s. A gang learns about more workers until it starts, unless a step of its priority or a higher one lacks a daemon. Single tasks hold only workers that are known to allow them; what they call for is called for once.

--- a/crates/control/tests/gangs.rs
+++ b/crates/control/tests/gangs.rs
@@ -217,7 +217,6 @@
 // Guards against room that is held for gangs which ask for advice round after round, while half of
 // the pool is unused and others wait.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn burst_leaves_no_job_idle() {
     for seed in [1, 2] {
         let mut sim = start_cell(SMALL, seed);
--- a/crates/scheduler/src/placement/backfill.rs
+++ b/crates/scheduler/src/placement/backfill.rs
@@ -15,7 +15,7 @@
 use crate::rules::Queue;
 
 /// Time for which a gang keeps what it collects to itself.
-const LEND_DELAY: Duration = Duration::from_secs(3);
+pub(super) const LEND_DELAY: Duration = Duration::from_secs(3);
 
 /// Age at which the expected start of a gang is refreshed.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -1,22 +1,30 @@
 //! Places gangs, whose tasks start together or not at all.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use common::Name;
 
+use super::backfill::LEND_DELAY;
 use super::{Pass, PendingStep};
 use crate::crash::Care;
 
 /// Number of places on allowed workers that counts as enough, as a multiple of the gang's size.
 ///
-/// Busy workers count too. A gang with enough candidates waits for free capacity instead of
-/// requesting advice on more workers.
+/// Busy workers count too. The more workers a gang knows, the sooner its room comes together, but
+/// beyond this it learns about more only while no other step lacks advice.
 const GANG_CANDIDATE_FACTOR: u32 = 2;
 
+/// Number of places on the workers on which a gang collects room, as a multiple of its size.
+///
+/// With more of them, its room comes together sooner; with fewer, more gangs collect at a time.
+const COLLECTING_FACTOR: u32 = 4;
+
 impl Pass<'_> {
     /// Places all tasks of a gang, or none.
     pub(super) fn place_gang(&mut self, pending: PendingStep<'_>) {
-        let mut feasible = self.allowed_slots(&pending, true);
+        self.release_holds(&pending);
+        let mut feasible = pending.ticketed_slots(self.start_arrival);
         if pending.care != Care::Usual && self.may_wait(&pending) {
             feasible.retain(|slot| self.is_isolated(&pending, *slot));
         }
@@ -31,32 +39,23 @@
         if pending.queue.advice.is_some() {
             self.ensure_advice(&pending);
         }
-        if self.reserving_gangs < self.max_reserving_gangs && self.can_collect(&pending) {
-            self.reserving_gangs += 1;
-            self.reserve_for_gang(&pending);
-        }
-    }
-
-    /// Whether the workers that may run a gang would hold it if they were empty.
-    pub(super) fn can_collect(&self, pending: &PendingStep<'_>) -> bool {
-        self.allowed_places(pending) >= pending.spec.count
+        self.restore_holds(&pending);
+        self.collect(&pending);
     }
 
-    /// Whether enough workers are allowed for a gang, so that only capacity is missing.
+    /// Whether enough workers are allowed for a gang, so that it may do without learning about more.
     pub(super) fn has_enough_candidates(&self, pending: &PendingStep<'_>) -> bool {
-        pending.spec.is_gang
-            && self.allowed_places(pending) >= pending.spec.count * GANG_CANDIDATE_FACTOR
+        let allowed: Vec<usize> = pending.allowed.iter().map(|(slot, _)| *slot).collect();
+        self.places_if_empty(pending, &allowed) >= pending.spec.count * GANG_CANDIDATE_FACTOR
     }
 
-    /// Number of a step's tasks that its allowed workers would hold if they were empty.
+    /// Number of a step's tasks that workers would hold if they were empty.
     ///
-    /// Only workers that are usable now count, as those that drain or left give no room.
-    pub(super) fn allowed_places(&self, pending: &PendingStep<'_>) -> u32 {
-        let workers = self.allowed_slots(pending, false).into_iter();
-        let workers = workers.filter_map(|slot| self.scheduler.pool.get(&self.slots[slot].id));
-        let places = workers.map(|worker| {
-            let capacity = &worker.registration.capacity;
-            worker.places(pending.key, pending.spec, capacity).min(pending.spec.count)
+    /// Only workers that are usable now have slots, as those that drain or left give no room.
+    fn places_if_empty(&self, pending: &PendingStep<'_>, slots: &[usize]) -> u32 {
+        let places = slots.iter().map(|slot| {
+            let capacity = &self.slots[*slot].capacity;
+            self.fitting_in(pending, *slot, capacity).min(pending.spec.count)
         });
         places.fold(0, u32::saturating_add)
     }
@@ -115,10 +114,56 @@
         remaining.next().is_none().then_some(chosen)
     }
 
-    /// Reserves capacity for a gang on the slots that may run it.
-    pub(super) fn reserve_for_gang(&mut self, pending: &PendingStep<'_>) {
-        let allowed = self.allowed_slots(pending, false);
-        let lend_until = self.lend_until(pending);
-        self.reserve(pending, &allowed, lend_until);
+    /// Reserves room for the tasks of a gang on allowed workers where no gang of higher rank collects
+    /// room.
+    ///
+    /// Room that several gangs collect in parts on the same workers would be idle for longer. Once
+    /// its calls name workers for all tasks, a gang leaves the others to the next one.
+    fn collect(&mut self, pending: &PendingStep<'_>) {
+        let Some(step) = self.step_state(pending) else { return };
+        let count = pending.waiting_tasks.len() as u32;
+        let held: u32 = step.holds.values().sum();
+        if !step.holds.is_empty() {
+            let named = step.holds.keys().filter_map(|id| self.slot_indexes.get(id).copied());
+            let named: Vec<usize> = if held < count { named.collect() } else { Vec::new() };
+            self.collect_on(pending, &named);
+            return;
+        }
+        let slots = self.collecting_slots(pending);
+        if self.places_if_empty(pending, &slots) >= count {
+            // Where it gets no room soon, it keeps nobody away.
+            let soon = self.now + LEND_DELAY;
+            let useful = slots.iter().copied();
+            let useful = useful.filter(|slot| self.places_at(pending, *slot, soon) > 0);
+            let useful: Vec<usize> = useful.collect();
+            self.collect_on(pending, &useful);
+            let lend_until = self.lend_until(pending);
+            self.reserve(pending, &slots, lend_until);
+        }
+    }
+
+    /// Allowed slots on which a gang may collect room, those with the most room first; no more than it
+    /// has use for.
+    fn collecting_slots(&self, pending: &PendingStep<'_>) -> Vec<usize> {
+        let allowed = pending.allowed.iter().map(|(slot, _)| *slot);
+        let uncollected = allowed.filter(|slot| !self.slots[*slot].is_collected);
+        let mut slots: Vec<usize> = uncollected.collect();
+        slots.sort_by_cached_key(|slot| Reverse(self.fitting_tasks(pending, *slot)));
+        let wanted = pending.spec.count * COLLECTING_FACTOR;
+        let mut places = 0;
+        slots.retain(|slot| {
+            let is_wanted = places < wanted;
+            places += self.places_if_empty(pending, &[*slot]);
+            is_wanted
+        });
+        slots
+    }
+
+    /// Keeps gangs of lower rank from collecting room on slots.
+    fn collect_on(&mut self, pending: &PendingStep<'_>, slots: &[usize]) {
+        for slot in slots {
+            self.slots[*slot].is_collected = true;
+        }
+        self.scheduler.record_collecting(pending.key);
     }
 }
--- a/crates/scheduler/src/placement/isolation.rs
+++ b/crates/scheduler/src/placement/isolation.rs
@@ -7,6 +7,7 @@
 
 use super::{Pass, PendingStep};
 use crate::crash::Care;
+use crate::record::Resources;
 
 impl Pass<'_> {
     /// Marks the slots whose workers run a task on trial; the rest of their capacity is reserved if
@@ -60,8 +61,10 @@
                 suspect.is_none_or(|step| (&step.0, step.1) == pending.key)
             }
             Care::Alone => {
-                let worker = self.scheduler.pool.get(&self.slots[slot].id);
-                worker.is_some_and(|worker| worker.assignments.is_empty())
+                let slot = &self.slots[slot];
+                let worker = self.scheduler.pool.get(&slot.id);
+                slot.held == Resources::default()
+                    && worker.is_some_and(|worker| worker.assignments.is_empty())
             }
         }
     }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -1,14 +1,16 @@
 //! Assigns waiting tasks to workers and requests the advice that this needs.
 //!
 //! A scheduling pass visits the open jobs by rank and works on a copy of the workers' free
-//! capacity. Capacity that a job of higher rank will use soon (a gang that waits for enough
-//! capacity, a step that waits for advice) is reserved in the copy, so that jobs of lower
-//! rank do not take it; `backfill` lends it to those that end early enough. `gangs` places gangs,
-//! `isolation` keeps tasks apart that may crash their workers, `advice` decides on the calls.
+//! capacity. What steps hold for the tickets of their advice calls (`holds`) is set aside first.
+//! Capacity that a gang collects until all its tasks fit is reserved in the copy, so that jobs
+//! of lower rank do not take it; `backfill` lends it to those that end early enough. `gangs`
+//! places gangs, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
+//! the calls.
 
 mod advice;
 mod backfill;
 mod gangs;
+mod holds;
 mod isolation;
 
 pub(crate) use backfill::GangWait;
@@ -29,17 +31,6 @@
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
 
-/// Fewest gangs per pass that may reserve capacity until all tasks fit.
-const MIN_RESERVING_GANGS: usize = 4;
-
-/// Workers of the pool for each gang that may reserve capacity.
-const WORKERS_PER_RESERVING_GANG: usize = 16;
-
-/// Delay after which a gang with enough candidates requests advice on more workers.
-///
-/// It starts at the last advice. The candidates that the gang has may be busy for long.
-const GANG_ADVICE_DELAY: Duration = Duration::from_millis(1500);
-
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
 
@@ -50,10 +41,14 @@
     /// Capacity of the worker.
     pub(crate) capacity: Resources,
     pub(crate) free_capacity: Resources,
-    /// Capacity that gangs whose calls are under way are expected to use, not reserved.
+    /// Capacity that steps whose calls are under way are expected to use, not reserved.
     expected_use: Resources,
+    /// Capacity on unknown workers that calls for single tasks are for, not reserved.
+    called_for: Resources,
     /// Capacity reserved for jobs, which `free_capacity` no longer contains.
     pub(crate) reserved: Resources,
+    /// Part of the reserved capacity that steps hold for their advice calls.
+    held: Resources,
     /// The first job that capacity was reserved for.
     pub(crate) reserved_for: Option<Name>,
     /// Part of the reserved capacity that tasks may use which end by `lent_until`.
@@ -65,6 +60,10 @@
     is_trial: bool,
     /// Capacity that was free when a trial was placed.
     pub(crate) withheld: Resources,
+    /// Whether a gang collects room on its worker.
+    is_collected: bool,
+    /// Whether the trial of its worker is placed, so that it has no room left.
+    is_trial_placed: bool,
     /// The step, as job id and index, that may crash the worker; others keep away.
     suspect: Option<Rc<(Name, u32)>>,
 }
@@ -91,10 +90,6 @@
     now: Duration,
     /// Expected time at which a start decided now reaches its worker.
     start_arrival: Duration,
-    /// Gangs that have reserved capacity so far.
-    reserving_gangs: usize,
-    /// Most gangs that may reserve capacity.
-    max_reserving_gangs: usize,
     /// Steps that this pass has placed or requested advice for.
     steps_handled: usize,
     /// Maximum of each resource over all slots.
@@ -114,6 +109,8 @@
     spec: &'a Step,
     queue: &'a Queue,
     candidates: Rc<Candidates>,
+    /// Candidates that may run it, in ascending order, with the expiry of their tickets.
+    allowed: Vec<(usize, Duration)>,
     /// Indexes of the waiting tasks.
     waiting_tasks: Vec<u32>,
     /// When a task placed now has ended at the latest; the maximum if it may use no lent room.
@@ -140,12 +137,16 @@
             capacity: worker.registration.capacity,
             free_capacity: worker.free(),
             expected_use: Resources::default(),
+            called_for: Resources::default(),
             reserved: Resources::default(),
+            held: Resources::default(),
             reserved_for: None,
             lent: Resources::default(),
             lent_until: Duration::ZERO,
             is_trial: worker.needs_trial(),
             withheld: Resources::default(),
+            is_collected: false,
+            is_trial_placed: false,
             suspect: None,
         });
         let slots: Vec<_> = slots.collect();
@@ -162,8 +163,6 @@
             }
         }
         let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
-        let max_reserving_gangs =
-            (slots.len() / WORKERS_PER_RESERVING_GANG).max(MIN_RESERVING_GANGS);
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
         let mut pass = Pass {
             scheduler: self,
@@ -173,8 +172,6 @@
             advice_capacity,
             now,
             start_arrival: now + write_delay,
-            reserving_gangs: 0,
-            max_reserving_gangs,
             steps_handled: 0,
             largest_free: Resources::default(),
             largest_lent: Resources::default(),
@@ -182,6 +179,7 @@
             has_refreshed_wait: false,
         };
         pass.mark_suspects();
+        pass.apply_holds();
         pass.update_largest_free();
         pass.largest_lent = pass.largest_free;
         for id in ranked {
@@ -234,17 +232,18 @@
         if spec.is_gang && !state.all_waiting() {
             return;
         }
-        let may_fit = spec.need.fits_in(&self.largest_free)
+        let may_fit = !state.holds.is_empty()
+            || spec.need.fits_in(&self.largest_free)
             || (ends_at <= self.lent_until && spec.need.fits_in(&self.largest_lent));
         if !spec.is_gang && !may_fit {
             return;
         }
         if let Some(advice) = &queue.advice
+            && !spec.is_gang
             && state.pending_advice.is_empty()
             && state.tickets_until <= self.start_arrival
-            && (!spec.is_gang || self.reserving_gangs >= self.max_reserving_gangs)
         {
-            // Without tickets, a call or capacity to reserve, there is nothing to do.
+            // Without tickets or a call, there is nothing to do.
             if state.advice_not_before > self.now {
                 return;
             }
@@ -254,11 +253,6 @@
                 state.steps_ahead = Some(capacity.refuse(class));
                 return;
             }
-            // In a full pool, more advice is of no use soon after the last.
-            let had_advice = state.last_advice_at > Duration::ZERO;
-            if had_advice && self.now < state.last_advice_at + GANG_ADVICE_DELAY && !may_fit {
-                return;
-            }
         }
         let spec = spec.clone();
         self.scheduler.steps_visited += 1;
@@ -267,11 +261,13 @@
         let refused_by = state.doubt.refused_by.clone();
         let care = self.scheduler.care(id, step_index as u32, self.now);
         let candidates = self.find_candidates(queue, &spec);
+        let allowed = self.find_allowed(id, step_index, queue, &candidates);
         let pending = PendingStep {
             key: (id, step_index as u32),
             spec: &spec,
             queue,
             candidates,
+            allowed,
             waiting_tasks,
             ends_at,
             refused_by,
@@ -296,11 +292,12 @@
 
     /// Places tasks one by one, each on its best slot.
     fn place_tasks(&mut self, mut pending: PendingStep<'_>) {
-        let mut feasible = self.allowed_slots(&pending, true);
+        let mut feasible = pending.ticketed_slots(self.start_arrival);
+        if pending.care != Care::Usual && self.awaits_trial(&pending) {
+            return;
+        }
+        self.release_holds(&pending);
         if pending.care != Care::Usual {
-            if self.awaits_trial(&pending) {
-                return;
-            }
             feasible = self.isolated_slots(&mut pending, feasible);
         }
         let mut placed = 0;
@@ -320,6 +317,7 @@
         if !pending.waiting_tasks.is_empty() && pending.queue.advice.is_some() {
             self.ensure_advice(&pending);
         }
+        self.restore_holds(&pending);
     }
 
     /// State of a step; `None` if its job is unknown.
@@ -328,31 +326,39 @@
         self.scheduler.jobs.get(id)?.steps.get(step_index as usize)
     }
 
-    /// Slots that may run a step, with a valid ticket if `needs_ticket`, in ascending order.
-    fn allowed_slots(&self, pending: &PendingStep<'_>, needs_ticket: bool) -> Vec<usize> {
-        if pending.queue.advice.is_none() {
-            return pending.candidates.slots.clone();
-        }
-        let Some(step) = self.step_state(pending) else { return Vec::new() };
-        if needs_ticket && step.tickets_until <= self.start_arrival {
-            return Vec::new();
+    /// Candidates that may run a step, with the expiry of their tickets.
+    fn find_allowed(
+        &self,
+        id: &Name,
+        step_index: usize,
+        queue: &Queue,
+        candidates: &Candidates,
+    ) -> Vec<(usize, Duration)> {
+        if queue.advice.is_none() {
+            return candidates.slots.iter().map(|slot| (*slot, Duration::MAX)).collect();
         }
-        let is_allowed = |eligibility: &Eligibility| match eligibility {
-            Eligibility::Allowed { expires, .. } => !needs_ticket || *expires > self.start_arrival,
-            Eligibility::Denied => false,
-        };
-        let allowed = step.eligibility.iter().filter(|(_, eligibility)| is_allowed(eligibility));
-        let slots = allowed.filter_map(|(id, _)| self.slot_indexes.get(id).copied());
-        let mut slots: Vec<usize> =
-            slots.filter(|slot| pending.candidates.is_candidate[*slot]).collect();
-        slots.sort_unstable();
-        slots
+        let job = self.scheduler.jobs.get(id);
+        let Some(step) = job.and_then(|job| job.steps.get(step_index)) else { return Vec::new() };
+        let allowed = step.eligibility.iter().filter_map(|(worker, eligibility)| {
+            let Eligibility::Allowed { expires, .. } = eligibility else { return None };
+            let slot = *self.slot_indexes.get(worker)?;
+            candidates.is_candidate[slot].then_some((slot, *expires))
+        });
+        let mut allowed: Vec<_> = allowed.collect();
+        allowed.sort_unstable();
+        allowed
     }
 
     /// Number of tasks of a step that fit on a slot.
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
+        let available = self.slots[slot].available(pending.ends_at);
+        self.fitting_in(pending, slot, &available)
+    }
+
+    /// Number of tasks of a step that a slot would hold with a free capacity.
+    fn fitting_in(&self, pending: &PendingStep<'_>, slot: usize, free: &Resources) -> u32 {
         let slot = &self.slots[slot];
-        let copies = pending.spec.need.max_copies_in(&slot.available(pending.ends_at));
+        let copies = pending.spec.need.max_copies_in(free);
         let copies = if slot.is_trial && !pending.spec.is_gang { copies.min(1) } else { copies };
         if copies == 0 || pending.spec.spread == 0 {
             return copies;
@@ -401,6 +407,7 @@
         let gang_run = step.tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
         for (index, slot) in chosen {
             let slot = &mut self.slots[*slot];
+            step.use_hold(&slot.id);
             let task = &mut step.tasks[*index as usize];
             task.run = if pending.spec.is_gang { gang_run } else { task.run + 1 };
             task.worker = Some(slot.id.clone());
@@ -447,9 +454,6 @@
             if taken == 0 {
                 continue;
             }
-            if pending.spec.is_gang && remaining as usize == pending.waiting_tasks.len() {
-                self.scheduler.record_collecting(pending.key);
-            }
             let capacity = pending.spec.need.times(taken);
             let slot = &mut self.slots[*slot];
             slot.reserve(&capacity, pending.key.0);
@@ -465,11 +469,26 @@
     }
 }
 
+impl PendingStep<'_> {
+    /// Slots that may run it and whose tickets are valid after a time, in ascending order.
+    fn ticketed_slots(&self, until: Duration) -> Vec<usize> {
+        let valid = self.allowed.iter().filter(|(_, expires)| *expires > until);
+        valid.map(|(slot, _)| *slot).collect()
+    }
+
+    /// Whether it has a ticket for a slot that is valid after a time.
+    fn has_ticket(&self, slot: usize, until: Duration) -> bool {
+        let index = self.allowed.binary_search_by_key(&slot, |(allowed, _)| *allowed);
+        index.is_ok_and(|index| self.allowed[index].1 > until)
+    }
+}
+
 impl Slot {
     /// Leaves no room once the trial of its worker is placed.
     fn end_trial(&mut self) {
         if self.is_trial {
             self.withheld = self.withheld.plus(&self.free_capacity);
+            self.is_trial_placed = true;
             (self.free_capacity, self.lent) = Default::default();
         }
     }
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -143,7 +143,7 @@
     }
 
     /// When a run is expected to end: by its estimate, or if it is overdue, by its age.
-    fn expected_end(&self, key: &TaskKey, run: &Assignment, now: Duration) -> Duration {
+    pub(crate) fn expected_end(&self, key: &TaskKey, run: &Assignment, now: Duration) -> Duration {
         let run_time = self.jobs.get(&key.job).and_then(|job| {
             let spec = job.submission.steps.get(key.step as usize)?;
             Some(self.estimator.run_time(&job.queue, spec.estimate))
--- a/crates/scheduler/src/rules.rs
+++ b/crates/scheduler/src/rules.rs
@@ -72,6 +72,13 @@
     }
 }
 
+impl AdvicePolicy {
+    /// Expected duration of a call that names a number of workers.
+    pub(crate) fn call_duration(&self, workers: usize) -> Duration {
+        self.base_duration + self.duration_per_worker * workers as u32
+    }
+}
+
 impl Rules {
     /// The queue with the longest prefix that matches a host and path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -130,6 +130,10 @@
     pub(crate) suspects: BTreeSet<(Name, u32)>,
     /// When a step of each class of advice calls last found no daemon.
     pub(crate) advice_refused_at: [Option<Duration>; CallClass::ALL.len()],
+    /// When a step of each priority last found no daemon for a call that it needs.
+    pub(crate) advice_lacked_at: BTreeMap<u32, Duration>,
+    /// Steps that hold room for their advice calls: job id and index.
+    pub(crate) holders: BTreeSet<(Name, u32)>,
     /// Workers quarantined after repeated failures, for the log.
     pub newly_quarantined: Vec<Name>,
     /// Jobs of which a checkpoint was too long to be kept, for the log.
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -46,6 +46,9 @@
         pub advice_not_before: Duration,
         /// Time of the last advice received; zero before the first.
         pub last_advice_at: Duration,
+        /// Places set aside for its advice calls and their tickets, by worker id; zero where it
+        /// waits for room.
+        pub(crate) holds: BTreeMap<Name, u32>,
         /// Its wait for room, if it is a gang that reserves capacity.
         pub(crate) gang_wait: Option<GangWait>,
         /// What workers said of its starts and runs.
@@ -70,6 +73,7 @@
             advice_failures: 0,
             advice_not_before: Duration::ZERO,
             last_advice_at: Duration::ZERO,
+            holds: BTreeMap::new(),
             gang_wait: None,
             doubt: Doubt::default(),
             suspicion: None,
@@ -86,6 +90,11 @@
         self.tasks.iter().any(Task::is_waiting)
     }
 
+    /// Number of tasks that wait for placement.
+    pub(crate) fn waiting_tasks(&self) -> u32 {
+        self.tasks.iter().filter(|task| task.is_waiting()).count() as u32
+    }
+
     /// Whether every task is waiting, so that a gang can be placed.
     pub fn all_waiting(&self) -> bool {
         self.tasks.iter().all(Task::is_waiting)
@@ -94,6 +103,7 @@
     /// Forgets the advice on a worker, also that of calls under way, and its refusals.
     pub(crate) fn forget_worker(&mut self, worker: &Name) {
         self.eligibility.remove(worker);
+        self.holds.remove(worker);
         self.doubt.refused_by.retain(|id| id != worker);
         for named in self.pending_advice.values_mut() {
             named.retain(|id| id != worker);
