Half of the daemons for fast calls make others too

Cause: a third of the daemons made fast calls only, whatever their load.

Change: half of that third makes calls of all classes, unless a step with fast calls found no daemon within the last second. Daemons of fewer classes get calls first, so fast calls go to those of their own while these are free.

--- a/crates/control/src/lead/advice.rs
+++ b/crates/control/src/lead/advice.rs
@@ -67,8 +67,9 @@
 }
 
 impl DaemonGroups {
-    /// Given three daemons or more, a third is for fast calls. A third of the rest is for slow calls,
-    /// and the others are for slow ones too unless medium ones are short of daemons.
+    /// Given three daemons or more, a third is for fast calls, half of them for others too unless
+    /// fast ones are short of daemons. A third of the rest is for slow calls, and the others are for
+    /// slow ones too unless medium ones are short of daemons.
     fn new(peers: &Peers, now: Duration) -> Self {
         // The leader comes first among the fast ones, as its own calls need no relay.
         let mut fast = vec![None];
@@ -77,11 +78,16 @@
             let by_class = [fast.clone(), fast.clone(), fast];
             return Self { by_class, kept_for: BTreeMap::new() };
         }
-        let slow = fast.split_off(fast.len() / 3);
-        let share = slow.len() / 3;
-        let medium = slow[share..].iter().rev().copied().collect();
+        let mut slow = fast.split_off(fast.len() / 3);
+        let share = (slow.len() / 3).max(1);
+        let mut medium: Vec<_> = slow[share..].iter().rev().copied().collect();
+        let shared_fast = &fast[fast.len().div_ceil(2)..];
         let kept_for_medium = slow[share..].iter();
-        let kept_for = kept_for_medium.map(|daemon| (*daemon, CallClass::Medium)).collect();
+        let kept_for = kept_for_medium.map(|daemon| (*daemon, CallClass::Medium));
+        let kept_for = kept_for.chain(shared_fast.iter().map(|daemon| (*daemon, CallClass::Fast)));
+        let kept_for = kept_for.collect();
+        medium.extend(shared_fast);
+        slow.extend(shared_fast);
         Self { by_class: [fast, medium, slow], kept_for }
     }
 
--- a/crates/scheduler/tests/contention.rs
+++ b/crates/scheduler/tests/contention.rs
@@ -30,9 +30,14 @@
     }
 }
 
+/// Capacity of a worker with a number of places.
+fn places(count: u32) -> Resources {
+    Resources { cpu: count * 1000, mem: 64_000, gpus: 0 }
+}
+
 /// A pool of workers with two places each.
 fn pool_of(workers: usize, queues: Vec<QueueConfig>) -> Cell {
-    Cell::new(workers, Resources { cpu: 2000, mem: 64_000, gpus: 0 }, DAEMONS, queues)
+    Cell::new(workers, places(2), DAEMONS, queues)
 }
 
 fn gang(count: u32) -> Step {
@@ -144,3 +149,17 @@
     assert!(!cell.first_starts.contains_key("big"), "a long run is on each worker");
     assert!(cell.first_starts.contains_key("gang"));
 }
+
+// Guards against few daemons that are all kept for the calls of one class.
+#[test]
+fn medium_backlog_leaves_slow_calls_a_daemon() {
+    for daemons in 3..=6 {
+        let queues = vec![queue("gang", 0, SLOW_ADVICE), queue("sweep", 1, (100_000, 200))];
+        let mut cell = Cell::new(40, places(16), daemons, queues);
+        submit_sweeps(&mut cell, 900);
+        cell.run_until(NOW + Duration::from_millis(500));
+        submit(&mut cell, "gang", gang(4), 1000);
+        cell.run_until(NOW + secs(10));
+        assert!(cell.first_starts.contains_key("gang"), "{daemons} daemons");
+    }
+}
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -194,10 +194,13 @@
     /// Classes of the calls that a daemon makes, and the one that it is kept for: a third of all make
     /// fast calls, a third of the others only slow ones, and the rest both slow and medium ones.
     fn classes(&self, daemon: usize) -> (&'static [CallClass], Option<CallClass>) {
+        const ALL: &[CallClass] = &CallClass::ALL;
         let fast = self.free_at.len() / 3;
-        let share = (self.free_at.len() - fast) / 3;
-        if daemon < fast {
+        let share = ((self.free_at.len() - fast) / 3).max(1);
+        if daemon < fast.div_ceil(2) {
             (&[CallClass::Fast], None)
+        } else if daemon < fast {
+            (ALL, Some(CallClass::Fast))
         } else if daemon < fast + share {
             (&[CallClass::Slow], None)
         } else {
