scheduler: random schedules with changes of leader, advice, leases and store outages

A model of a pool with its store, its advice service, and leaders that are stopped and killed and start from the stored records. Each schedule draws its own mix of faults. A failing schedule is shortened and its course printed.

The test of tests/model.rs stays as it is.

--- /dev/null
+++ b/crates/scheduler/tests/schedules/schedule.rs
@@ -0,0 +1,282 @@
+//! Schedules of requests and faults, drawn from a seed, and how failing ones are shortened.
+
+use std::fmt;
+
+use common::Name;
+use scheduler::Step;
+
+use crate::support::step;
+
+/// Turns with faults.
+const FAULT_TURNS: u64 = 250;
+/// Workers of the pool.
+pub const WORKERS: u64 = 5;
+/// Most tasks of 1000 `cpu` that a worker holds.
+const MAX_PLACES: u64 = 3;
+/// Sum of the weights of the faults, with that of none.
+const IDLE_WEIGHT: u64 = 60;
+/// `cpu` of a task, and of a task of a wide gang.
+const USUAL_CPU: u32 = 1000;
+const SMALL_CPU: u32 = 100;
+
+/// What happens in a turn besides the course of the runs and calls.
+#[derive(Debug, Clone)]
+pub enum Action {
+    Idle,
+    Submit {
+        job: u64,
+        with_advice: bool,
+        steps: Vec<Step>,
+    },
+    Cancel {
+        job: u64,
+    },
+    /// A worker restarts; its row follows at some time.
+    Restart {
+        worker: Name,
+        kind: &'static str,
+        cpu: u32,
+    },
+    /// A worker's row is read.
+    ReadRow {
+        worker: Name,
+    },
+    Refuse {
+        worker: Name,
+        refuses: bool,
+    },
+    Fail {
+        worker: Name,
+        fails: bool,
+    },
+    Cut {
+        worker: Name,
+        is_cut: bool,
+    },
+    /// Starts that were sent long ago take effect.
+    DeliverLate {
+        worker: Name,
+    },
+    SetStore {
+        is_down: bool,
+    },
+    SetAdvice {
+        is_down: bool,
+    },
+    /// The leader dies; another one starts from the rows.
+    KillLeader,
+    /// The leader leaves after a last commit.
+    StopLeader,
+}
+
+/// Kinds of faults and other disturbances.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Cancel,
+    Restart,
+    Refuse,
+    Fail,
+    Cut,
+    Late,
+    Store,
+    Advice,
+    Kill,
+    Stop,
+}
+
+impl Fault {
+    const ALL: [Self; 10] = [
+        Self::Cancel,
+        Self::Restart,
+        Self::Refuse,
+        Self::Fail,
+        Self::Cut,
+        Self::Late,
+        Self::Store,
+        Self::Advice,
+        Self::Kill,
+        Self::Stop,
+    ];
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self::Submit { job, with_advice, steps } = self else { return write!(f, "{self:?}") };
+        write!(f, "Submit j{job}, with advice: {with_advice}")?;
+        for Step { count, need, after, is_gang, requirement, spread, .. } in steps {
+            let gang = if *is_gang { " as a gang" } else { "" };
+            write!(f, "; {count} tasks of {} cpu{gang}", need.cpu)?;
+            write!(f, ", kind {requirement:?}, spread {spread}, after {after:?}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A turn: its action, and a number that decides all chances of the turn.
+///
+/// Turns do not share a sequence of random numbers, so that the others stay as they are when one
+/// is taken out.
+#[derive(Debug, Clone)]
+pub struct Turn {
+    pub salt: u64,
+    pub action: Action,
+}
+
+/// What a seed decides.
+#[derive(Debug, Clone)]
+pub struct Schedule {
+    pub seed: u64,
+    /// The rule that is checked; `None` for all.
+    pub rule: Option<String>,
+    pub turns: Vec<Turn>,
+}
+
+/// A sequence of random numbers.
+struct Random {
+    seed: u64,
+    draws: u64,
+}
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.draws += 1;
+        hash(&format!("{}.{}", self.seed, self.draws)) % bound
+    }
+
+    fn worker(&mut self) -> Name {
+        worker_id(self.below(WORKERS))
+    }
+
+    fn kind(&mut self) -> &'static str {
+        ["a", "b"][self.below(2) as usize]
+    }
+
+    fn steps(&mut self) -> Vec<Step> {
+        let requirement = ["", "", "", "a", "a", "b", "b", "none"][self.below(8) as usize];
+        let first = match self.below(8) {
+            0 | 1 => Step { is_gang: true, ..step(2 + self.below(3) as u32) },
+            2 => Step { is_gang: true, ..step(8 + self.below(8) as u32) },
+            3 => {
+                let mut wide = step(20 + self.below(30) as u32);
+                wide.need.cpu = SMALL_CPU;
+                wide.need.mem = 1;
+                Step { is_gang: true, ..wide }
+            }
+            4 => Step { spread: 1, ..step(1 + self.below(4) as u32) },
+            _ => step(1 + self.below(3) as u32),
+        };
+        let mut steps = vec![Step { requirement: requirement.to_owned(), ..first }];
+        if self.below(100) < 30 {
+            steps.push(Step { after: vec![0], ..step(1) });
+        }
+        steps
+    }
+
+    /// How often each fault occurs in a schedule; some do not.
+    fn weights(&mut self) -> Vec<(Fault, u64)> {
+        let faults = Fault::ALL.into_iter();
+        faults.map(|fault| (fault, [0, 0, 1, 2, 4][self.below(5) as usize])).collect()
+    }
+
+    fn action(&mut self, weights: &[(Fault, u64)], jobs: &mut u64) -> Action {
+        let worker = self.worker();
+        match self.below(40) {
+            0..=6 => {
+                *jobs += 1;
+                let with_advice = self.below(2) == 0;
+                return Action::Submit { job: *jobs, with_advice, steps: self.steps() };
+            }
+            7 | 8 => return Action::ReadRow { worker },
+            9 => return self.recovery(worker),
+            _ => {}
+        }
+        let mut draw = self.below(IDLE_WEIGHT);
+        let fault = weights.iter().find(|(_, weight)| {
+            let is_drawn = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            is_drawn
+        });
+        match fault.map(|(fault, _)| fault) {
+            None => Action::Idle,
+            Some(Fault::Cancel) => Action::Cancel { job: 1 + self.below((*jobs).max(1)) },
+            Some(Fault::Restart) => Action::Restart { worker, kind: self.kind(), cpu: self.cpu() },
+            Some(Fault::Refuse) => Action::Refuse { worker, refuses: true },
+            Some(Fault::Fail) => Action::Fail { worker, fails: true },
+            Some(Fault::Cut) => Action::Cut { worker, is_cut: true },
+            Some(Fault::Late) => Action::DeliverLate { worker },
+            Some(Fault::Store) => Action::SetStore { is_down: true },
+            Some(Fault::Advice) => Action::SetAdvice { is_down: true },
+            Some(Fault::Kill) => Action::KillLeader,
+            Some(Fault::Stop) => Action::StopLeader,
+        }
+    }
+
+    /// The end of a fault.
+    fn recovery(&mut self, worker: Name) -> Action {
+        match self.below(7) {
+            0 => Action::Refuse { worker, refuses: false },
+            1 => Action::Fail { worker, fails: false },
+            2 | 3 => Action::Cut { worker, is_cut: false },
+            4 | 5 => Action::SetStore { is_down: false },
+            _ => Action::SetAdvice { is_down: false },
+        }
+    }
+
+    fn cpu(&mut self) -> u32 {
+        (1 + self.below(MAX_PLACES) as u32) * USUAL_CPU
+    }
+}
+
+impl Schedule {
+    pub fn new(seed: u64, rule: Option<String>) -> Self {
+        let mut random = Random { seed, draws: 0 };
+        let mut jobs = 0;
+        let weights = random.weights();
+        let turns = (0..FAULT_TURNS).map(|number| {
+            let action = random.action(&weights, &mut jobs);
+            Turn { salt: hash(&format!("turn {seed}.{number}")), action }
+        });
+        let turns = turns.collect();
+        Self { seed, rule, turns }
+    }
+
+    /// Takes out turns, and then actions, for as long as `fails` holds of what is left.
+    pub fn shrink(mut self, fails: impl Fn(&Self) -> bool) -> Self {
+        let mut size = self.turns.len().div_ceil(2);
+        loop {
+            let mut start = 0;
+            let mut has_shrunk = false;
+            while start < self.turns.len() {
+                let mut shorter = self.clone();
+                shorter.turns.drain(start..(start + size).min(self.turns.len()));
+                if fails(&shorter) {
+                    self = shorter;
+                    has_shrunk = true;
+                } else {
+                    start += size;
+                }
+            }
+            if size == 1 && !has_shrunk {
+                break;
+            }
+            size = if has_shrunk { size } else { size.div_ceil(2) };
+            size = size.min(self.turns.len().max(1));
+        }
+        for index in 0..self.turns.len() {
+            let mut calmer = self.clone();
+            calmer.turns[index].action = Action::Idle;
+            if fails(&calmer) {
+                self = calmer;
+            }
+        }
+        self
+    }
+}
+
+pub fn hash(text: &str) -> u64 {
+    common::stable_hash(text.as_bytes())
+}
+
+pub fn worker_id(number: u64) -> Name {
+    Name::new(&format!("w{number}"))
+}
