--- a/crates/scheduler/tests/schedules/schedule.rs
+++ b/crates/scheduler/tests/schedules/schedule.rs
@@ -14,7 +14,9 @@
 /// Most tasks of 1000 `cpu` that a worker holds.
 const MAX_PLACES: u64 = 3;
 /// Sum of the weights of the faults, with that of none.
-const IDLE_WEIGHT: u64 = 60;
+const IDLE_WEIGHT: u64 = 80;
+/// Latest jobs of which one may be cancelled.
+const RECENT_JOBS: u64 = 8;
 /// `cpu` of a task, and of a task of a wide gang.
 const USUAL_CPU: u32 = 1000;
 const SMALL_CPU: u32 = 100;
@@ -175,7 +177,7 @@
     /// How often each fault occurs in a schedule; some do not.
     fn weights(&mut self) -> Vec<(Fault, u64)> {
         let faults = Fault::ALL.into_iter();
-        faults.map(|fault| (fault, [0, 0, 1, 2, 4][self.below(5) as usize])).collect()
+        faults.map(|fault| (fault, [0, 0, 2, 4, 8][self.below(5) as usize])).collect()
     }
 
     fn action(&mut self, weights: &[(Fault, u64)], jobs: &mut u64) -> Action {
@@ -198,7 +200,10 @@
         });
         match fault.map(|(fault, _)| fault) {
             None => Action::Idle,
-            Some(Fault::Cancel) => Action::Cancel { job: 1 + self.below((*jobs).max(1)) },
+            Some(Fault::Cancel) if *jobs == 0 => Action::Idle,
+            Some(Fault::Cancel) => {
+                Action::Cancel { job: *jobs - self.below(RECENT_JOBS.min(*jobs)) }
+            }
             Some(Fault::Restart) => Action::Restart { worker, kind: self.kind(), cpu: self.cpu() },
             Some(Fault::Refuse) => Action::Refuse { worker, refuses: true },
             Some(Fault::Fail) => Action::Fail { worker, fails: true },
--- a/crates/scheduler/tests/schedules/world.rs
+++ b/crates/scheduler/tests/schedules/world.rs
@@ -322,7 +322,7 @@
     fn end_runs(&mut self) {
         if !self.is_calm {
             let id = worker_id(self.draw("end at", WORKERS));
-            if self.draw("end", 100) < 70 {
+            if self.draw("end", 100) < [10, 30, 80][(self.seed % 3) as usize] {
                 self.end_run(&id);
             }
             return;
