scheduler tests: faults of schedules have a length, stops get lost more often

Workers that were cut off for good only showed leases that expire; short cuts show runs that live on.

--- a/crates/scheduler/tests/schedules/schedule.rs
+++ b/crates/scheduler/tests/schedules/schedule.rs
@@ -9,6 +9,8 @@
 
 /// Turns with faults.
 const FAULT_TURNS: u64 = 250;
+/// Most turns that a fault lasts.
+const MAX_FAULT_TURNS: u64 = 120;
 /// Workers of the pool.
 pub const WORKERS: u64 = 5;
 /// Most tasks of 1000 `cpu` that a worker holds.
@@ -43,27 +45,30 @@
     ReadRow {
         worker: Name,
     },
+    /// A worker refuses starts for some turns.
     Refuse {
         worker: Name,
-        refuses: bool,
+        turns: u32,
     },
+    /// The runs of a worker fail for some turns.
     Fail {
         worker: Name,
-        fails: bool,
+        turns: u32,
     },
+    /// A worker is cut off for some turns.
     Cut {
         worker: Name,
-        is_cut: bool,
+        turns: u32,
     },
     /// Starts that were sent long ago take effect.
     DeliverLate {
         worker: Name,
     },
-    SetStore {
-        is_down: bool,
+    StopStore {
+        turns: u32,
     },
-    SetAdvice {
-        is_down: bool,
+    StopAdvice {
+        turns: u32,
     },
     /// The leader dies; another one starts from the rows.
     KillLeader,
@@ -189,7 +194,6 @@
                 return Action::Submit { job: *jobs, with_advice, steps: self.steps() };
             }
             7 | 8 => return Action::ReadRow { worker },
-            9 => return self.recovery(worker),
             _ => {}
         }
         let mut draw = self.below(IDLE_WEIGHT);
@@ -205,26 +209,21 @@
                 Action::Cancel { job: *jobs - self.below(RECENT_JOBS.min(*jobs)) }
             }
             Some(Fault::Restart) => Action::Restart { worker, kind: self.kind(), cpu: self.cpu() },
-            Some(Fault::Refuse) => Action::Refuse { worker, refuses: true },
-            Some(Fault::Fail) => Action::Fail { worker, fails: true },
-            Some(Fault::Cut) => Action::Cut { worker, is_cut: true },
+            Some(Fault::Refuse) => Action::Refuse { worker, turns: self.turns() },
+            Some(Fault::Fail) => Action::Fail { worker, turns: self.turns() },
+            Some(Fault::Cut) => Action::Cut { worker, turns: self.turns() },
             Some(Fault::Late) => Action::DeliverLate { worker },
-            Some(Fault::Store) => Action::SetStore { is_down: true },
-            Some(Fault::Advice) => Action::SetAdvice { is_down: true },
+            Some(Fault::Store) => Action::StopStore { turns: self.turns() },
+            Some(Fault::Advice) => Action::StopAdvice { turns: self.turns() },
             Some(Fault::Kill) => Action::KillLeader,
             Some(Fault::Stop) => Action::StopLeader,
         }
     }
 
-    /// The end of a fault.
-    fn recovery(&mut self, worker: Name) -> Action {
-        match self.below(7) {
-            0 => Action::Refuse { worker, refuses: false },
-            1 => Action::Fail { worker, fails: false },
-            2 | 3 => Action::Cut { worker, is_cut: false },
-            4 | 5 => Action::SetStore { is_down: false },
-            _ => Action::SetAdvice { is_down: false },
-        }
+    /// The length of a fault, more often a short one.
+    fn turns(&mut self) -> u32 {
+        let most = [10, 40, MAX_FAULT_TURNS][self.below(3) as usize];
+        1 + self.below(most) as u32
     }
 
     fn cpu(&mut self) -> u32 {
--- a/crates/scheduler/tests/schedules/worker.rs
+++ b/crates/scheduler/tests/schedules/worker.rs
@@ -64,9 +64,9 @@
     pub incarnation: u64,
     pub kind: &'static str,
     pub cpu: u32,
-    pub refuses: bool,
-    pub fails: bool,
-    pub is_cut: bool,
+    pub refuses_until: Duration,
+    pub fails_until: Duration,
+    pub cut_until: Duration,
     /// Highest fencing token that it has seen.
     pub token: u64,
     pub lease_end: Duration,
@@ -86,9 +86,9 @@
     pub fn restart(&mut self, kind: &'static str, cpu: u32) {
         *self = Self {
             incarnation: self.incarnation + 1,
-            refuses: self.refuses,
-            fails: self.fails,
-            is_cut: self.is_cut,
+            refuses_until: self.refuses_until,
+            fails_until: self.fails_until,
+            cut_until: self.cut_until,
             ..Self::new(self.id.clone(), kind, cpu)
         };
     }
@@ -148,7 +148,7 @@
     /// Takes a start; the reason if it is refused. True if it is a new run.
     pub fn start(&mut self, request: &StartRequest, now: Duration) -> Result<bool, Refusal> {
         let start = &request.start;
-        if self.refuses {
+        if now < self.refuses_until {
             return Err(Refusal::Unhealthy);
         }
         if request.token < self.token {
--- a/crates/scheduler/tests/schedules/world.rs
+++ b/crates/scheduler/tests/schedules/world.rs
@@ -91,8 +91,8 @@
     /// The workers' rows, which may be old.
     rows: BTreeMap<Name, scheduler::Registration>,
     journal: Vec<Vec<u8>>,
-    is_store_down: bool,
-    is_advice_down: bool,
+    store_down_until: Duration,
+    advice_down_until: Duration,
     renewals: Vec<PendingRenewal>,
     answers: Vec<PendingAnswer>,
     specs: BTreeMap<Name, Spec>,
@@ -157,8 +157,8 @@
             truths,
             rows,
             journal: Vec::new(),
-            is_store_down: false,
-            is_advice_down: false,
+            store_down_until: Duration::ZERO,
+            advice_down_until: Duration::ZERO,
             renewals: Vec::new(),
             answers: Vec::new(),
             specs: BTreeMap::new(),
@@ -176,6 +176,14 @@
         hash(&format!("{}.{topic}", self.salt)) % bound
     }
 
+    fn is_store_down(&self) -> bool {
+        self.now < self.store_down_until
+    }
+
+    fn is_cut(&self, id: &Name) -> bool {
+        self.now < self.truths[id].cut_until
+    }
+
     /// Whether something happens in a turn with faults.
     fn chance(&self, topic: &str, percent: u64) -> bool {
         !self.is_calm && self.draw(topic, 100) < percent
@@ -240,12 +248,18 @@
             }
             Action::Restart { worker, kind, cpu } => self.restart(worker, kind, *cpu),
             Action::ReadRow { worker } => self.read_row(worker),
-            Action::Refuse { worker, refuses } => self.truth(worker).refuses = *refuses,
-            Action::Fail { worker, fails } => self.truth(worker).fails = *fails,
-            Action::Cut { worker, is_cut } => self.truth(worker).is_cut = *is_cut,
+            Action::Refuse { worker, turns } => {
+                self.truth(worker).refuses_until = self.now + TURN * *turns;
+            }
+            Action::Fail { worker, turns } => {
+                self.truth(worker).fails_until = self.now + TURN * *turns;
+            }
+            Action::Cut { worker, turns } => {
+                self.truth(worker).cut_until = self.now + TURN * *turns;
+            }
             Action::DeliverLate { worker } => self.deliver_late(worker),
-            Action::SetStore { is_down } => self.is_store_down = *is_down,
-            Action::SetAdvice { is_down } => self.is_advice_down = *is_down,
+            Action::StopStore { turns } => self.store_down_until = self.now + TURN * *turns,
+            Action::StopAdvice { turns } => self.advice_down_until = self.now + TURN * *turns,
             Action::KillLeader => {
                 if let Some(commit) = self.leader.commit.take()
                     && self.chance("applied", 50)
@@ -256,7 +270,7 @@
                 self.change_leader();
             }
             Action::StopLeader => {
-                while !self.is_store_down {
+                while !self.is_store_down() {
                     self.leader.begin_commit();
                     let Some(commit) = self.leader.commit.take() else { break };
                     self.finish_commit(commit);
@@ -286,14 +300,14 @@
     fn read_row(&mut self, id: &Name) {
         let registration = self.truth(id).registration();
         self.rows.insert(id.clone(), registration.clone());
-        if !self.is_store_down {
+        if !self.is_store_down() {
             self.leader.scheduler.pool.register(registration);
         }
     }
 
     /// Starts a leader from what is stored.
     fn change_leader(&mut self) {
-        self.is_store_down = false;
+        self.store_down_until = Duration::ZERO;
         self.renewals.clear();
         self.answers.clear();
         let truths = &self.truths;
@@ -342,7 +356,7 @@
             return;
         }
         let key = keys[draw % keys.len()].clone();
-        let (run, fails) = (truth.running[&key].clone(), truth.fails || has_failed);
+        let (run, fails) = (truth.running[&key].clone(), now < truth.fails_until || has_failed);
         if self.is_calm && now < run.since + CALM_RUN_TIME {
             return;
         }
@@ -400,7 +414,7 @@
                 continue;
             }
             let renewal = self.leader.renew(&id, self.now);
-            let is_cut = self.truth(&id).is_cut;
+            let is_cut = self.is_cut(&id);
             let fails = is_cut || self.chance(&format!("renewal lost {id}"), 5);
             let turns = if self.is_calm { 0 } else { self.draw(&format!("list {id}"), 4) as u32 };
             let due = self.now + if fails { CALL_TIMEOUT } else { TURN * turns };
@@ -436,10 +450,10 @@
         self.renewals = open;
         for mut pending in due {
             let id = pending.worker.clone();
-            if !self.truth(&id).is_cut && !pending.fails {
+            if !self.is_cut(&id) && !pending.fails {
                 self.execute_renewal(&mut pending);
             }
-            let is_answered = !pending.fails && !self.truths[&id].is_cut;
+            let is_answered = !pending.fails && !self.is_cut(&id);
             if let Some(listing) = pending.listing.filter(|_| is_answered) {
                 self.deliver_listing(&id, &listing);
             } else {
@@ -481,7 +495,8 @@
                 self.leader.calls.push(Call { call, due, is_lost: true });
                 continue;
             }
-            let fails = is_lost || self.is_advice_down || self.chance(&topic, 6);
+            let is_down = self.now < self.advice_down_until;
+            let fails = is_lost || is_down || self.chance(&topic, 6);
             let validity = advice_policy().validity;
             let expires_ms = (self.now + validity).as_millis();
             let (job, step) = (&call.key.job, call.key.step);
@@ -541,8 +556,8 @@
     }
 
     fn commit(&mut self) {
-        let is_late = self.chance("commit", 40);
-        if let Some(commit) = self.leader.commit.take_if(|_| !self.is_store_down && !is_late) {
+        let (is_down, is_late) = (self.is_store_down(), self.chance("commit", 40));
+        if let Some(commit) = self.leader.commit.take_if(|_| !is_down && !is_late) {
             self.finish_commit(commit);
         }
         self.leader.begin_commit();
@@ -584,7 +599,7 @@
                 * if self.is_calm { 0 } else { self.draw(&format!("delay {topic}"), 4) as u32 };
             let incarnation = self.truth(&start.worker).incarnation;
             let is_known = self.leader.known.contains(&(start.worker.clone(), incarnation));
-            let is_cut = self.truth(&start.worker).is_cut;
+            let is_cut = self.is_cut(&start.worker);
             let (answer, delay) = if !is_known || (is_cut && chance >= 60) {
                 (Answer::Unreachable, delay)
             } else if chance < 6 || (is_cut && chance < 40) {
@@ -682,8 +697,8 @@
             let topic = format!("stop {}.{} {}", name(&stop.key), stop.run, stop.worker);
             let incarnation = self.truth(&stop.worker).incarnation;
             let is_known = self.leader.known.contains(&(stop.worker.clone(), incarnation));
-            let is_cut = self.truth(&stop.worker).is_cut;
-            let is_lost = !is_known || is_cut || self.chance(&topic, 20);
+            let is_cut = self.is_cut(&stop.worker);
+            let is_lost = !is_known || is_cut || self.chance(&topic, 45);
             let is_answered = !is_lost && !self.chance(&format!("answer {topic}"), 15);
             self.log(|| format!("{topic}, arrives: {}, answered: {is_answered}", !is_lost));
             self.stopped.insert((stop.worker.clone(), stop.key.clone(), stop.run));
@@ -747,10 +762,11 @@
     /// Ends the faults; then each job that the workers can hold has to end.
     fn settle_down(&mut self) {
         self.log(|| "the faults end".to_owned());
-        (self.is_calm, self.is_store_down, self.is_advice_down) = (true, false, false);
+        self.is_calm = true;
+        (self.store_down_until, self.advice_down_until) = Default::default();
         for id in self.ids() {
             let truth = self.truth(&id);
-            (truth.refuses, truth.fails, truth.is_cut) = (false, false, false);
+            (truth.refuses_until, truth.fails_until, truth.cut_until) = Default::default();
             self.deliver_late(&id);
             self.read_row(&id);
         }
