--- a/crates/scheduler/tests/schedules/leader.rs
+++ b/crates/scheduler/tests/schedules/leader.rs
@@ -159,7 +159,7 @@
             let mut capacity = AdviceCapacity::default();
             for class in CallClass::ALL {
                 for free_at in &self.free_at {
-                    capacity.add_daemon(class, free_at.saturating_sub(now));
+                    capacity.add_daemon(&[class], None, free_at.saturating_sub(now));
                 }
             }
             self.scheduler.plan(now, Duration::ZERO, capacity);
