--- a/crates/control/src/lead/advice.rs
+++ b/crates/control/src/lead/advice.rs
@@ -3,9 +3,9 @@
 //! The advice service handles the calls of one machine one after the other, so a slow call
 //! delays those behind it. A call is requested only when a daemon is about to be free, so that
 //! its answer arrives while the room that it is for is free, and steps are served by rank.
-//! With three daemons or more, fast calls go to other daemons than slow and medium calls, so
-//! that they never wait behind slow ones. Medium calls are sent before slow ones, but never to
-//! all of their daemons.
+//! With three daemons or more, each class has daemons that make few or no calls of slower ones, so
+//! that fast and medium calls do not wait behind slow ones. Medium calls are sent before slow ones,
+//! but never to all of their daemons.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
