scheduler: the choice of a round of advice calls in parts

choose_round did five things in one function; known workers, awaited room and unknown workers are functions now.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -152,46 +152,57 @@
         // Tickets that are still valid when those of this round arrive are not renewed.
         let longest_call = advice.call_duration(WORKERS_PER_CALL.min(count as usize));
         let arrival = self.start_arrival + MAX_CALL_WAIT + longest_call;
-        let is_due = |slot: &usize| !pending.has_ticket(*slot, arrival);
-        let mut known = self.places_on_allowed(pending);
-        if pending.spec.is_gang {
-            known.sort_by_key(|(slot, places)| {
-                (self.is_doubtful(pending, *slot), is_due(slot), Reverse(*places))
-            });
-        }
-        let known = first_places(known.into_iter(), count);
+        let known = self.known_places(pending, arrival);
         let known_places: u32 = known.iter().map(|(_, places)| places).sum();
-        let due = known.iter().map(|(slot, _)| *slot).filter(is_due);
         if known_places >= count {
+            let slots = known.iter().map(|(slot, _)| *slot);
+            let due = slots.filter(|slot| !pending.has_ticket(*slot, arrival));
             return Round { named: due.collect(), held: known, is_to_learn: false };
         }
-        if let Some(round) = self.round_for_awaited(pending, arrival) {
-            return round;
+        let awaited = self.round_for_awaited(pending, arrival);
+        awaited.unwrap_or_else(|| self.round_with_unknown(pending, known))
+    }
+
+    /// Places for the waiting tasks of a step on allowed workers with room; a gang prefers those with
+    /// tickets that are valid after a time, then those with the most room.
+    fn known_places(&self, pending: &PendingStep<'_>, until: Duration) -> Vec<(usize, u32)> {
+        let mut places = self.places_on_allowed(pending);
+        if pending.spec.is_gang {
+            places.sort_by_key(|(slot, places)| {
+                let is_due = !pending.has_ticket(*slot, until);
+                (self.is_doubtful(pending, *slot), is_due, Reverse(*places))
+            });
         }
+        first_places(places.into_iter(), pending.waiting_tasks.len() as u32)
+    }
+
+    /// A round for a step whose known places are too few, which names unknown workers too.
+    fn round_with_unknown(&self, pending: &PendingStep<'_>, known: Vec<(usize, u32)>) -> Round {
+        let count = pending.waiting_tasks.len() as u32;
+        let known_places: u32 = known.iter().map(|(_, places)| places).sum();
         let unknown = self.unknown_places(pending);
-        let share = self.scheduler.estimator.allowed_share(&pending.queue.name);
-        let remaining = f64::from(count - known_places);
         if unknown.is_empty() && pending.spec.is_gang {
             return Round::default();
         }
+        let share = self.scheduler.estimator.allowed_share(&pending.queue.name);
+        let remaining = f64::from(count - known_places);
         let min_workers = if pending.spec.is_gang { MIN_WORKERS_PER_GANG_ROUND } else { 1 };
         let wanted_places = remaining * ADVICE_MARGIN_FACTOR;
         let (mut expected_places, mut expected_free_places) = (0.0, 0.0);
         let mut named = Vec::new();
-        for (slot, places) in &unknown {
+        for (slot, places) in unknown {
             if expected_places >= wanted_places && named.len() >= min_workers {
                 break;
             }
             // A full worker counts as one place: its runs end at some time.
-            expected_places += share * f64::from((*places).clamp(1, count));
-            expected_free_places += share * f64::from((*places).min(count));
-            named.push((*slot, *places));
+            expected_places += share * f64::from(places.clamp(1, count));
+            expected_free_places += share * f64::from(places.min(count));
+            named.push(slot);
         }
-        let named = named.into_iter().map(|(slot, _)| slot);
         if pending.spec.is_gang && expected_free_places < remaining {
-            return Round { named: named.collect(), held: Vec::new(), is_to_learn: true };
+            return Round { named, held: Vec::new(), is_to_learn: true };
         }
-        // Its calls take longer than those that renew tickets only.
+        // Its calls take longer than those that renew tickets only, so all known workers are named.
         let known_slots = known.iter().map(|(slot, _)| *slot);
         Round { named: known_slots.chain(named).collect(), held: known, is_to_learn: false }
     }
