Log and count what becomes of silent workers that runs were lost with

A run that is lost as its worker was silent (5311, "silence") counts against its task. Whether the worker was heard of afterwards, and whether that count was taken back, was in no line and no metric, so that the first three hypotheses of docs/incidents/silent-workers-fail-a-job.md could not be told apart.

Event 5312 and the counter `silences_explained` say it for each such run: `alive`, `crash` or `departure`. No decision changes.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -67,6 +67,7 @@
     5309 LeasesNotExtended "leadership unconfirmed; leases are not extended";
     5310 LeasesExtended "leadership confirmed; leases are extended again";
     5311 RunLost "run lost with its worker";
+    5312 SilenceExplained "heard of a worker that a run was lost with";
     5401 JobAccepted "job accepted";
     5402 JobEnded "job ended";
     5403 RequestRefused "request refused";
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -580,7 +580,7 @@
         }
     }
 
-    /// Logs and counts the runs that were lost with their worker.
+    /// Logs and counts the runs that were lost with their worker, and what became of silent workers.
     fn log_lost_runs(&mut self, ctx: &mut Context) {
         for lost in std::mem::take(&mut self.scheduler.lost_runs) {
             let (key, loss) = (&lost.key, loss_label(lost.loss));
@@ -590,6 +590,13 @@
                 "confirmed" => lost.is_confirmed, "ran_ms" => lost.ran_for.as_millis() as u64,
                 "together" => lost.lost_together, "epoch" => self.epoch);
         }
+        for explained in std::mem::take(&mut self.scheduler.explanations) {
+            let (key, loss) = (&explained.key, explained.loss.map_or("alive", loss_label));
+            ctx.meter.add(Counter::SilencesExplained, loss, 1);
+            log_job_event!(ctx, &key.job, SilenceExplained, "step" => key.step,
+                "index" => key.index, "worker" => %explained.worker, "reason" => loss,
+                "epoch" => self.epoch);
+        }
     }
 
     /// Logs the tasks whose jobs failed as workers crashed under them.
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -16,6 +16,8 @@
         RunsEnded,
         /// Runs that were lost with their worker.
         RunsLost,
+        /// Runs lost by silence whose workers were heard of since.
+        SilencesExplained,
         /// Jobs that ended.
         JobsEnded,
         /// Workers that stopped responding, were quarantined, or whose runs were abandoned.
@@ -136,12 +138,13 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
         Self::RunsEnded,
         Self::RunsLost,
+        Self::SilencesExplained,
         Self::JobsEnded,
         Self::Workers,
         Self::Leadership,
@@ -164,6 +167,7 @@
             Self::StartsRejected => "bronzerail.starts.rejected",
             Self::RunsEnded => "bronzerail.runs.ended",
             Self::RunsLost => "bronzerail.runs.lost",
+            Self::SilencesExplained => "bronzerail.silences.explained",
             Self::JobsEnded => "bronzerail.jobs.ended",
             Self::Workers => "bronzerail.workers.events",
             Self::Leadership => "bronzerail.leadership.changes",
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -84,6 +84,16 @@
         pub lost_together: usize,
     }
 
+    /// A task's loss of a run by silence that is explained, as the worker was heard of.
+    pub struct Explanation {
+        /// Task of the run.
+        pub key: TaskKey,
+        /// Id of the worker.
+        pub worker: Name,
+        /// What became of the worker; `None` if its process was running all the while.
+        pub loss: Option<Loss>,
+    }
+
     /// What a step is suspected of.
     #[derive(Default)]
     pub struct Suspicion {
@@ -171,7 +181,7 @@
         let is_listed = worker.is_listed;
         if loss != Loss::Silence {
             let silent = std::mem::take(&mut worker.silent_losses);
-            self.convert_silent_losses(id, &silent, loss == Loss::Crash, store_clock_ms);
+            self.convert_silent_losses(id, &silent, Some(loss), store_clock_ms);
         }
         let tasks = self.record_losses(id, loss, &runs, until);
         if !is_listed {
@@ -255,9 +265,14 @@
         &mut self,
         worker: &Name,
         silent: &[TaskKey],
-        is_crash: bool,
+        loss: Option<Loss>,
         store_clock_ms: u64,
     ) {
+        let is_crash = loss == Some(Loss::Crash);
+        for key in silent {
+            let (key, worker) = (key.clone(), worker.clone());
+            self.explanations.push(Explanation { key, worker, loss });
+        }
         for key in silent {
             let Some(job) = self.jobs.get_mut(&key.job) else { continue };
             let Some(step) = job.steps.get_mut(key.step as usize) else { continue };
@@ -284,7 +299,7 @@
         let Some(worker) = self.pool.get_mut(id) else { return };
         let silent = std::mem::take(&mut worker.silent_losses);
         let is_crash = worker.listed_incarnation > 0 && worker.listed_incarnation < incarnation;
-        self.convert_silent_losses(id, &silent, is_crash, store_clock_ms);
+        self.convert_silent_losses(id, &silent, is_crash.then_some(Loss::Crash), store_clock_ms);
     }
 
     /// Fails the jobs of tasks under which too many workers were lost.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -29,7 +29,7 @@
 mod worker;
 
 pub use advice::{AdviceCapacity, CallClass};
-pub use crash::{Loss, LostRun};
+pub use crash::{Explanation, Loss, LostRun};
 pub use explain::{Awaited, Progress, Wait, WaitReason};
 pub use fate::{Fate, NotStarted, StopMark};
 pub use health::Doubt;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,7 +9,7 @@
 
 use crate::admission::Admission;
 use crate::advice::CallClass;
-use crate::crash::LostRun;
+use crate::crash::{Explanation, LostRun};
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, Site, TaskKey};
@@ -124,6 +124,8 @@
     pub ended_runs: Vec<EndedRun>,
     /// Runs that were lost with their workers, for the log.
     pub lost_runs: Vec<LostRun>,
+    /// Silent workers that were heard of, for the log.
+    pub explanations: Vec<Explanation>,
     /// Tasks whose jobs failed as workers crashed under them, for the log.
     pub crashing_tasks: Vec<TaskKey>,
     /// Steps of open jobs under which workers crashed, or may have: job id and index.
