A silent worker counts against a task only once it is known to have crashed

What callers saw: a job shown as failed though no task of it had failed (users' record: line 5414 with `doubtful` 4 and `crashes` 0, and runs that ended `lapsed`).

Cause: a run that was lost as its worker gave no answer until the lease expired counted against its task at once, as if the worker had crashed under it, and four of these failed the job. The count was to be taken back once the same life of the worker answered. But the note of it stood on the worker's entry in the pool, which is dropped when a worker without runs is not listed; one that is cut off or stands still for three heartbeats leaves the list. A next leader had no such note at all. The class: absence of evidence that is stored as evidence.

Ruled out: crashes of the workers (the record's ends are `lapsed` and `done` only).

Change: a task remembers the workers that fell silent under it, with address and life, in its stored state. They fail no job. Once a worker is heard of, it is forgotten (the same life) or counts as a doubtful crash (a later life, or a later process at its address, whether it answers or is listed), under any leader. That is doubtful also where it counted as proven before, as the run's lease had expired when the crash may have come. Silence keeps a task apart from others, but no longer makes it wait for a worker to itself. A task that would have to end if its silent workers had crashed waits 2.5 s for news of them, so that a task which does crash workers is not started without end while these are away.

Why it works: a job now fails by crashes only, and each silence ends in the one or the other.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -458,8 +458,7 @@
         let is_draining = worker.is_some_and(|worker| worker.registration.is_draining);
         let loss = if is_draining { Loss::Departure } else { loss };
         self.scheduler.abandon_runs(id, loss, ctx.now, store_clock_ms);
-        self.log_lost_runs(ctx);
-        self.log_crashing_tasks(ctx);
+        self.log_losses(ctx);
         if self.scheduler.pool.get(id).is_none() {
             self.leases.remove(id);
         }
@@ -561,8 +560,7 @@
             store_clock_ms,
         );
         self.log_ended_runs(ctx, id);
-        self.log_lost_runs(ctx);
-        self.log_crashing_tasks(ctx);
+        self.log_losses(ctx);
         if self.scheduler.pool.get(id).is_some_and(|worker| !worker.is_described()) {
             self.workers_watch_at = self.workers_watch_at.map(|at| at.min(now));
         }
@@ -580,6 +578,13 @@
         }
     }
 
+    /// Logs and counts the runs that were lost with their worker, what became of silent workers, and the
+    /// jobs that failed for it.
+    pub(super) fn log_losses(&mut self, ctx: &mut Context) {
+        self.log_lost_runs(ctx);
+        self.log_crashing_tasks(ctx);
+    }
+
     /// Logs and counts the runs that were lost with their worker, and what became of silent workers.
     fn log_lost_runs(&mut self, ctx: &mut Context) {
         for lost in std::mem::take(&mut self.scheduler.lost_runs) {
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -310,6 +310,9 @@
             log_event!(ctx, AcceptingRequests, "epoch" => self.epoch,
                 "jobs" => self.scheduler.jobs.len(), "bytes" => self.journal.size(),
                 "took_ms" => took.as_millis() as u64);
+            let store_clock_ms = self.store_time_ms(ctx.now);
+            self.scheduler.explain_silences(store_clock_ms);
+            self.log_losses(ctx);
         }
     }
 
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -92,13 +92,15 @@
     }
 
     /// Applies a worker's registration; heartbeats rewrite its row without a change.
-    fn update_worker(&mut self, ctx: &Context, registration: Registration) {
+    fn update_worker(&mut self, ctx: &mut Context, registration: Registration) {
         let known = self.scheduler.pool.get(&registration.id);
         if known.is_some_and(|known| known.is_listed && known.registration == registration) {
             return;
         }
         self.leases.update_registration(ctx, &registration);
-        self.scheduler.pool.register(registration);
+        let store_clock_ms = self.store_time_ms(ctx.now);
+        self.scheduler.register(registration, store_clock_ms);
+        self.log_losses(ctx);
         self.needs_placement = true;
     }
 
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -152,6 +152,22 @@
     });
 }
 
+// Guards against the same if the workers are silent for longer than a lease before they are back.
+#[test]
+fn crashing_task_is_given_up_by_workers_that_are_long_away() {
+    for_seeds(DEFAULT_SEEDS, |seed| {
+        let mut sim = start(seed);
+        sim.deadly.downtime = ms([6000, 9000, 12_000][seed as usize % 3]);
+        submit(&mut sim, "d20", vec![step(3, 500)]);
+        submit(&mut sim, "d22", vec![Step { is_gang: true, ..step(3, 500) }]);
+        for id in ["d20", "d22"] {
+            let is_failed = sim.wait_for_state(id, JobState::Failed, RECOVERY_TIME);
+            assert!(is_failed, "seed {seed}: {id} {:?}", sim.state(id));
+        }
+        assert_eq!(sim.violations, Vec::<String>::new(), "seed {seed}");
+    });
+}
+
 // Guards against tasks that are given up because they shared workers with one that crashes them.
 #[test]
 fn neighbours_of_crashing_tasks_complete() {
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -10,26 +10,31 @@
 //!
 //! Another process that answers in a worker's place, or a later life under its id, proves a crash. It
 //! counts less for a run of which this leader does not know whether it was there, or which may have
-//! ended before. So does a worker that became silent, which may have crashed or be cut off; it no
-//! longer counts once it answers. A worker that has announced its departure counts for nothing.
+//! ended before. A worker that is silent may have crashed, stand still or be cut off: its tasks remember
+//! it until it is heard of, and keep apart from others meanwhile, but it fails no job. A worker that
+//! has announced its departure counts for nothing.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::Name;
 
-use crate::job::{Phase, TaskKey};
+use crate::job::{Phase, Site, StoredWorker, Task, TaskKey};
 use crate::runs::Outcome;
 use crate::scheduler::Scheduler;
 use crate::step::StepState;
-use crate::worker::{Assignment, RunState, Worker};
+use crate::worker::{Assignment, Registration, RunState, Worker};
 
 /// Workers that crash under a task before its job fails, if the last ran nothing but its step.
 const MAX_CRASHES_ALONE: u8 = 2;
 
-/// Workers that crash or become silent under a task before its job fails, whatever else ran there.
-const MAX_LOST_WORKERS: u32 = 4;
+/// Workers that crash under a task before its job fails, whatever else ran there.
+const MAX_CRASHED_WORKERS: u32 = 4;
 
-/// Lost workers of a task, or crashed ones of its step, from which it needs a worker to itself.
+/// Silent workers that a task remembers, the latest ones.
+const MAX_SILENT_WORKERS: usize = MAX_CRASHED_WORKERS as usize;
+
+/// Crashed workers of a task or of its step from which it needs a worker to itself.
 const ALONE_AFTER: u32 = 2;
 
 /// Part of its expected run time, as a divisor, after which a run may have ended before its worker
@@ -42,6 +47,9 @@
 /// Longest wait of suspected tasks for a worker to themselves.
 const ISOLATION_WAIT: Duration = Duration::from_secs(6);
 
+/// Longest wait of a task for news of its silent workers, if it has to end should they have crashed.
+const NEWS_WAIT: Duration = Duration::from_millis(2500);
+
 common::key! {
     /// What is known of a worker that is gone.
     pub enum Loss {
@@ -49,7 +57,7 @@
         Crash,
         /// It announced that it leaves.
         Departure,
-        /// Its lease has expired: it crashed, or it cannot be reached.
+        /// Its lease has expired: it crashed, stands still or cannot be reached.
         Silence,
     }
 
@@ -119,7 +127,7 @@
 
 impl StepState {
     /// Tasks that have not succeeded and lost workers, with their indexes.
-    fn suspected_tasks(&self) -> impl Iterator<Item = (usize, &crate::Task)> {
+    fn suspected_tasks(&self) -> impl Iterator<Item = (usize, &Task)> {
         let tasks = self.tasks.iter().enumerate();
         tasks.filter(|(_, task)| task.lost_workers() > 0 && !task.is_done)
     }
@@ -147,6 +155,21 @@
         now < *suspicion.waits_since.get_or_insert(now) + ISOLATION_WAIT
     }
 
+    /// Whether waiting tasks have to end if their silent workers have crashed; false if they have waited
+    /// for news of these for too long.
+    pub(crate) fn may_await_news(&mut self, now: Duration) -> bool {
+        let is_at_limit = |task: &Task| {
+            task.is_waiting()
+                && !task.silent_workers.is_empty()
+                && task.lost_workers() >= MAX_CRASHED_WORKERS
+        };
+        if !self.tasks.iter().any(is_at_limit) {
+            return false;
+        }
+        let suspicion = self.suspicion.get_or_insert_default();
+        now < *suspicion.waits_since.get_or_insert(now) + NEWS_WAIT
+    }
+
     /// Records that tasks are placed.
     pub(crate) fn end_isolation(&mut self) {
         if let Some(suspicion) = &mut self.suspicion {
@@ -178,19 +201,13 @@
         worker.allocated = crate::Resources::default();
         let runs: Vec<_> = worker.assignments.drain().collect();
         let until = worker.silent_since.unwrap_or(now);
-        let is_listed = worker.is_listed;
+        if !worker.is_listed {
+            self.pool.remove(id);
+        }
         if loss != Loss::Silence {
-            let silent = std::mem::take(&mut worker.silent_losses);
-            self.convert_silent_losses(id, &silent, Some(loss), store_clock_ms);
+            self.explain_silence(id, Some(loss), |_| true, store_clock_ms);
         }
         let tasks = self.record_losses(id, loss, &runs, until);
-        if !is_listed {
-            self.pool.remove(id);
-        } else if loss == Loss::Silence
-            && let Some(worker) = self.pool.get_mut(id)
-        {
-            worker.silent_losses.extend(tasks.iter().cloned());
-        }
         for (key, assignment) in &runs {
             self.finish_run(key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
@@ -221,7 +238,8 @@
             let is_proven = loss == Loss::Crash
                 && assignment.fate.is_seen()
                 && ran_for <= self.expected_run_time(key) / PROVEN_RUN_TIME_DIVISOR;
-            if loss != Loss::Departure && self.count_loss(key, assignment, worker, is_proven) {
+            if loss != Loss::Departure && self.count_loss(key, assignment, worker, loss, is_proven)
+            {
                 tasks.push(key.clone());
             }
         }
@@ -243,6 +261,7 @@
         key: &TaskKey,
         assignment: &Assignment,
         worker: &Name,
+        loss: Loss,
         is_proven: bool,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&key.job) else { return false };
@@ -250,56 +269,103 @@
         let task = step.tasks.get_mut(key.index as usize);
         let task = task.filter(|task| task.run == assignment.run && !task.is_done);
         let Some(task) = task else { return false };
-        let count = if is_proven { &mut task.crashes } else { &mut task.doubtful_crashes };
-        *count = count.saturating_add(1);
-        if is_proven {
+        let has_successor = |site: &Arc<Site>| {
+            self.pool.iter().any(|other| is_successor(&other.registration, worker, site))
+        };
+        if loss == Loss::Silence && !task.site.as_ref().is_some_and(has_successor) {
+            let silent = StoredWorker { id: worker.clone(), site: task.site.clone() };
+            task.add_silent_worker(silent, MAX_SILENT_WORKERS);
+            self.silences.entry(worker.clone()).or_default().insert(key.clone());
+        } else if is_proven {
+            task.crashes = task.crashes.saturating_add(1);
             step.record_crash(worker);
+        } else {
+            task.doubtful_crashes = task.doubtful_crashes.saturating_add(1);
         }
         self.changed_jobs.insert(key.job.clone());
         self.suspects.insert((key.job.clone(), key.step));
         true
     }
 
-    /// Counts the losses of a worker's silence as crashes, or no longer.
-    fn convert_silent_losses(
+    /// Takes note of what became of a worker that was silent, for the tasks that lost it where `is_meant`
+    /// holds.
+    ///
+    /// A crash does not prove that a run was still there: its lease had expired by then.
+    fn explain_silence(
         &mut self,
-        worker: &Name,
-        silent: &[TaskKey],
+        id: &Name,
         loss: Option<Loss>,
+        is_meant: impl Fn(&Site) -> bool,
         store_clock_ms: u64,
     ) {
-        let is_crash = loss == Some(Loss::Crash);
-        for key in silent {
-            let (key, worker) = (key.clone(), worker.clone());
-            self.explanations.push(Explanation { key, worker, loss });
-        }
-        for key in silent {
-            let Some(job) = self.jobs.get_mut(&key.job) else { continue };
-            let Some(step) = job.steps.get_mut(key.step as usize) else { continue };
-            let Some(task) = step.tasks.get_mut(key.index as usize) else { continue };
-            task.doubtful_crashes = task.doubtful_crashes.saturating_sub(1);
-            if is_crash {
-                task.crashes = task.crashes.saturating_add(1);
-                step.record_crash(worker);
+        let Some(keys) = self.silences.get_mut(id) else { return };
+        let mut explained = Vec::new();
+        keys.retain(|key| {
+            let job = self.jobs.get_mut(&key.job).filter(|job| job.phase == Phase::Open);
+            let Some(step) = job.and_then(|job| job.steps.get_mut(key.step as usize)) else {
+                return false;
+            };
+            let Some(task) = step.tasks.get_mut(key.index as usize) else { return false };
+            let is_explained = |worker: &mut StoredWorker| {
+                worker.id == *id && is_meant(worker.site.as_deref().unwrap_or(&Site::default()))
+            };
+            let is_lost = task.silent_workers.extract_if(.., is_explained).count() > 0;
+            let is_silent = task.silent_workers.iter().any(|worker| worker.id == *id);
+            if is_lost {
+                explained.push(key.clone());
+            }
+            if is_lost && loss == Some(Loss::Crash) {
+                task.doubtful_crashes = task.doubtful_crashes.saturating_add(1);
+                step.record_crash(id);
             }
+            is_silent
+        });
+        if keys.is_empty() {
+            self.silences.remove(id);
+        }
+        for key in &explained {
             self.changed_jobs.insert(key.job.clone());
+            let (key, worker) = (key.clone(), id.clone());
+            self.explanations.push(Explanation { key, worker, loss });
         }
-        if is_crash {
-            self.fail_crashing(silent, false, store_clock_ms);
+        if loss == Some(Loss::Crash) {
+            self.fail_crashing(&explained, false, store_clock_ms);
         }
     }
 
-    /// Decides about the losses of a worker's silence once an incarnation of it answers.
-    pub(crate) fn settle_silent_losses(
-        &mut self,
-        id: &Name,
-        incarnation: u64,
-        store_clock_ms: u64,
-    ) {
-        let Some(worker) = self.pool.get_mut(id) else { return };
-        let silent = std::mem::take(&mut worker.silent_losses);
-        let is_crash = worker.listed_incarnation > 0 && worker.listed_incarnation < incarnation;
-        self.convert_silent_losses(id, &silent, is_crash.then_some(Loss::Crash), store_clock_ms);
+    /// Takes note that an incarnation of a worker answers.
+    pub(crate) fn settle_silence(&mut self, id: &Name, incarnation: u64, store_clock_ms: u64) {
+        if self.silences.contains_key(id) {
+            let is_former = |site: &Site| site.is_before(incarnation);
+            self.explain_silence(id, Some(Loss::Crash), is_former, store_clock_ms);
+            self.explain_silence(id, None, |_| true, store_clock_ms);
+        }
+    }
+
+    /// Adds a worker or updates its registration, which may tell that a silent one has crashed.
+    pub fn register(&mut self, registration: Registration, store_clock_ms: u64) {
+        self.pool.register(registration.clone());
+        self.explain_former(&registration, store_clock_ms);
+    }
+
+    /// Takes note of silent workers that have crashed by what is known of all workers.
+    pub fn explain_silences(&mut self, store_clock_ms: u64) {
+        if self.silences.is_empty() {
+            return;
+        }
+        let registrations = self.pool.iter().map(|worker| worker.registration.clone());
+        for registration in registrations.collect::<Vec<_>>() {
+            self.explain_former(&registration, store_clock_ms);
+        }
+    }
+
+    /// Takes note of silent workers of which a registration tells that they have crashed.
+    fn explain_former(&mut self, registration: &Registration, store_clock_ms: u64) {
+        let silent: Vec<Name> = self.silences.keys().cloned().collect();
+        for id in silent {
+            let is_former = |site: &Site| is_successor(registration, &id, site);
+            self.explain_silence(&id, Some(Loss::Crash), is_former, store_clock_ms);
+        }
     }
 
     /// Fails the jobs of tasks under which too many workers were lost.
@@ -317,7 +383,7 @@
                 continue;
             };
             let is_proven = was_alone && task.crashes >= MAX_CRASHES_ALONE;
-            if !task.is_done && (is_proven || task.lost_workers() >= MAX_LOST_WORKERS) {
+            if !task.is_done && (is_proven || task.crashed_workers() >= MAX_CRASHED_WORKERS) {
                 self.crashing_tasks.push(key.clone());
                 self.finish_job(&key.job, Phase::Failed, store_clock_ms);
             }
@@ -327,6 +393,10 @@
     /// Drops the steps that are no longer under suspicion.
     pub(crate) fn clear_suspects(&mut self) {
         let jobs = &self.jobs;
+        self.silences.retain(|_, keys| {
+            keys.retain(|key| jobs.get(&key.job).is_some_and(|job| job.phase == Phase::Open));
+            !keys.is_empty()
+        });
         self.suspects.retain(|(job, step)| {
             let job = jobs.get(job).filter(|job| job.phase == Phase::Open);
             let step = job.and_then(|job| job.steps.get(*step as usize));
@@ -341,16 +411,16 @@
         }
         let step = self.jobs.get(job).and_then(|job| job.steps.get(step_index as usize));
         let Some(step) = step else { return Care::Usual };
-        let is_open = |(index, task): &(usize, &crate::Task)| {
+        let is_open = |(index, task): &(usize, &Task)| {
             task.worker.as_ref().is_none_or(|worker| {
                 let key = TaskKey { job: job.clone(), step: step_index, index: *index as u32 };
                 self.is_on_trial(worker, &key, now)
             })
         };
         let open = step.suspected_tasks().filter(is_open);
-        match open.map(|(_, task)| task.lost_workers()).max() {
+        match open.map(|(_, task)| task.crashed_workers()).max() {
             None => Care::Usual,
-            Some(lost) if lost.max(step.crashed_workers()) >= ALONE_AFTER => Care::Alone,
+            Some(crashed) if crashed.max(step.crashed_workers()) >= ALONE_AFTER => Care::Alone,
             Some(_) => Care::Apart,
         }
     }
@@ -413,6 +483,12 @@
     }
 }
 
+/// Whether a registration is that of a later life of a worker, or of a later worker in its place.
+fn is_successor(registration: &Registration, id: &Name, site: &Site) -> bool {
+    (registration.id == *id || registration.address == site.address)
+        && site.is_before(registration.incarnation)
+}
+
 /// Whether all runs are of one step.
 pub(crate) fn is_one_step(runs: &[(TaskKey, Assignment)]) -> bool {
     let first = runs.first().map(|(key, _)| (&key.job, key.step));
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -58,6 +58,15 @@
         pub incarnation: u64,
     }
 
+    /// A worker, and where it was when a run was placed on it.
+    #[derive(Eq, Hash)]
+    pub struct StoredWorker {
+        /// Id of the worker.
+        pub id: Name,
+        /// Where it was; `None` if that is unknown.
+        pub site: Option<Arc<Site>>,
+    }
+
     /// State of a task.
     pub struct Task {
         /// Whether it has ended successfully.
@@ -72,8 +81,10 @@
         pub site: Option<Arc<Site>>,
         /// Workers that crashed under it.
         pub crashes: u8,
-        /// Workers that may have crashed under it.
+        /// Workers that crashed when it may have run there.
         pub doubtful_crashes: u8,
+        /// Workers that fell silent under it and were not heard of since, the latest last.
+        pub silent_workers: Vec<StoredWorker>,
         /// Latest checkpoint; empty for none. A gang keeps it on its first task.
         pub checkpoint: Name,
     }
@@ -120,6 +131,13 @@
     }
 }
 
+impl Site {
+    /// Whether a life of a worker that began at `incarnation` is a later one.
+    pub(crate) fn is_before(&self, incarnation: u64) -> bool {
+        self.incarnation > 0 && self.incarnation < incarnation
+    }
+}
+
 impl Task {
     /// Incarnation of its worker when the run was placed; 0 if it is unknown.
     pub(crate) fn incarnation(&self) -> u64 {
@@ -136,6 +154,7 @@
             site: None,
             crashes: 0,
             doubtful_crashes: 0,
+            silent_workers: Vec::new(),
             checkpoint: Name::default(),
         }
     }
@@ -149,11 +168,24 @@
             && self.checkpoint.is_empty()
     }
 
-    /// Number of workers that crashed under it, or may have.
-    pub fn lost_workers(&self) -> u32 {
+    /// Number of workers that crashed under it, whether or not it is known that it ran there.
+    pub fn crashed_workers(&self) -> u32 {
         u32::from(self.crashes) + u32::from(self.doubtful_crashes)
     }
 
+    /// Number of workers that crashed under it, or may have as they are silent.
+    pub fn lost_workers(&self) -> u32 {
+        self.crashed_workers() + self.silent_workers.len() as u32
+    }
+
+    /// Adds a worker that fell silent under it, in place of the first one if there are `most`.
+    pub(crate) fn add_silent_worker(&mut self, worker: StoredWorker, most: usize) {
+        if self.silent_workers.len() >= most {
+            self.silent_workers.remove(0);
+        }
+        self.silent_workers.push(worker);
+    }
+
     /// Whether it is neither done nor assigned to a worker.
     pub fn is_waiting(&self) -> bool {
         !self.is_done && self.worker.is_none()
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,7 +33,7 @@
 pub use explain::{Awaited, Progress, Wait, WaitReason};
 pub use fate::{Fate, NotStarted, StopMark};
 pub use health::Doubt;
-pub use job::{Job, JobState, Phase, Site, Task, TaskKey};
+pub use job::{Job, JobState, Phase, Site, StoredWorker, Task, TaskKey};
 pub use pool::Pool;
 pub use record::{
     ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
@@ -43,7 +43,7 @@
 pub use rules::{AdvicePolicy, Limits, Queue, Rules, Service};
 pub use runs::{ActiveRun, FinishedRun, Listing, Outcome};
 pub use scheduler::{AdviceCall, AdviceKey, EndedRun, Refusal, Scheduler, StartOrder, StopOrder};
-pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState, StoredWorker, max_base_size};
+pub use segment::{JobDiff, Restored, SegmentBuilder, StoredState, max_base_size};
 pub use step::{Eligibility, StepState};
 pub use usage::Usage;
 pub use validation::{SubmissionError, is_job_id};
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -28,6 +28,9 @@
         if pending.care != Care::Usual && self.may_wait(&pending) {
             feasible.retain(|slot| self.is_isolated(&pending, *slot));
         }
+        if self.awaits_news(&pending) {
+            feasible.clear();
+        }
         if let Some(chosen) = self.choose_gang_slots(&pending, feasible) {
             self.assign_tasks(&pending, &chosen);
             let used: Vec<usize> = chosen.iter().map(|(_, slot)| *slot).collect();
--- a/crates/scheduler/src/placement/isolation.rs
+++ b/crates/scheduler/src/placement/isolation.rs
@@ -82,6 +82,13 @@
         pending.care == Care::Alone && self.scheduler.trials(self.now).iter().any(is_own)
     }
 
+    /// Whether tasks wait for news of their silent workers.
+    pub(super) fn awaits_news(&mut self, pending: &PendingStep<'_>) -> bool {
+        let (id, step) = pending.key;
+        let job = self.scheduler.jobs.get_mut(id).filter(|_| pending.care != Care::Usual);
+        job.is_some_and(|job| job.steps[step as usize].may_await_news(self.now))
+    }
+
     /// Number of tasks of a step that fit on a slot which the care that it needs lets it use.
     #[inline]
     pub(super) fn isolated_places(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -296,6 +296,9 @@
         if pending.care != Care::Usual && self.awaits_trial(&pending) {
             return;
         }
+        if self.awaits_news(&pending) {
+            feasible.clear();
+        }
         self.release_holds(&pending);
         if pending.care != Care::Usual {
             feasible = self.isolated_slots(&mut pending, feasible);
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -32,7 +32,7 @@
             self.apply_finished_run(id, finished, now, store_clock_ms);
         }
         self.reconcile_runs(id, listing, is_new_incarnation, sent, now, store_clock_ms);
-        self.settle_silent_losses(id, listing.incarnation, store_clock_ms);
+        self.settle_silence(id, listing.incarnation, store_clock_ms);
         self.forget_former_incarnation(id, listing.incarnation);
         last_position
     }
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -240,10 +240,14 @@
     /// Two numbers for each changed step: its index and the latest gang run counted as failed.
     #[prost(uint32, repeated, tag = "5")]
     pub failed_runs: Vec<u32>,
-    /// Three numbers for each task that lost workers: its number, and how many crashed and may have
-    /// crashed under it.
+    /// Three numbers for each task that lost workers: its number, and how many crashed under it and
+    /// when it may have run there.
     #[prost(uint32, repeated, tag = "6")]
     pub lost_workers: Vec<u32>,
+    /// Two numbers for each silent worker of a task: the task's number, and the worker's position in
+    /// the segment's list plus 1.
+    #[prost(uint32, repeated, tag = "7")]
+    pub silent_workers: Vec<u32>,
 }
 
 /// Full record of a job that is open or has runs.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -130,6 +130,8 @@
     pub crashing_tasks: Vec<TaskKey>,
     /// Steps of open jobs under which workers crashed, or may have: job id and index.
     pub(crate) suspects: BTreeSet<(Name, u32)>,
+    /// Tasks of open jobs by the workers that fell silent under them and were not heard of since.
+    pub(crate) silences: BTreeMap<Name, BTreeSet<TaskKey>>,
     /// When a step of each class of advice calls last found no daemon.
     pub(crate) advice_refused_at: [Option<Duration>; CallClass::ALL.len()],
     /// When a step of each priority last found no daemon for a call that it needs.
@@ -179,8 +181,11 @@
                 if task.lost_workers() > 0 && !task.is_done {
                     self.suspects.insert((id.clone(), step_index as u32));
                 }
-                let Some(name) = &task.worker else { continue };
                 let key = TaskKey { job: id.clone(), step: step_index as u32, index: index as u32 };
+                for silent in &task.silent_workers {
+                    self.silences.entry(silent.id.clone()).or_default().insert(key.clone());
+                }
+                let Some(name) = &task.worker else { continue };
                 let need = job.submission.steps[step_index].need;
                 let site = task.site.as_deref().cloned().unwrap_or_default();
                 self.recover_run(name, &site, key, task.run, need);
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -12,7 +12,7 @@
 use prost::Message;
 use prost::encoding::encoded_len_varint;
 
-use crate::job::{Job, Phase, Site, Task};
+use crate::job::{Job, Phase, Site, StoredWorker, Task};
 use crate::record::{
     ChangeRecord, EndedRecord, FullRecord, QueueEntry, Segment, Submission, TaskStates,
 };
@@ -64,15 +64,6 @@
     failed_runs: Vec<(u32, u32)>,
 }
 
-/// A worker that records of a segment refer to.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub struct StoredWorker {
-    /// Id of the worker.
-    pub id: Name,
-    /// Where it was when the runs were placed; `None` if that is unknown.
-    pub site: Option<Arc<Site>>,
-}
-
 /// Collects records into a segment.
 #[derive(Debug, Default)]
 pub struct SegmentBuilder {
@@ -185,10 +176,10 @@
 
     /// Upper bound of the bytes that it adds to a segment.
     pub fn max_size(&self) -> usize {
-        let tasks = self
-            .tasks
-            .iter()
-            .map(|(number, task)| max_state_size(*number, task) + max_worker_size(task));
+        let tasks = self.tasks.iter().map(|(number, task)| {
+            let workers = named_workers(task).map(max_worker_size);
+            max_state_size(*number, task) + workers.sum::<usize>()
+        });
         let failed_runs = self.failed_runs.len() * 2 * MAX_NUMBER_BYTES;
         self.max_base_size() + tasks.sum::<usize>() + failed_runs
     }
@@ -249,16 +240,16 @@
     /// Adds a task to the current part, or to a new one.
     fn add_task(&mut self, number: u32, task: &'a Task) -> Option<()> {
         let state_size = max_state_size(number, task);
-        let worker_size = max_worker_size(task);
-        let worker = task.worker.as_ref().map(|worker| (worker, task.incarnation()));
-        let is_known = worker.is_some_and(|worker| self.workers.contains(&worker));
-        let added = state_size + if is_known { 0 } else { worker_size };
+        let new_workers =
+            named_workers(task).filter(|worker| !self.workers.contains(&life(*worker)));
+        let added = state_size + new_workers.map(max_worker_size).sum::<usize>();
         if self.size + added <= self.max_size {
             self.size += added;
         } else {
-            self.start_part(state_size + worker_size)?;
+            let workers = named_workers(task).map(max_worker_size);
+            self.start_part(state_size + workers.sum::<usize>())?;
         }
-        self.workers.extend(worker);
+        self.workers.extend(named_workers(task).map(life));
         self.part.tasks.push((number, task));
         Some(())
     }
@@ -294,7 +285,7 @@
     }
 }
 
-/// Upper bound of the bytes that a record holds for a task, without the name of its worker.
+/// Upper bound of the bytes that a record holds for a task, without the names of workers.
 fn max_state_size(number: u32, task: &Task) -> usize {
     let number_size = encoded_len_varint(number.into());
     let run = u64::from(task.run) * 2 + 1;
@@ -302,23 +293,32 @@
     if task.failed_runs > 0 {
         size += number_size + encoded_len_varint(task.failed_runs.into());
     }
-    if task.lost_workers() > 0 {
+    if task.crashed_workers() > 0 {
         size += number_size + 2 * MAX_NUMBER_BYTES;
     }
+    size += task.silent_workers.len() * (number_size + MAX_NUMBER_BYTES);
     if !task.checkpoint.is_empty() {
         size += number_size + task.checkpoint.len() + FIELD_OVERHEAD_BYTES;
     }
     size
 }
 
-/// Upper bound of the bytes that a task's worker takes in a segment.
-fn max_worker_size(task: &Task) -> usize {
-    let size = |worker: &Name| {
-        let address = task.site.as_ref().map_or(0, |site| site.address.len());
-        let names = worker.len() + address;
-        names + MAX_INCARNATION_BYTES + 2 * FIELD_OVERHEAD_BYTES
-    };
-    task.worker.as_ref().map_or(0, size)
+/// Upper bound of the bytes that a worker takes in a segment.
+fn max_worker_size((id, site): (&Name, Option<&Arc<Site>>)) -> usize {
+    let address = site.map_or(0, |site| site.address.len());
+    id.len() + address + MAX_INCARNATION_BYTES + 2 * FIELD_OVERHEAD_BYTES
+}
+
+/// The workers that a record names for a task, and where they were.
+fn named_workers(task: &Task) -> impl Iterator<Item = (&Name, Option<&Arc<Site>>)> {
+    let present = task.worker.as_ref().map(|worker| (worker, task.site.as_ref()));
+    let silent = task.silent_workers.iter().map(|worker| (&worker.id, worker.site.as_ref()));
+    present.into_iter().chain(silent)
+}
+
+/// A worker's id and the start of the life that a record means; 0 if it is unknown.
+fn life<'a>((id, site): (&'a Name, Option<&Arc<Site>>)) -> (&'a Name, u64) {
+    (id, site.map_or(0, |site| site.incarnation))
 }
 
 /// Upper bound of the size of a job's full record without any tasks.
@@ -395,18 +395,17 @@
         self.segment.queues.len() as u32 - 1
     }
 
-    /// Position of a worker in the segment's list plus 1, or 0 for none.
-    fn worker_number(&mut self, task: &Task) -> u32 {
-        let Some(worker) = &task.worker else { return 0 };
+    /// Position of a worker in the segment's list plus 1.
+    fn worker_number(&mut self, worker: (&Name, Option<&Arc<Site>>)) -> u32 {
         let next = self.worker_positions.len() as u32;
-        let life = (worker.clone(), task.incarnation());
-        let position = *self.worker_positions.entry(life).or_insert(next);
+        let (id, incarnation) = life(worker);
+        let position = *self.worker_positions.entry((id.clone(), incarnation)).or_insert(next);
         if position == next {
-            self.size += max_worker_size(task);
-            self.segment.workers.push(worker.to_string());
-            let address = task.site.as_ref().map_or("", |site| &site.address);
+            self.size += max_worker_size(worker);
+            self.segment.workers.push(id.to_string());
+            let address = worker.1.map_or("", |site| &site.address);
             self.segment.worker_addresses.push(address.to_owned());
-            self.segment.worker_incarnations.push(task.incarnation());
+            self.segment.worker_incarnations.push(incarnation);
         }
         position + 1
     }
@@ -416,18 +415,23 @@
         let mut states = TaskStates::default();
         for (number, task) in &diff.tasks {
             let run = task.run * 2 + u32::from(task.is_done);
-            let worker = self.worker_number(task);
+            let worker = task.worker.as_ref().map(|worker| (worker, task.site.as_ref()));
+            let worker = worker.map_or(0, |worker| self.worker_number(worker));
             states.tasks.extend([*number, run, worker]);
             if task.failed_runs > 0 {
                 states.failed.extend([*number, task.failed_runs]);
             }
-            if task.lost_workers() > 0 {
+            if task.crashed_workers() > 0 {
                 states.lost_workers.extend([
                     *number,
                     task.crashes.into(),
                     task.doubtful_crashes.into(),
                 ]);
             }
+            for silent in &task.silent_workers {
+                let worker = self.worker_number((&silent.id, silent.site.as_ref()));
+                states.silent_workers.extend([*number, worker]);
+            }
             if !task.checkpoint.is_empty() {
                 states.saved_tasks.push(*number);
                 states.saved.push(task.checkpoint.to_string());
@@ -486,11 +490,11 @@
         for state in states.tasks.chunks(3) {
             let [number, run, worker] = *state else { return false };
             let Some(task) = tasks.get_mut(number as usize) else { return false };
-            let worker = match (worker as usize).checked_sub(1) {
-                None => None,
-                Some(position) => match workers.get(position) {
+            let worker = match worker {
+                0 => None,
+                number => match find_worker(workers, number) {
                     None => return false,
-                    found => found.cloned(),
+                    found => found,
                 },
             };
             let (worker, site) =
@@ -511,6 +515,13 @@
             (task.crashes, task.doubtful_crashes) = (count(crashes), count(doubtful));
             self.has_started = true;
         }
+        for pair in states.silent_workers.chunks(2) {
+            let [number, worker] = *pair else { return false };
+            let Some(task) = tasks.get_mut(number as usize) else { return false };
+            let Some(worker) = find_worker(workers, worker) else { return false };
+            task.silent_workers.push(worker);
+            self.has_started = true;
+        }
         for (number, checkpoint) in states.saved_tasks.iter().zip(states.saved) {
             let Some(task) = tasks.get_mut(*number as usize) else { return false };
             task.checkpoint = Name::from(checkpoint);
@@ -525,6 +536,11 @@
     }
 }
 
+/// The worker at a position in a segment's list, given plus 1.
+fn find_worker(workers: &[StoredWorker], number: u32) -> Option<StoredWorker> {
+    workers.get((number as usize).checked_sub(1)?).cloned()
+}
+
 /// Creates a job from its full record; `None` if the record is inconsistent.
 fn job_from_full_record(
     record: FullRecord,
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -93,8 +93,6 @@
         pub assignments: HashMap<TaskKey, Assignment>,
         /// Whether it listed runs that the scheduler does not know, of unknown size.
         pub has_unknown_runs: bool,
-        /// Tasks whose runs were lost while it was silent, until it is known whether it crashed.
-        pub(crate) silent_losses: Vec<TaskKey>,
         /// Failed runs since the last success.
         pub consecutive_failures: u32,
         /// Starts in a row that it refused as unhealthy or left unanswered.
@@ -118,7 +116,6 @@
             allocated: Resources::default(),
             assignments: HashMap::new(),
             has_unknown_runs: false,
-            silent_losses: Vec::new(),
             consecutive_failures: 0,
             refused_starts: 0,
             quarantined_until: Duration::ZERO,
--- a/crates/scheduler/tests/segment.rs
+++ b/crates/scheduler/tests/segment.rs
@@ -3,11 +3,15 @@
 mod support;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::Name;
 use prost::Message;
-use scheduler::{Job, JobDiff, Phase, Restored, Segment, SegmentBuilder, StoredState, Submission};
+use scheduler::{
+    Job, JobDiff, Phase, Restored, Segment, SegmentBuilder, Site, StoredState, StoredWorker,
+    Submission,
+};
 use support::step;
 
 /// Small deterministic generator.
@@ -45,6 +49,21 @@
     }
 }
 
+/// Lets a few workers fall silent under tasks, and others be heard of.
+fn change_silent_workers(job: &mut Job, random: &mut Random) {
+    for _ in 0..random.below(9) {
+        let tasks = &mut job.steps[1].tasks;
+        let index = random.below(tasks.len() as u64) as usize;
+        let silent = &mut tasks[index].silent_workers;
+        if random.below(4) == 0 {
+            silent.clear();
+        }
+        let id = Name::from(format!("w{}", random.below(9)).as_str());
+        let site = Site { address: id.clone(), incarnation: 1 + random.below(3) };
+        silent.push(StoredWorker { id, site: Some(Arc::new(site)) });
+    }
+}
+
 /// Reads jobs from segments in order.
 fn restore(segments: &[Vec<u8>]) -> HashMap<Name, Job> {
     let mut jobs: HashMap<Name, Job> = HashMap::new();
@@ -108,6 +127,25 @@
     }
 }
 
+// Guards against a next leader that never hears what became of the workers that were silent before.
+#[test]
+fn silent_workers_return() {
+    for seed in 0..50 {
+        let mut random = Random(seed);
+        let mut job = new_job("a");
+        change_silent_workers(&mut job, &mut random);
+        let mut segments = write_parts(JobDiff::full(&job), 900 + random.below(2000) as usize);
+        for _ in 0..5 {
+            let stored = StoredState::of(&job);
+            change_tasks(&mut job, &mut random);
+            change_silent_workers(&mut job, &mut random);
+            let diff = JobDiff::since(&stored, &job);
+            segments.extend(write_parts(diff, 300 + random.below(2000) as usize));
+            assert_same(&restore(&segments)["a"], &job);
+        }
+    }
+}
+
 #[test]
 fn restore_earlier_form() {
     let mut job = new_job("a");
