scheduler: wait reason and a test for silent workers

The wait reason of a suspected step said that workers crashed under its tasks, also where they were only silent, and that the tasks wait for a worker to themselves, also where one apart from other suspects is enough. The text now holds for both; no decision changes. silent_worker_with_successor_has_crashed_for_next_leader covers what a new leader does once it has read the jobs.

--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -107,7 +107,7 @@
     pub struct Suspicion {
         /// Workers that crashed under its tasks, as far as this leader knows.
         crashed: Vec<Name>,
-        /// Since when its tasks wait for a worker to themselves.
+        /// Since when its tasks wait for a worker apart from others, or for news of silent ones.
         waits_since: Option<Duration>,
     }
 }
@@ -155,8 +155,8 @@
         now < *suspicion.waits_since.get_or_insert(now) + ISOLATION_WAIT
     }
 
-    /// Whether waiting tasks have to end if their silent workers have crashed; false if they have waited
-    /// for news of these for too long.
+    /// Whether tasks wait for news of their silent workers, as they have to end if these have crashed;
+    /// false if they have waited for too long.
     pub(crate) fn may_await_news(&mut self, now: Duration) -> bool {
         let is_at_limit = |task: &Task| {
             task.is_waiting()
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -61,7 +61,7 @@
             /// Number of the workers.
             workers: usize,
         },
-        /// Workers crashed under its tasks; they wait for a worker to themselves.
+        /// Workers were lost under its tasks; they wait for one apart from others, or for news.
         Isolation,
         /// The tickets for workers with room have expired.
         Ticket,
@@ -135,7 +135,7 @@
                 write!(f, "{workers} workers refused its starts; the next one is delayed")
             }
             Self::Isolation => {
-                write!(f, "workers crashed under its tasks, which wait for a worker to themselves")
+                write!(f, "workers were lost under its tasks, which wait for one apart from others")
             }
             Self::Ticket => write!(f, "tickets for workers with room have expired"),
             Self::NextPass => write!(f, "about to be placed"),
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -421,6 +421,22 @@
     assert_eq!(next.jobs["j1"].steps[0].tasks[0].silent_workers, Vec::new());
 }
 
+// Guards against a next leader that has read the list of workers before its jobs, and so misses a crash.
+#[test]
+fn silent_worker_with_successor_has_crashed_for_next_leader() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "j1", vec![step(1)]);
+    let start = place(&mut scheduler, NOW).remove(0);
+    scheduler.abandon_runs(&start.worker, Loss::Silence, NOW, 0);
+    let job = restore(&scheduler.jobs["j1"]);
+    let mut next = pool(&[], None);
+    next.register(Registration { incarnation: 2, ..new_registration("w2", 2000) }, 0);
+    next.add_job(job);
+    assert_eq!(crash_counts(&next), (0, 0));
+    next.explain_silences(0);
+    assert_eq!(crash_counts(&next), (0, 1));
+}
+
 // Guards against a run that has ended, unknown to the leader, before its worker crashed.
 #[test]
 fn crash_after_expected_run_time_is_doubtful() {
