scheduler, control: types for workspaces, keys and their answers

Workspaces are to get keys, limits and shares. Nothing decides by them yet. A request's submission and a change's rules are boxed, as the larger frames and inputs exceed the size that the linter allows.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{JobState, Submission};
+use scheduler::{JobState, KeyDigest, Submission};
 
 common::data! {
     /// Operation requested by a caller.
@@ -45,12 +45,24 @@
         Queue(Name),
     }
 
+    /// What a request shows of its caller.
+    pub enum Credential {
+        /// It came over the operators' interface, which needs no key.
+        Operator,
+        /// It has no key, or one that cannot be read.
+        Missing,
+        /// It has the key with this digest.
+        Key(KeyDigest),
+    }
+
     /// A caller's request.
     pub struct CallerRequest {
         /// Queue that the request addresses.
         pub target: Target,
         /// Requested operation.
         pub op: Operation,
+        /// What the request shows of its caller.
+        pub credential: Credential,
         /// Time for which the caller waits for an answer.
         pub timeout: Duration,
     }
@@ -80,6 +92,12 @@
         },
         /// The job is too large to be stored; it never runs.
         TooLarge,
+        /// The call needs a key that the rules know; it had no effect.
+        Unauthorized,
+        /// Another workspace has a job with this id; the job is not accepted.
+        IdInUse,
+        /// The job can never start under its workspace's limit, for this reason; it never runs.
+        NeverFits(String),
         /// The outcome is unknown; the connection must be closed without a response.
         OutcomeUnknown,
     }
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -164,11 +164,17 @@
     #[prost(string, tag = "5")]
     pub job: String,
     /// Submitted job; none for other operations.
-    #[prost(message, optional, tag = "6")]
-    pub submission: Option<Submission>,
+    #[prost(message, optional, boxed, tag = "6")]
+    pub submission: Option<Box<Submission>>,
     /// Queue name, if host and path are empty.
     #[prost(string, tag = "7")]
     pub queue: String,
+    /// Digest of the caller's key; empty for none.
+    #[prost(bytes = "vec", tag = "8")]
+    pub key_digest: Vec<u8>,
+    /// Whether it came over the operators' interface, which needs no key.
+    #[prost(bool, tag = "9")]
+    pub is_operator: bool,
 }
 
 /// The leader's answer to a [`Request`].
@@ -178,13 +184,13 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Answer code: 1 accepted, 2 state, 3 cancelled, 4 pending, 5 no queue, 6 no job, 7 refused,
-    /// 8 unknown, 9 view.
+    /// 8 unknown, 9 view, 10 too large, 11 unauthorized, 12 id in use, 13 never fits.
     #[prost(uint32, tag = "2")]
     pub answer: u32,
     /// Job state, number of pending jobs, or retry delay in ms; 0 for other answers.
     #[prost(uint64, tag = "3")]
     pub value: u64,
-    /// View, as JSON; empty for other answers.
+    /// View, as JSON, or the reason that a job never fits; empty for other answers.
     #[prost(string, tag = "4")]
     pub text: String,
     /// Time for which the request was queued at the leader, in us.
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -86,7 +86,7 @@
         /// Whether further changes wait after the cursor.
         pub has_more: bool,
         /// New rules; none if they have not changed.
-        pub rules: Option<Rules>,
+        pub rules: Option<Box<Rules>>,
         /// Registrations of new and changed workers, or of all in a snapshot.
         pub registrations: Vec<Registration>,
         /// Workers removed from the list.
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -71,7 +71,7 @@
             log_event!(ctx, RulesChanged, "version" => rules.version,
                 "queues" => rules.queues.len());
             ctx.actions.push(Action::SetRequestLimits(RequestLimits::from(&rules.limits)));
-            self.scheduler.set_rules(rules);
+            self.scheduler.set_rules(*rules);
             self.needs_placement = true;
             self.peers.request_list();
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,7 +30,7 @@
 mod usage;
 
 pub use action::{Action, WatchTarget};
-pub use answer::{Answer, CallerRequest, Operation, Target, View};
+pub use answer::{Answer, CallerRequest, Credential, Operation, Target, View};
 pub use backlog::{Backlog, QueuedInput};
 pub use config::{Capacity, Config};
 pub use event::Event;
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -446,5 +446,8 @@
         Answer::OutcomeUnknown => "unknown",
         Answer::View(_) => "view",
         Answer::TooLarge => "too_large",
+        Answer::Unauthorized => "unauthorized",
+        Answer::IdInUse => "id_in_use",
+        Answer::NeverFits(_) => "never_fits",
     }
 }
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::JobState;
+use scheduler::{JobState, KeyDigest};
 
-use crate::answer::{Answer, CallerRequest, Operation, Target, View};
+use crate::answer::{Answer, CallerRequest, Credential, Operation, Target, View};
 use crate::frame::{Reply, Request};
 
 /// Encodes a call; its timeout is not transmitted.
@@ -22,14 +22,19 @@
     };
     let job = job.map(ToString::to_string).unwrap_or_default();
     let submission = match &call.op {
-        Operation::Submit(submission) => Some(submission.clone()),
+        Operation::Submit(submission) => Some(Box::new(submission.clone())),
         _ => None,
     };
     let (host, path, queue) = match &call.target {
         Target::Route { host, path } => (host.to_string(), path.to_string(), String::new()),
         Target::Queue(queue) => (String::new(), String::new(), queue.to_string()),
     };
-    Request { id, host, path, op, job, submission, queue }
+    let key_digest = match &call.credential {
+        Credential::Key(digest) => digest.as_bytes().to_vec(),
+        Credential::Operator | Credential::Missing => Vec::new(),
+    };
+    let is_operator = call.credential == Credential::Operator;
+    Request { id, host, path, op, job, submission, queue, key_digest, is_operator }
 }
 
 /// Decodes a peer's request; none if this version does not know its operation, or if its job is
@@ -37,7 +42,7 @@
 pub(crate) fn decode_request(request: Request) -> Option<CallerRequest> {
     let op = match request.op {
         1 => {
-            let submission = request.submission?;
+            let submission = *request.submission?;
             submission.validate_steps().ok()?;
             Operation::Submit(submission)
         }
@@ -55,13 +60,18 @@
     } else {
         Target::Route { host: Name::new(&request.host), path: Name::new(&request.path) }
     };
-    Some(CallerRequest { target, op, timeout: Duration::ZERO })
+    let credential = match KeyDigest::from_bytes(&request.key_digest) {
+        _ if request.is_operator => Credential::Operator,
+        Some(digest) => Credential::Key(digest),
+        None => Credential::Missing,
+    };
+    Some(CallerRequest { target, op, credential, timeout: Duration::ZERO })
 }
 
 /// Encodes an answer; the `try_other_daemon` flag of a refusal is not transmitted.
 pub(crate) fn encode_reply(id: u64, answer: &Answer, queued: Duration) -> Reply {
     let text = match answer {
-        Answer::View(text) => text.clone(),
+        Answer::View(text) | Answer::NeverFits(text) => text.clone(),
         _ => String::new(),
     };
     let (answer, value) = match answer {
@@ -75,6 +85,9 @@
         Answer::OutcomeUnknown => (8, 0),
         Answer::View(_) => (9, 0),
         Answer::TooLarge => (10, 0),
+        Answer::Unauthorized => (11, 0),
+        Answer::IdInUse => (12, 0),
+        Answer::NeverFits(_) => (13, 0),
     };
     Reply { id, answer, value, text, queued_us: queued.as_micros() as u64 }
 }
@@ -103,6 +116,9 @@
         },
         9 => Answer::View(reply.text.clone()),
         10 => Answer::TooLarge,
+        11 => Answer::Unauthorized,
+        12 => Answer::IdInUse,
+        13 => Answer::NeverFits(reply.text.clone()),
         _ => Answer::OutcomeUnknown,
     }
 }
--- a/crates/control/tests/backlog.rs
+++ b/crates/control/tests/backlog.rs
@@ -6,8 +6,8 @@
 
 use common::Name;
 use control::{
-    Action, AdviceResult, Backlog, Body, CallerRequest, CommitResult, Frame, Heartbeat, Hello,
-    Input, Operation, OrderReply, PeerEvent, QueuedInput, Request, Target,
+    Action, AdviceResult, Backlog, Body, CallerRequest, CommitResult, Credential, Frame, Heartbeat,
+    Hello, Input, Operation, OrderReply, PeerEvent, QueuedInput, Request, Target,
 };
 
 /// Requests that are queued before other inputs arrive.
@@ -16,7 +16,11 @@
 fn call(token: u64) -> Input {
     let target = Target::Queue(Name::new("queue"));
     let timeout = Duration::from_secs(3);
-    Input::Call { token, call: CallerRequest { target, op: Operation::CountPending, timeout } }
+    let op = Operation::CountPending;
+    Input::Call {
+        token,
+        call: CallerRequest { target, op, credential: Credential::Missing, timeout },
+    }
 }
 
 fn frame(link: u64, body: Body) -> Input {
--- a/crates/control/tests/journal.rs
+++ b/crates/control/tests/journal.rs
@@ -63,7 +63,7 @@
         _ => vec![step(3, 300)],
     };
     let id = format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    Submission { id, payload: "p".repeat(150), steps }
+    Submission { id, payload: "p".repeat(150), steps, ..Submission::default() }
 }
 
 /// One step, or two of which the second waits for the first.
@@ -207,6 +207,7 @@
             id: id.to_owned(),
             payload: String::new(),
             steps: vec![step(2, 300)],
+            ..Submission::default()
         },
         queue: "quick".to_owned(),
         phase,
--- a/crates/control/tests/odd_frames.rs
+++ b/crates/control/tests/odd_frames.rs
@@ -47,7 +47,7 @@
             host: support::HOST.to_owned(),
             path: support::PREFIX.to_owned(),
             op: 1,
-            submission: Some(submission),
+            submission: Some(Box::new(submission)),
             ..Request::default()
         }),
         Body::Reply(Reply { id: 5, answer: 7, value: 500, queued_us: 90, ..Reply::default() }),
@@ -124,8 +124,13 @@
     for (number, count) in [10_001, u32::MAX].into_iter().enumerate() {
         let submission = job(&format!("big{number}"), vec![step(count, 500); 2]);
         let queue = "quick".to_owned();
-        let request =
-            Request { id: 5, op: 1, submission: Some(submission), queue, ..Request::default() };
+        let request = Request {
+            id: 5,
+            op: 1,
+            submission: Some(Box::new(submission)),
+            queue,
+            ..Request::default()
+        };
         sim.deliver(leader, &Frame::from(Body::Request(request)));
     }
     assert_serves(&mut sim, "last");
--- a/crates/control/tests/shutdown.rs
+++ b/crates/control/tests/shutdown.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::Name;
-use control::{Action, Answer, CallerRequest, Input, Operation, Role, Target};
+use control::{Action, Answer, CallerRequest, Credential, Input, Operation, Role, Target};
 use support::{Simulation, job, step};
 
 fn ms(ms: u64) -> Duration {
@@ -83,6 +83,7 @@
     let call = CallerRequest {
         target: Target::Queue(Name::new("quick")),
         op: Operation::Submit(job("j1", vec![step(1, 300)])),
+        credential: Credential::Missing,
         timeout: ms(3000),
     };
     let actions = node.handle(now, Input::Call { token: 1, call });
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -309,7 +309,7 @@
         cursor: cursor.unwrap_or(0) + 1,
         is_snapshot: target == WatchTarget::Workers,
         has_more: target == WatchTarget::Workers && sim.feed_pages > 0,
-        rules: (target == WatchTarget::Rules).then(|| sim.rules.clone()),
+        rules: (target == WatchTarget::Rules).then(|| Box::new(sim.rules.clone())),
         registrations: if target == WatchTarget::Workers {
             listed.map(FakeWorker::registration).collect()
         } else {
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -19,13 +19,13 @@
 
 use common::Name;
 use control::{
-    Action, Answer, Backlog, CallerRequest, Capacity, Config, Frame, Input, Node, Operation,
-    PeerEvent, QueuedInput, Role, Target,
+    Action, Answer, Backlog, CallerRequest, Capacity, Config, Credential, Frame, Input, Node,
+    Operation, PeerEvent, QueuedInput, Role, Target,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use scheduler::{
-    AdvicePolicy, JobState, Limits, Queue, Resources, Rules, Step, Submission, TaskKey,
+    AdvicePolicy, JobState, Limits, Queue, Resources, Rules, Step, Submission, TaskKey, Workspaces,
 };
 
 use cost::{CostModel, Direction, Network};
@@ -976,7 +976,7 @@
             Operation::CountPending | Operation::View(_) => PREFIX.to_owned(),
         };
         let target = Target::Route { host: Name::new(HOST), path: Name::from(path.as_str()) };
-        let call = CallerRequest { target, op, timeout };
+        let call = CallerRequest { target, op, credential: Credential::Missing, timeout };
         let incarnation = self.slots[node].incarnation;
         self.schedule(
             self.now,
@@ -1042,6 +1042,7 @@
             target_factor: 1.5,
             target_offset: ms(250),
             advice: needs_advice.then_some(advice),
+            is_public: false,
         }],
         services: Vec::new(),
         limits: Limits {
@@ -1050,6 +1051,7 @@
             header_timeout: ms(3000),
             idle_timeout: ms(15_000),
         },
+        workspaces: Workspaces::default(),
     }
 }
 
@@ -1061,7 +1063,7 @@
 
 /// A job with the given steps and no payload.
 pub fn job(id: &str, steps: Vec<Step>) -> Submission {
-    Submission { id: id.to_owned(), payload: String::new(), steps }
+    Submission { id: id.to_owned(), payload: String::new(), steps, ..Submission::default() }
 }
 
 fn test_log(member: &str) -> slog::Logger {
--- a/crates/control/tests/unanswered.rs
+++ b/crates/control/tests/unanswered.rs
@@ -263,7 +263,7 @@
         host: support::HOST.to_owned(),
         path: format!("{}late", support::PREFIX),
         op: 1,
-        submission: Some(job("late", vec![step(1, 300)])),
+        submission: Some(Box::new(job("late", vec![step(1, 300)]))),
         ..Request::default()
     };
     let now = sim.now;
--- a/crates/host/src/operator_api.rs
+++ b/crates/host/src/operator_api.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use common::{ErrorKind, Name};
-use control::{Answer, CallerRequest, Operation, Target, View};
+use control::{Answer, CallerRequest, Credential, Operation, Target, View};
 use http_body_util::Full;
 use hyper::{Method, Response, StatusCode};
 use scheduler::{Resources, Step, Submission, SubmissionError};
@@ -92,7 +92,8 @@
     /// Converts and checks the job; returns its queue and submission.
     fn into_submission(self, id: &str) -> Result<(Name, Submission), SubmissionError> {
         let steps = self.steps.into_iter().map(StepBody::into_step).collect();
-        let submission = Submission { id: id.to_owned(), payload: self.payload, steps };
+        let submission =
+            Submission { id: id.to_owned(), payload: self.payload, steps, ..Submission::default() };
         submission.validate().map(|()| (self.queue, submission))
     }
 }
@@ -127,7 +128,12 @@
     }
 
     async fn ask_leader(&self, queue_name: Name, op: Operation) -> Response<Full<Bytes>> {
-        let call = CallerRequest { target: Target::Queue(queue_name), op, timeout: LEADER_TIMEOUT };
+        let call = CallerRequest {
+            target: Target::Queue(queue_name),
+            op,
+            credential: Credential::Operator,
+            timeout: LEADER_TIMEOUT,
+        };
         answer_response(&self.pending_calls.ask(&self.inputs, call).await)
     }
 
@@ -186,6 +192,11 @@
         Answer::TooLarge => {
             error_response(ErrorKind::TooLarge, "the job is too large to be stored")
         }
+        Answer::Unauthorized => {
+            error_response(ErrorKind::NotFound, "queue or job does not exist for this caller")
+        }
+        Answer::IdInUse => error_response(ErrorKind::IdTaken, "another job has this id"),
+        Answer::NeverFits(reason) => error_response(ErrorKind::Quota, reason),
         Answer::OutcomeUnknown => {
             error_response(ErrorKind::Unknown, "the leader did not answer in time")
         }
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -6,13 +6,13 @@
 
 use common::Name;
 use control::{
-    Action, AdviceResult, Body, CallerRequest, Capacity, Change, CommitResult, Config, Frame,
-    Heartbeat, Hello, Input, Node, NoopMeter, Operation, OrderReply, Page, PeerEvent, RenewReply,
-    Request, Role, Target, WatchResult, WatchTarget,
+    Action, AdviceResult, Body, CallerRequest, Capacity, Change, CommitResult, Config, Credential,
+    Frame, Heartbeat, Hello, Input, Node, NoopMeter, Operation, OrderReply, Page, PeerEvent,
+    RenewReply, Request, Role, Target, WatchResult, WatchTarget,
 };
 use hdrhistogram::Histogram;
 use scheduler::{
-    ActiveRun, Limits, Listing, Queue, Registration, Resources, Rules, Step, Submission,
+    ActiveRun, Limits, Listing, Queue, Registration, Resources, Rules, Step, Submission, Workspaces,
 };
 use serde_json::{Value, json};
 use slog::{Logger, o};
@@ -183,7 +183,7 @@
             cursor: 1,
             is_snapshot: target == WatchTarget::Workers,
             has_more: false,
-            rules: (target == WatchTarget::Rules).then(rules),
+            rules: (target == WatchTarget::Rules).then(|| Box::new(rules())),
             registrations: match target {
                 WatchTarget::Workers => (0..self.workers).map(registration).collect(),
                 WatchTarget::Rules => Vec::new(),
@@ -219,8 +219,12 @@
         for job in 0..size.jobs {
             let need = Resources { cpu: 1000, mem: 100, gpus: 0 };
             let step = Step { count: 1, need, estimate: 60_000, ..Step::default() };
-            let submission =
-                Submission { id: job_id(job), payload: "x".repeat(200), steps: vec![step] };
+            let submission = Submission {
+                id: job_id(job),
+                payload: "x".repeat(200),
+                steps: vec![step],
+                ..Submission::default()
+            };
             self.handle(Input::Call {
                 token: job as u64,
                 call: call(&job_id(job), Operation::Submit(submission)),
@@ -298,7 +302,7 @@
 fn call(job: &str, op: Operation) -> CallerRequest {
     let path = Name::from(format!("{PREFIX}{job}").as_str());
     let target = Target::Route { host: Name::new(HOST), path };
-    CallerRequest { target, op, timeout: Duration::from_secs(3) }
+    CallerRequest { target, op, credential: Credential::Missing, timeout: Duration::from_secs(3) }
 }
 
 fn rules() -> Rules {
@@ -314,6 +318,7 @@
             target_factor: 1.5,
             target_offset: Duration::from_millis(250),
             advice: None,
+            is_public: false,
         }],
         services: Vec::new(),
         limits: Limits {
@@ -322,6 +327,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        workspaces: Workspaces::default(),
     }
 }
 
--- a/crates/measure/src/pass.rs
+++ b/crates/measure/src/pass.rs
@@ -5,7 +5,7 @@
 use common::Name;
 use scheduler::{
     AdviceCapacity, AdvicePolicy, CallClass, Limits, Queue, Registration, Resources, Rules,
-    Scheduler, Step, Submission,
+    Scheduler, Step, Submission, Workspaces,
 };
 use serde_json::{Map, Value};
 
@@ -53,7 +53,12 @@
         let mut scheduler = new_pool(size, needs_advice, free_cpu);
         for number in 0..size.jobs {
             let id = format!("{number:016x}");
-            let job = Submission { id, payload: String::new(), steps: vec![step.clone()] };
+            let job = Submission {
+                id,
+                payload: String::new(),
+                steps: vec![step.clone()],
+                ..Submission::default()
+            };
             scheduler.submit(job, Name::new("q"), START, 0);
         }
         let duration = mean_pass(&mut scheduler, size.followers / 3);
@@ -104,10 +109,17 @@
         target_factor: 2.0,
         target_offset: second,
         advice: needs_advice.then_some(advice),
+        is_public: false,
     };
     let limits =
         Limits { header_bytes: 1, body_bytes: 1, header_timeout: second, idle_timeout: second };
-    Rules { version: 1, queues: vec![queue], services: Vec::new(), limits }
+    Rules {
+        version: 1,
+        queues: vec![queue],
+        services: Vec::new(),
+        limits,
+        workspaces: Workspaces::default(),
+    }
 }
 
 /// Mean duration of a pass; the answers to its advice calls arrive before the next one.
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -199,6 +199,7 @@
     pub fn abandon_runs(&mut self, id: &Name, loss: Loss, now: Duration, store_clock_ms: u64) {
         let Some(worker) = self.pool.get_mut(id) else { return };
         worker.allocated = crate::Resources::default();
+        worker.used_by.clear();
         let runs: Vec<_> = worker.assignments.drain().collect();
         let until = worker.silent_since.unwrap_or(now);
         if !worker.is_listed {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -95,6 +95,8 @@
         pub id: Name,
         /// Name of the queue.
         pub queue: Name,
+        /// Workspace that it belongs to; empty for none.
+        pub workspace: Name,
         /// Rules of the queue when the job was submitted.
         pub queue_rules: Option<QueueRecord>,
         /// What the caller submitted; reduced once the job has ended.
@@ -212,6 +214,7 @@
         Self {
             id: Name::new(&submission.id),
             queue,
+            workspace: Name::new(&submission.workspace),
             queue_rules: None,
             arrived,
             arrived_ms,
@@ -288,7 +291,14 @@
         let (submission, steps) = if is_open || self.has_runs() {
             (self.submission.clone(), self.steps.iter().map(step_to_record).collect())
         } else {
-            (Submission { id: self.submission.id.clone(), ..Submission::default() }, Vec::new())
+            (
+                Submission {
+                    id: self.submission.id.clone(),
+                    workspace: self.submission.workspace.clone(),
+                    ..Submission::default()
+                },
+                Vec::new(),
+            )
         };
         JobRecord {
             submission,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod usage;
 mod validation;
 mod worker;
+mod workspace;
 
 pub use advice::{AdviceCapacity, CallClass};
 pub use crash::{Explanation, Loss, LostRun};
@@ -48,3 +49,4 @@
 pub use usage::Usage;
 pub use validation::{SubmissionError, is_job_id};
 pub use worker::{Assignment, Registration, RunState, Worker};
+pub use workspace::{KeyDigest, Workspace, Workspaces};
--- a/crates/scheduler/src/record.rs
+++ b/crates/scheduler/src/record.rs
@@ -118,6 +118,9 @@
     /// The steps, in order.
     #[prost(message, repeated, tag = "3")]
     pub steps: Vec<Step>,
+    /// Workspace that it belongs to; empty for none. The leader sets it.
+    #[prost(string, tag = "4")]
+    pub workspace: String,
 }
 
 /// The stored state of a task.
@@ -302,6 +305,9 @@
     /// Time of the end by the store's clock, in ms.
     #[prost(uint64, tag = "5")]
     pub ended_ms: u64,
+    /// Workspace that it belongs to; empty for none.
+    #[prost(string, tag = "6")]
+    pub workspace: String,
 }
 
 /// Records written together; of a job, at most one full record and changes that follow it.
--- a/crates/scheduler/src/rules.rs
+++ b/crates/scheduler/src/rules.rs
@@ -5,6 +5,7 @@
 use common::Name;
 
 use crate::record::QueueRecord;
+use crate::workspace::Workspaces;
 
 common::data! {
     /// Expected duration of a queue's advice calls, and the validity of tickets.
@@ -37,6 +38,8 @@
         pub target_offset: Duration,
         /// Advice that placements need; `None` if no advice is needed.
         pub advice: Option<AdvicePolicy>,
+        /// Whether calls need no key.
+        pub is_public: bool,
     }
 
     /// A service whose workers run tasks.
@@ -69,6 +72,8 @@
         pub services: Vec<Service>,
         /// Limits on requests.
         pub limits: Limits,
+        /// The workspaces; none if calls need no key.
+        pub workspaces: Workspaces,
     }
 }
 
@@ -133,6 +138,7 @@
             target_factor: record.stretch,
             target_offset: Duration::from_millis(record.target_ms.into()),
             advice: (!advice.validity.is_zero()).then_some(advice),
+            is_public: false,
         }
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -188,7 +188,7 @@
                 let Some(name) = &task.worker else { continue };
                 let need = job.submission.steps[step_index].need;
                 let site = task.site.as_deref().cloned().unwrap_or_default();
-                self.recover_run(name, &site, key, task.run, need);
+                self.recover_run(name, &site, key, task.run, need, job.workspace.clone());
             }
         }
         self.jobs.insert(id, job);
@@ -236,6 +236,7 @@
         key: TaskKey,
         run: u32,
         need: crate::Resources,
+        workspace: Name,
     ) {
         if self.pool.get(worker).is_none() {
             let registration = Registration {
@@ -261,6 +262,7 @@
             fate: Fate::default(),
             incarnation: site.incarnation,
             is_lost: false,
+            workspace,
         };
         if let Some(worker) = self.pool.get_mut(worker) {
             worker.assign(key, assignment);
--- a/crates/scheduler/src/segment.rs
+++ b/crates/scheduler/src/segment.rs
@@ -191,7 +191,9 @@
         let fixed = match self.kind {
             RecordKind::Full => self.job.submission.encoded_len() + queue,
             RecordKind::Change => self.job.id.len(),
-            RecordKind::Ended => self.job.id.len() + queue,
+            RecordKind::Ended => {
+                self.job.id.len() + queue + self.job.workspace.len() + FIELD_OVERHEAD_BYTES
+            }
         };
         MAX_FIXED_BYTES + fixed
     }
@@ -365,6 +367,7 @@
                     arrived_ms: job.arrived_ms,
                     phase: job.phase.number(),
                     ended_ms: job.ended_ms,
+                    workspace: job.workspace.to_string(),
                 };
                 let size = record.encoded_len();
                 self.segment.ended.push(record);
@@ -565,7 +568,8 @@
 fn job_from_ended_record(record: EndedRecord, queues: &[QueueEntry]) -> Option<Job> {
     let phase = Phase::from_number(record.phase).filter(|phase| *phase != Phase::Open)?;
     let queue = Name::new(&queues.get(record.queue as usize)?.name);
-    let submission = Submission { id: record.id, ..Submission::default() };
+    let submission =
+        Submission { id: record.id, workspace: record.workspace, ..Submission::default() };
     let mut job = Job::new(submission, queue, Duration::ZERO, record.arrived_ms);
     job.phase = phase;
     job.durable_phase = Some(phase);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker of a pool: capacity and assigned runs. `health` judges what they say of it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,6 +68,8 @@
         pub incarnation: u64,
         /// Whether it was lost with that incarnation, which is counted.
         pub is_lost: bool,
+        /// Workspace of its job; empty for none.
+        pub workspace: Name,
     }
 
     /// State of a worker.
@@ -89,6 +91,8 @@
         pub(crate) silent_since: Option<Duration>,
         /// Capacity allocated to assigned runs.
         pub allocated: Resources,
+        /// The part of it that each workspace uses.
+        pub used_by: BTreeMap<Name, Resources>,
         /// Assigned runs that have not ended.
         pub assignments: HashMap<TaskKey, Assignment>,
         /// Whether it listed runs that the scheduler does not know, of unknown size.
@@ -114,6 +118,7 @@
             is_reachable: true,
             silent_since: None,
             allocated: Resources::default(),
+            used_by: BTreeMap::new(),
             assignments: HashMap::new(),
             has_unknown_runs: false,
             consecutive_failures: 0,
@@ -183,6 +188,10 @@
     /// Adds a run and allocates its capacity.
     pub fn assign(&mut self, key: TaskKey, assignment: Assignment) {
         self.allocated = self.allocated.plus(&assignment.need);
+        if !assignment.workspace.is_empty() {
+            let used = self.used_by.entry(assignment.workspace.clone()).or_default();
+            *used = used.plus(&assignment.need);
+        }
         self.assignments.insert(key, assignment);
     }
 
@@ -193,6 +202,12 @@
         }
         let assignment = self.assignments.remove(key)?;
         self.allocated = self.allocated.minus(&assignment.need);
+        if let Some(used) = self.used_by.get_mut(&assignment.workspace) {
+            *used = used.minus(&assignment.need);
+            if *used == Resources::default() {
+                self.used_by.remove(&assignment.workspace);
+            }
+        }
         Some(assignment)
     }
 
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -34,7 +34,12 @@
         while model.now >= start + Duration::from_secs(offered) / per_second {
             offered += 1;
             let id = format!("j{prefix}-{offered:05}");
-            let job = Submission { id: id.clone(), payload: String::new(), steps: gang() };
+            let job = Submission {
+                id: id.clone(),
+                payload: String::new(),
+                steps: gang(),
+                ..Submission::default()
+            };
             let queue = Name::new("q");
             if model.scheduler.excess_wait(&job, &queue, model.now).is_none() {
                 model.scheduler.submit(job, queue, model.now, 0);
@@ -93,7 +98,12 @@
     }
     model.now = NOW + Duration::from_mins(1);
     model.tick();
-    let job = Submission { id: "new".to_owned(), payload: String::new(), steps: gang() };
+    let job = Submission {
+        id: "new".to_owned(),
+        payload: String::new(),
+        steps: gang(),
+        ..Submission::default()
+    };
     assert_eq!(model.scheduler.excess_wait(&job, &Name::new("q"), model.now), None);
 }
 
@@ -111,7 +121,12 @@
             let mut wide = step(1);
             wide.need.cpu = 1_000_000;
             let id = format!("x{number:03}");
-            let job = Submission { id, payload: String::new(), steps: vec![wide] };
+            let job = Submission {
+                id,
+                payload: String::new(),
+                steps: vec![wide],
+                ..Submission::default()
+            };
             model.scheduler.submit(job, Name::new("q"), model.now, 0);
         }
         for _ in 0..1500 {
@@ -133,7 +148,7 @@
     offer(&mut model, 5, Duration::from_secs(10));
     for number in 0..20 {
         let id = format!("p{number:02}");
-        let job = Submission { id, payload: String::new(), steps: gang() };
+        let job = Submission { id, payload: String::new(), steps: gang(), ..Submission::default() };
         model.scheduler.submit(job, Name::new("q"), model.now, 0);
         model.now += Duration::from_millis(200);
     }
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -35,7 +35,12 @@
     for (name, _, jobs) in queues {
         for number in 0..jobs {
             let id = format!("{name}{number}");
-            let job = Submission { id, payload: String::new(), steps: vec![step(1)] };
+            let job = Submission {
+                id,
+                payload: String::new(),
+                steps: vec![step(1)],
+                ..Submission::default()
+            };
             scheduler.submit(job, Name::new(name), NOW, 0);
         }
     }
--- a/crates/scheduler/tests/contention.rs
+++ b/crates/scheduler/tests/contention.rs
@@ -48,7 +48,12 @@
 fn submit(cell: &mut Cell, id: &str, step: Step, run_ms: u64) {
     let run_times = vec![Duration::from_millis(run_ms); step.count as usize];
     cell.submit(
-        Submission { id: id.to_owned(), payload: String::new(), steps: vec![step] },
+        Submission {
+            id: id.to_owned(),
+            payload: String::new(),
+            steps: vec![step],
+            ..Submission::default()
+        },
         vec![run_times],
     );
 }
--- a/crates/scheduler/tests/explain.rs
+++ b/crates/scheduler/tests/explain.rs
@@ -207,7 +207,12 @@
 
 #[test]
 fn validate_reports_first_error() {
-    let job = |id: &str, steps| Submission { id: id.to_owned(), payload: String::new(), steps };
+    let job = |id: &str, steps| Submission {
+        id: id.to_owned(),
+        payload: String::new(),
+        steps,
+        ..Submission::default()
+    };
     let error =
         |job: Submission| job.validate().expect_err("the submission is invalid").to_string();
     let id = "0123456789abcdef";
--- a/crates/scheduler/tests/holds.rs
+++ b/crates/scheduler/tests/holds.rs
@@ -59,7 +59,12 @@
 }
 
 fn submit(scheduler: &mut Scheduler, queue: &str, id: &str, spec: Step) {
-    let job = Submission { id: id.to_owned(), payload: String::new(), steps: vec![spec] };
+    let job = Submission {
+        id: id.to_owned(),
+        payload: String::new(),
+        steps: vec![spec],
+        ..Submission::default()
+    };
     scheduler.submit(job, Name::new(queue), NOW, 0);
 }
 
--- a/crates/scheduler/tests/idle.rs
+++ b/crates/scheduler/tests/idle.rs
@@ -17,7 +17,7 @@
 const CAPACITY: Resources = Resources { cpu: PLACES * 1000, mem: 64_000, gpus: 0 };
 
 fn job(id: &str, steps: Vec<Step>) -> Submission {
-    Submission { id: id.to_owned(), payload: String::new(), steps }
+    Submission { id: id.to_owned(), payload: String::new(), steps, ..Submission::default() }
 }
 
 fn gang(count: u32) -> Step {
--- a/crates/scheduler/tests/schedules/world.rs
+++ b/crates/scheduler/tests/schedules/world.rs
@@ -285,7 +285,12 @@
         let queue = Name::new(if with_advice { "advised" } else { "q" });
         let spec = Spec { with_advice, steps: steps.to_vec() };
         self.specs.insert(Name::new(&id), spec);
-        let submission = Submission { id, payload: String::new(), steps: steps.to_vec() };
+        let submission = Submission {
+            id,
+            payload: String::new(),
+            steps: steps.to_vec(),
+            ..Submission::default()
+        };
         self.leader.scheduler.submit(submission, queue, self.now, 0);
     }
 
--- a/crates/scheduler/tests/segment.rs
+++ b/crates/scheduler/tests/segment.rs
@@ -25,8 +25,12 @@
 }
 
 fn new_job(id: &str) -> Job {
-    let submission =
-        Submission { id: id.to_owned(), payload: "p".to_owned(), steps: vec![step(3), step(40)] };
+    let submission = Submission {
+        id: id.to_owned(),
+        payload: "p".to_owned(),
+        steps: vec![step(3), step(40)],
+        ..Submission::default()
+    };
     let mut job = Job::new(submission, Name::new("q"), Duration::ZERO, 7);
     job.queue_rules = Some(support::rules(None).queues[0].record());
     job
--- a/crates/scheduler/tests/support/load.rs
+++ b/crates/scheduler/tests/support/load.rs
@@ -170,7 +170,7 @@
             steps.push(Step { after: index.checked_sub(1).into_iter().collect(), ..step });
             run_times.push(times);
         }
-        (Submission { id, payload: String::new(), steps }, run_times)
+        (Submission { id, payload: String::new(), steps, ..Submission::default() }, run_times)
     }
 
     /// A step, and the run times of its tasks.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use scheduler::{
     ActiveRun, AdviceCapacity, AdviceKey, AdvicePolicy, CallClass, FinishedRun, Limits, Listing,
     Outcome, Queue, Registration, Resources, Rules, Scheduler, StartOrder, Step, Submission,
-    TaskKey,
+    TaskKey, Workspaces,
 };
 
 pub const NOW: Duration = Duration::from_secs(10);
@@ -34,10 +34,17 @@
         target_factor: 2.0,
         target_offset: secs(1),
         advice,
+        is_public: false,
     };
     let limits =
         Limits { header_bytes: 1, body_bytes: 1, header_timeout: secs(1), idle_timeout: secs(1) };
-    Rules { version: 1, queues: vec![queue], services: Vec::new(), limits }
+    Rules {
+        version: 1,
+        queues: vec![queue],
+        services: Vec::new(),
+        limits,
+        workspaces: Workspaces::default(),
+    }
 }
 
 pub fn advice_policy() -> AdvicePolicy {
@@ -79,7 +86,8 @@
 }
 
 pub fn submit(scheduler: &mut Scheduler, id: &str, steps: Vec<Step>) {
-    let job = Submission { id: id.to_owned(), payload: String::new(), steps };
+    let job =
+        Submission { id: id.to_owned(), payload: String::new(), steps, ..Submission::default() };
     scheduler.submit(job, Name::new("q"), NOW, 0);
 }
 
