cli: pool check-config

Change: `bronzerail pool check-config NEW [--against CURRENT] [--json]` prints the report of `platform::check`. Exit status 0 without errors and warnings, 1 for errors, 2 for warnings only. A file that cannot be read, and a wrong call of this command, exit with 1: the usual 2 for malformed calls would tell a script that there are warnings only.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -219,6 +219,30 @@
     Workers(PoolWorkers),
     /// Show the daemons.
     Members(PoolMembers),
+    /// Check a configuration before it comes into force.
+    CheckConfig(PoolCheckConfig),
+}
+
+/// Check a configuration row without a network; prints all errors, warnings and differences.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "check-config",
+    example = "{command_name} draft.json --against current.json",
+    note = "Exit codes: 0 no errors or warnings, 1 errors, 2 warnings only. Keys are shown as the first digits of their SHA-256."
+)]
+pub struct PoolCheckConfig {
+    /// JSON file of the configuration to check
+    #[argh(positional)]
+    pub new: String,
+
+    /// JSON file of the configuration in force
+    #[argh(option)]
+    pub against: Option<String>,
+
+    /// print one JSON object
+    #[argh(switch)]
+    pub json: bool,
 }
 
 /// Submit a job; submitting it again under the same id creates no second job.
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! Dispatches subcommands to the modules that implement them.
 
+mod check_config;
 mod files;
 mod history;
 mod pool;
--- a/crates/cli/src/command/pool.rs
+++ b/crates/cli/src/command/pool.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use snafu::ResultExt;
 
-use super::{parse_duration, views};
+use super::{check_config, parse_duration, views};
 use crate::args::{Pool, PoolSubmit, PoolVerb};
 use crate::client::{Answer, Client};
 use crate::config::Config;
@@ -79,6 +79,7 @@
         PoolVerb::Members(_) => {
             views::print_view(config, "members", &["role", "member"], &MEMBER_COLUMNS)
         }
+        PoolVerb::CheckConfig(args) => check_config::run(config, args),
     }
 }
 
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -12,6 +12,12 @@
 /// Exit code if the request is still open.
 const EXIT_OPEN: u8 = 21;
 
+/// Exit code if a checked configuration has errors, cannot be read, or the call is wrong.
+pub(crate) const EXIT_CONFIG_ERRORS: u8 = 1;
+
+/// Exit code if a checked configuration has warnings and no errors.
+const EXIT_CONFIG_WARNINGS: u8 = 2;
+
 /// Error of a command.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
@@ -68,6 +74,12 @@
         /// Error of the chart library.
         text: String,
     },
+    /// A checked configuration has errors, or warnings only.
+    #[snafu(display("the configuration has {}", if *has_errors { "errors" } else { "warnings" }))]
+    Findings {
+        /// Whether there are errors.
+        has_errors: bool,
+    },
     /// The request has not ended.
     #[snafu(display("the request is {state}"))]
     Open {
@@ -88,13 +100,15 @@
             Self::NoAnswer { .. } => EXIT_NO_ANSWER,
             Self::Refused { kind, .. } => kind.exit_code(),
             Self::Open { .. } => EXIT_OPEN,
+            Self::Findings { has_errors: true } => EXIT_CONFIG_ERRORS,
+            Self::Findings { has_errors: false } => EXIT_CONFIG_WARNINGS,
         }
     }
 
     /// Whether the output on stdout already reports this error.
     pub fn is_printed(&self, config: &Config) -> bool {
         match self {
-            Self::Open { .. } => true,
+            Self::Open { .. } | Self::Findings { .. } => true,
             Self::Refused { .. } => config.is_json,
             _ => false,
         }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,7 +26,13 @@
         .collect();
     let args = match Args::from_args(&[PROGRAM], &expanded) {
         Ok(args) => args,
-        Err(early_exit) => return print_early_exit(&early_exit, is_short),
+        Err(early_exit) => {
+            // There, the code for malformed calls means that a configuration has warnings only.
+            let is_check = arguments.contains(&"check-config");
+            let malformed = common::ErrorKind::Malformed.exit_code();
+            let usage_code = if is_check { error::EXIT_CONFIG_ERRORS } else { malformed };
+            return print_early_exit(&early_exit, is_short, usage_code);
+        }
     };
     let (config, action) = Config::resolve(args);
     match command::run(&config, action) {
@@ -41,10 +47,10 @@
 }
 
 /// Prints help or a usage error; short help omits examples and notes.
-fn print_early_exit(early_exit: &argh::EarlyExit, is_short: bool) -> ExitCode {
+fn print_early_exit(early_exit: &argh::EarlyExit, is_short: bool, usage_code: u8) -> ExitCode {
     if early_exit.status.is_err() {
         eprint!("{PROGRAM}: {}", early_exit.output);
-        return ExitCode::from(common::ErrorKind::Malformed.exit_code());
+        return ExitCode::from(usage_code);
     }
     let long_help = early_exit.output.as_str();
     let end = long_help.find("\nExamples:").or_else(|| long_help.find("\nNotes:"));
