--- a/crates/cli/tests/check_config.rs
+++ b/crates/cli/tests/check_config.rs
@@ -55,6 +55,7 @@
     }
 }
 
+/// Guards against a check that needs a server, or stops a script without a reason.
 #[test]
 fn check_config_plain_exits_with_0() {
     let folder = Folder::new("plain");
@@ -82,6 +83,7 @@
     );
 }
 
+/// Guards against errors whose place or status is wrong, or that hide the warnings and differences.
 #[test]
 fn check_config_errors_exit_with_1() {
     let folder = Folder::new("errors");
@@ -97,6 +99,7 @@
     assert_eq!(lines.last(), Some(&"errors: 2, warnings: 1, differences: 2"));
 }
 
+/// Guards against warnings that look like errors or like nothing to a script.
 #[test]
 fn check_config_warnings_exit_with_2() {
     let folder = Folder::new("warnings");
@@ -106,6 +109,7 @@
     assert!(stdout.ends_with("errors: 0, warnings: 1, differences: 0\n"), "{stdout}");
 }
 
+/// Guards against output that a program cannot read.
 #[test]
 fn check_config_json_is_one_object() {
     let folder = Folder::new("json");
@@ -144,6 +148,7 @@
     assert_eq!(folder.check(&["--help"]).0, 0);
 }
 
+/// Guards against a file that is no JSON and passes.
 #[test]
 fn check_config_text_that_is_no_json_is_an_error() {
     let folder = Folder::new("syntax");
