control, platform: the leader authorizes requests by their keys

Cause: rules decode workspaces and keys, but every request is served without one, and a job belongs to nobody.

Change: the daemon that takes a request reads exactly one well-formed `Authorization: Bearer KEY` into a digest. The leader looks at it before anything else (lead/access.rs), sets `submission.workspace`, and answers 401, 409 or 410. A query that waits for a commit is decided again by its workspace, so that it does not tell of another workspace's job that came meanwhile. A process that leads again never takes up older rules than it has applied. A submission that was sent to an earlier leader and then gets 401 or 409 ends without a response, as that leader may have accepted it under a key that has gone since (seen failing with 401 for a job that ran). Each denied request is counted (`access_denied` by reason) and logged as 5415, five lines a second for each reason.

--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -16,6 +16,8 @@
         Cancel(Name),
         /// Count the queue's jobs that have not started yet.
         CountPending,
+        /// Check only that the caller may use the queue; the request is refused for another reason.
+        CheckAccess,
         /// Show a part of the leader's state to an operator.
         View(View),
     }
@@ -92,6 +94,8 @@
         },
         /// The job is too large to be stored; it never runs.
         TooLarge,
+        /// The caller may use the queue; answers [`Operation::CheckAccess`].
+        Authorized,
         /// The call needs a key that the rules know; it had no effect.
         Unauthorized,
         /// Another workspace has a job with this id; the job is not accepted.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -82,6 +82,7 @@
     5412 JobNotStored "job cannot be stored; given up";
     5413 CheckpointTooLong "checkpoint too long; former one kept";
     5414 TaskCrashesWorkers "workers crash under a task; its job fails";
+    5415 AccessDenied "request not authorized";
 }
 
 /// Logs an event with its fields.
--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -594,7 +594,7 @@
                 (self.peer_addresses, self.peer_capacities) =
                     members.iter().map(|(address, peer)| (Name::new(address), peer)).unzip();
                 if let Some(bounds) = members.bounds {
-                    ctx.actions.push(Action::SetRequestLimits(bounds));
+                    ctx.set_request_limits(bounds);
                 }
             }
             Some(Body::Resign(resignation)) => {
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -2,7 +2,7 @@
 //!
 //! The prost types are written by hand, so that the build needs no code generator.
 
-use scheduler::{Limits, Submission};
+use scheduler::{Rules, Submission};
 
 use crate::config::Capacity;
 
@@ -65,6 +65,9 @@
     /// Timeout for an idle connection, in ms.
     #[prost(uint32, tag = "4")]
     pub idle_ms: u32,
+    /// Whether the rules have workspaces, so that calls need a key.
+    #[prost(bool, tag = "5")]
+    pub needs_keys: bool,
 }
 
 /// Membership and request limits, as sent by the leader to all followers.
@@ -102,13 +105,15 @@
     }
 }
 
-impl From<&Limits> for RequestLimits {
-    fn from(limits: &Limits) -> Self {
+impl From<&Rules> for RequestLimits {
+    fn from(rules: &Rules) -> Self {
+        let limits = &rules.limits;
         Self {
             header_bytes: limits.header_bytes as u32,
             body_bytes: limits.body_bytes as u32,
             header_ms: limits.header_timeout.as_millis() as u32,
             idle_ms: limits.idle_timeout.as_millis() as u32,
+            needs_keys: !rules.workspaces.is_empty(),
         }
     }
 }
@@ -157,7 +162,7 @@
     #[prost(string, tag = "3")]
     pub path: String,
     /// Operation: 1 submit, 2 state, 3 cancel, 4 pending; views: 5 job, 6 queues, 7 workers,
-    /// 8 members.
+    /// 8 members; 9 check of access.
     #[prost(uint32, tag = "4")]
     pub op: u32,
     /// Job id, for state, cancel and the view of a job; otherwise empty.
@@ -184,7 +189,8 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Answer code: 1 accepted, 2 state, 3 cancelled, 4 pending, 5 no queue, 6 no job, 7 refused,
-    /// 8 unknown, 9 view, 10 too large, 11 unauthorized, 12 id in use, 13 never fits.
+    /// 8 unknown, 9 view, 10 too large, 11 unauthorized, 12 id in use, 13 never fits,
+    /// 14 authorized.
     #[prost(uint32, tag = "2")]
     pub answer: u32,
     /// Job state, number of pending jobs, or retry delay in ms; 0 for other answers.
--- a/crates/control/src/lead/journal.rs
+++ b/crates/control/src/lead/journal.rs
@@ -26,6 +26,7 @@
 use crate::answer::Answer;
 use crate::event::log_event;
 use crate::head::{HEAD_KEY, Head, JOURNAL_KEY_PREFIX, POOL_TABLE, read_head};
+use crate::lead::access::Access;
 use crate::lead::requests::Caller;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
@@ -95,7 +96,7 @@
     /// Send an answer to a caller about the job with this id.
     Answer(Caller, Answer, Name),
     /// Send a caller a job's state, or that there is no such job.
-    JobState(Caller, Name),
+    JobState(Caller, Access, Name),
     /// Send a start to its worker.
     Start(scheduler::StartOrder),
     /// Acknowledge the finished runs that a worker listed.
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -5,6 +5,7 @@
 //! workers, `advice` for advice calls, `watch` for rules and the list of workers. `recovery`
 //! reads the state of the previous leader. `measure` and `views` report to operators.
 
+mod access;
 mod advice;
 mod journal;
 mod leases;
@@ -33,6 +34,7 @@
 use crate::node::Context;
 use crate::store::{CommitResult, Page};
 
+use access::Denials;
 use advice::AdviceCalls;
 use journal::{CommitOutcome, Effect, Journal};
 use leases::Leases;
@@ -168,6 +170,7 @@
     logged_checkpoints: BTreeSet<common::Name>,
     /// When overdue jobs were last checked.
     waits_logged_at: Duration,
+    denials: Denials,
 }
 
 impl Leader {
@@ -211,6 +214,7 @@
             logged_waits: HashMap::new(),
             logged_checkpoints: BTreeSet::new(),
             waits_logged_at: now,
+            denials: Denials::default(),
         };
         leader.recovery = Some(Recovery::start(ctx));
         // An immediate commit changes the head row and shows others that its owner is alive.
@@ -404,8 +408,8 @@
     fn run_effect(&mut self, ctx: &mut Context, effect: Effect) {
         match effect {
             Effect::Answer(caller, answer, _) => self.send_answer(ctx, &caller, answer),
-            Effect::JobState(caller, id) => {
-                let answer = self.job_state(&id).unwrap_or(Answer::JobNotFound);
+            Effect::JobState(caller, access, id) => {
+                let answer = self.job_state(&id, &access).unwrap_or(Answer::JobNotFound);
                 self.send_answer(ctx, &caller, answer);
             }
             Effect::Start(start)
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -323,7 +323,7 @@
         if !self.peers.take_due_list(ctx.now) {
             return;
         }
-        let bounds = self.scheduler.rules.as_ref().map(|rules| RequestLimits::from(&rules.limits));
+        let bounds = self.scheduler.rules.as_ref().map(RequestLimits::from);
         let mut members = Members { bounds, ..Members::default() };
         members.push(&ctx.config.peer_address, ctx.config.capacity);
         for peer in self.peers.followers.values() {
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -40,6 +40,8 @@
         Placement,
         /// Checks of workers' leases, and renewals sent.
         Leases,
+        /// Requests that were not authorized, by reason.
+        Denied,
         /// Rounds of advice calls whose tickets all expired unused, these tickets, and those for gangs.
         Waste,
     }
@@ -138,7 +140,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
@@ -156,6 +158,7 @@
         Self::Late,
         Self::Placement,
         Self::Leases,
+        Self::Denied,
         Self::Waste,
     ];
 
@@ -179,6 +182,7 @@
             Self::Late => "bronzerail.late",
             Self::Placement => "bronzerail.placement",
             Self::Leases => "bronzerail.leases",
+            Self::Denied => "bronzerail.access.denied",
             Self::Waste => "bronzerail.advice.wasted",
         }
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -8,14 +8,18 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use scheduler::Rules;
 use slog::Logger;
 
 use crate::action::Action;
+use crate::answer::{Answer, Operation};
 use crate::backlog::QueuedInput;
 use crate::config::Config;
 use crate::event::log_event;
 use crate::follow::{Follower, Transition};
-use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
+use crate::frame::{
+    Advice, AdviceRequest, Announcement, Body, Frame, RequestLimits, Ticket, Welcome,
+};
 use crate::input::{AdviceResult, Input, PeerEvent};
 use crate::lag::{LoopClock, TimerLag};
 use crate::lead::{Caller, Leader};
@@ -78,6 +82,10 @@
     pub lag: TimerLag,
     pub load: Load,
     pub loop_clock: LoopClock,
+    /// Whether callers need keys by the rules last heard of; none before any were.
+    pub needs_keys: Option<bool>,
+    /// The newest rules that this process has applied as leader.
+    applied_rules: Option<Rules>,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -98,6 +106,25 @@
         self.last_link_id
     }
 
+    /// Applies the limits on requests of the rules last heard of.
+    pub fn set_request_limits(&mut self, limits: RequestLimits) {
+        self.needs_keys = Some(limits.needs_keys);
+        self.actions.push(Action::SetRequestLimits(limits));
+    }
+
+    /// The newer of the rules just read and those that this process applied before.
+    ///
+    /// A process that leads again may read an older version than it applied in its earlier term.
+    pub fn newest_rules(&mut self, read: Rules) -> Rules {
+        match &self.applied_rules {
+            Some(applied) if applied.version > read.version => applied.clone(),
+            _ => {
+                self.applied_rules = Some(read.clone());
+                read
+            }
+        }
+    }
+
     /// Queues a frame to be sent on a link.
     pub fn send(&mut self, link: u64, body: Body) {
         self.actions.push(Action::Send { link, frame: Frame::from(body) });
@@ -152,6 +179,8 @@
             lag,
             load,
             loop_clock,
+            needs_keys: None,
+            applied_rules: None,
             last_call_id,
             last_link_id,
             rng,
@@ -291,6 +320,10 @@
         if self.ctx.load.input_age() > call.timeout {
             self.ctx.load.count_late(Late::Request);
         }
+        if call.op == Operation::CheckAccess && self.ctx.needs_keys == Some(false) {
+            self.ctx.answer_caller(token, Answer::Authorized);
+            return;
+        }
         self.pending_requests.admit(&mut self.ctx, token, call);
         if self.has_exited {
             let contact = self.leader_contact();
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -100,6 +100,8 @@
     sent_on: Option<u64>,
     /// Whether any leader may have received it.
     was_sent: bool,
+    /// Whether a leader before the one that it was last sent to may have received it.
+    is_resent: bool,
 }
 
 impl PendingRequest {
@@ -157,6 +159,7 @@
             ends_at,
             sent_on: None,
             was_sent: false,
+            is_resent: false,
         };
         let wait = self.expected_wait(ctx.now);
         if wait > pending.max_queue_time(self.backlogged_for(ctx.now)) {
@@ -244,6 +247,7 @@
             };
             *slots -= 1;
             pending.sent_on = Some(link);
+            pending.is_resent = pending.was_sent;
             pending.was_sent = true;
             self.in_flight.sent.insert(*id, (class, now));
             taken.push((*id, pending.call.clone()));
@@ -275,7 +279,10 @@
     /// A refusal says nothing of what was sent on another link since.
     pub fn answer_on(&mut self, ctx: &mut Context, link: u64, id: u64, answer: Answer) {
         let sent_on = self.requests.get(&id).and_then(|pending| pending.sent_on);
-        let is_refusal = matches!(answer, Answer::Refused { .. } | Answer::QueueNotFound);
+        let is_refusal = matches!(
+            answer,
+            Answer::Refused { .. } | Answer::QueueNotFound | Answer::Unauthorized | Answer::IdInUse
+        );
         if is_refusal && sent_on.is_some_and(|latest| latest != link) {
             ctx.load.count_late(Late::Answer);
             return;
@@ -288,6 +295,8 @@
         self.in_flight.record_answer(id, ctx.now);
         if let Some(pending) = self.requests.remove(&id) {
             ctx.meter.record_duration(Timing::Answer, ctx.now.saturating_sub(pending.arrived));
+            let answer =
+                if pending.hides_outcome(&answer) { Answer::OutcomeUnknown } else { answer };
             ctx.answer_caller(pending.token, answer);
         } else {
             ctx.load.count_late(Late::Answer);
@@ -384,6 +393,16 @@
         self.was_sent && matches!(self.call.op, Operation::Submit(_) | Operation::Cancel(_))
     }
 
+    /// Whether an answer says that it had no effect although an earlier leader may have carried it
+    /// out.
+    ///
+    /// That leader may have known a key that was removed or went to another workspace since.
+    fn hides_outcome(&self, answer: &Answer) -> bool {
+        self.is_resent
+            && self.may_have_effect()
+            && matches!(answer, Answer::Unauthorized | Answer::IdInUse)
+    }
+
     /// Why it is no longer waited for; none while it is.
     fn give_up_reason(&self, now: Duration, contact: Contact) -> Option<GiveUp> {
         if self.may_have_effect() {
@@ -427,7 +446,7 @@
 
 impl Context {
     /// Counts an answer and passes it to the caller.
-    fn answer_caller(&mut self, token: u64, answer: Answer) {
+    pub(crate) fn answer_caller(&mut self, token: u64, answer: Answer) {
         self.meter.add(Counter::Answers, answer_label(&answer), 1);
         self.actions.push(Action::Answer { token, answer });
     }
@@ -446,6 +465,7 @@
         Answer::OutcomeUnknown => "unknown",
         Answer::View(_) => "view",
         Answer::TooLarge => "too_large",
+        Answer::Authorized => "authorized",
         Answer::Unauthorized => "unauthorized",
         Answer::IdInUse => "id_in_use",
         Answer::NeverFits(_) => "never_fits",
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -19,6 +19,7 @@
         Operation::View(View::Queues) => (6, None),
         Operation::View(View::Workers) => (7, None),
         Operation::View(View::Members) => (8, None),
+        Operation::CheckAccess => (9, None),
     };
     let job = job.map(ToString::to_string).unwrap_or_default();
     let submission = match &call.op {
@@ -53,6 +54,7 @@
         6 => Operation::View(View::Queues),
         7 => Operation::View(View::Workers),
         8 => Operation::View(View::Members),
+        9 => Operation::CheckAccess,
         _ => return None,
     };
     let target = if request.host.is_empty() && request.path.is_empty() {
@@ -88,6 +90,7 @@
         Answer::Unauthorized => (11, 0),
         Answer::IdInUse => (12, 0),
         Answer::NeverFits(_) => (13, 0),
+        Answer::Authorized => (14, 0),
     };
     Reply { id, answer, value, text, queued_us: queued.as_micros() as u64 }
 }
@@ -119,6 +122,7 @@
         11 => Answer::Unauthorized,
         12 => Answer::IdInUse,
         13 => Answer::NeverFits(reply.text.clone()),
+        14 => Answer::Authorized,
         _ => Answer::OutcomeUnknown,
     }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -250,6 +250,8 @@
     pub store: FakeStore,
     pub workers: BTreeMap<Name, FakeWorker>,
     pub rules: Rules,
+    /// Credential of the callers' requests.
+    pub credential: Credential,
     pub faults: FaultConfig,
     /// Nodes that cannot reach the store.
     pub cut_from_store: HashSet<usize>,
@@ -330,6 +332,7 @@
             store: FakeStore::default(),
             workers: BTreeMap::new(),
             rules: rules(false),
+            credential: Credential::Missing,
             faults: FaultConfig::default(),
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
@@ -973,18 +976,29 @@
         let path = match &op {
             Operation::Submit(job) => format!("{PREFIX}{}", job.id),
             Operation::GetState(id) | Operation::Cancel(id) => format!("{PREFIX}{id}"),
-            Operation::CountPending | Operation::View(_) => PREFIX.to_owned(),
+            Operation::CountPending | Operation::CheckAccess | Operation::View(_) => {
+                PREFIX.to_owned()
+            }
         };
         let target = Target::Route { host: Name::new(HOST), path: Name::from(path.as_str()) };
-        let call = CallerRequest { target, op, credential: Credential::Missing, timeout };
-        let incarnation = self.slots[node].incarnation;
-        self.schedule(
-            self.now,
-            Event::Input { node, incarnation, input: Input::Call { token, call } },
-        );
+        let call = CallerRequest { target, op, credential: self.credential.clone(), timeout };
+        self.deliver_call(node, token, call);
         token
     }
 
+    /// Sends a request with any target and credential to a node, and returns its token.
+    pub fn send_request(&mut self, node: usize, call: CallerRequest) -> u64 {
+        self.last_token += 1;
+        self.deliver_call(node, self.last_token, call);
+        self.last_token
+    }
+
+    fn deliver_call(&mut self, node: usize, token: u64, call: CallerRequest) {
+        let incarnation = self.slots[node].incarnation;
+        let input = Input::Call { token, call };
+        self.schedule(self.now, Event::Input { node, incarnation, input });
+    }
+
     /// Submits a job at the first running node; waits up to 4 s.
     pub fn submit(&mut self, job: Submission) -> Option<Answer> {
         let node = self.slots.iter().position(|slot| slot.node.is_some() && !slot.is_suspended)?;
--- a/crates/host/src/operator_api.rs
+++ b/crates/host/src/operator_api.rs
@@ -42,6 +42,9 @@
 #[serde(deny_unknown_fields)]
 struct JobBody {
     queue: Name,
+    /// Workspace that the job belongs to; empty for none.
+    #[serde(default)]
+    workspace: String,
     #[serde(default)]
     payload: String,
     steps: Vec<StepBody>,
@@ -92,8 +95,12 @@
     /// Converts and checks the job; returns its queue and submission.
     fn into_submission(self, id: &str) -> Result<(Name, Submission), SubmissionError> {
         let steps = self.steps.into_iter().map(StepBody::into_step).collect();
-        let submission =
-            Submission { id: id.to_owned(), payload: self.payload, steps, ..Submission::default() };
+        let submission = Submission {
+            id: id.to_owned(),
+            payload: self.payload,
+            steps,
+            workspace: self.workspace,
+        };
         submission.validate().map(|()| (self.queue, submission))
     }
 }
@@ -182,6 +189,7 @@
     match answer {
         Answer::Accepted => state("accepted"),
         Answer::Cancelled => state("cancelled"),
+        Answer::Authorized => state("authorized"),
         Answer::State(job_state) => state(job_state.as_str()),
         Answer::Pending(count) => ok(json!({ "pending": count })),
         Answer::View(text) => server::json_response(StatusCode::OK, text.clone()),
@@ -193,7 +201,7 @@
             error_response(ErrorKind::TooLarge, "the job is too large to be stored")
         }
         Answer::Unauthorized => {
-            error_response(ErrorKind::NotFound, "queue or job does not exist for this caller")
+            error_response(ErrorKind::NotFound, "the rules have no workspace of this name")
         }
         Answer::IdInUse => error_response(ErrorKind::IdTaken, "another job has this id"),
         Answer::NeverFits(reason) => error_response(ErrorKind::Quota, reason),
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -82,6 +82,15 @@
         &self,
         request: HttpRequest,
     ) -> impl Future<Output = Result<Response<Full<Bytes>>, NoResponse>>;
+
+    /// Responds to a request whose body is refused with a status and was not read to its end.
+    fn refuse(
+        &self,
+        _head: &hyper::http::request::Parts,
+        status: StatusCode,
+    ) -> impl Future<Output = Result<Response<Full<Bytes>>, NoResponse>> {
+        std::future::ready(Ok(empty_response(status)))
+    }
 }
 
 /// Accepts and serves connections until the shutdown stage is `Closed`.
@@ -187,8 +196,14 @@
             place.begin_handling();
             handler.handle(HttpRequest { head, body }).await?
         }
-        Ok(Err(BodyError::TooLarge)) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(BodyError::Invalid)) => empty_response(StatusCode::BAD_REQUEST),
+        Ok(Err(BodyError::TooLarge)) => {
+            place.begin_handling();
+            handler.refuse(&head, StatusCode::PAYLOAD_TOO_LARGE).await?
+        }
+        Ok(Err(BodyError::Invalid)) => {
+            place.begin_handling();
+            handler.refuse(&head, StatusCode::BAD_REQUEST).await?
+        }
         Ok(Err(BodyError::Refused)) => {
             let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
             set_retry_after(&mut response, REFUSED_BODY_RETRY);
