--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -229,10 +229,14 @@
     #[argh(positional)]
     pub id: String,
 
-    /// JSON file of the job: queue, payload, steps
+    /// JSON file of the job: queue, payload, steps, workspace
     #[argh(positional)]
     pub file: String,
 
+    /// workspace that the job belongs to, instead of the one in the file
+    #[argh(option)]
+    pub workspace: Option<String>,
+
     /// time to wait for the job to end, such as 1m
     #[argh(option)]
     pub wait: Option<String>,
--- a/crates/cli/src/command/pool.rs
+++ b/crates/cli/src/command/pool.rs
@@ -91,6 +91,10 @@
 fn submit(config: &Config, job: &PoolSubmit) -> Result<(), Error> {
     let wait = job.wait.as_deref().map(|text| parse_duration("wait", text)).transpose()?;
     let body = std::fs::read_to_string(&job.file).context(FileSnafu { path: &job.file })?;
+    let body = match &job.workspace {
+        Some(workspace) => with_workspace(&body, &job.file, workspace)?,
+        None => body,
+    };
     let client = Client::new(config, MAX_ANSWER_TIME);
     let answer = client.post(&job_path(&job.id), &body)?;
     let Some(wait) = wait.filter(|_| answer.error().is_none()) else {
@@ -107,6 +111,16 @@
     }
 }
 
+/// Sets the workspace in the JSON text of a job.
+fn with_workspace(body: &str, path: &str, workspace: &str) -> Result<String, Error> {
+    let error = |text: String| Error::Option { option: "workspace", text };
+    let mut job: Value =
+        serde_json::from_str(body).map_err(|source| error(format!("{path}: {source}")))?;
+    let fields = job.as_object_mut().ok_or_else(|| error(format!("{path}: not a JSON object")))?;
+    fields.insert("workspace".to_owned(), Value::from(workspace));
+    Ok(job.to_string())
+}
+
 /// Prints a job's state, or returns the error that the answer reports.
 fn print_state(config: &Config, id: &str, answer: &Answer) -> Result<(), Error> {
     if config.is_json {
--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -8,8 +8,9 @@
 use serde_json::Value;
 use standin::platform::{Platform, free_ports};
 
-/// Last byte of the daemon's loopback address; no other test uses it.
+/// Last bytes of the daemons' loopback addresses; no other test uses them.
 const HOST: u8 = 81;
+const KEYED_HOST: u8 = 82;
 
 /// Timeout for the daemon to become leader; far above the time that takes.
 const START_TIMEOUT: Duration = Duration::from_secs(40);
@@ -19,7 +20,7 @@
     daemon: Child,
     folder: PathBuf,
     operators: SocketAddr,
-    _platform: Platform,
+    platform: Platform,
 }
 
 impl Drop for Cell {
@@ -31,20 +32,21 @@
     }
 }
 
-/// Creates the temporary folder of this process.
-fn create_temp_folder() -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("bronzerail-pool-{}", std::process::id()));
+/// Creates a temporary folder of this process.
+fn create_temp_folder(name: &str) -> PathBuf {
+    let folder = format!("bronzerail-pool-{name}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(folder);
     std::fs::create_dir_all(&folder).expect("the folder is created");
     folder
 }
 
 impl Cell {
-    fn start() -> Self {
+    fn start(host: u8) -> Self {
         let platform = Platform::start(2, 4000).expect("the platform starts");
-        let folder = create_temp_folder();
+        let folder = create_temp_folder(&host.to_string());
         let settings = folder.join("settings.toml");
-        let ports = free_ports(HOST).expect("ports are free");
-        std::fs::write(&settings, platform.settings("pool", HOST, ports))
+        let ports = free_ports(host).expect("ports are free");
+        std::fs::write(&settings, platform.settings("pool", host, ports))
             .expect("the settings are written");
         let own = Path::new(env!("CARGO_BIN_EXE_bronzerail"));
         let program = own.with_file_name("bronzerail-platform");
@@ -52,8 +54,8 @@
         let mut daemon = Command::new(program);
         daemon.arg("--settings").arg(&settings).stdout(Stdio::null());
         let daemon = daemon.spawn().expect("the daemon starts");
-        let operators = SocketAddr::from((Ipv4Addr::new(127, 0, 0, HOST), 9464));
-        let cell = Self { daemon, folder, operators, _platform: platform };
+        let operators = SocketAddr::from((Ipv4Addr::new(127, 0, 0, host), 9464));
+        let cell = Self { daemon, folder, operators, platform };
         let end = Instant::now() + START_TIMEOUT;
         while cell.run_tool(&["pool", "queues"]).status.code() != Some(0) {
             assert!(Instant::now() < end, "the daemon did not become leader");
@@ -90,7 +92,7 @@
 
 #[test]
 fn pool_submit_explain_cancel_and_views() {
-    let cell = Cell::start();
+    let cell = Cell::start(HOST);
     let (done, large) = ("00000000000000d1", "00000000000000d2");
     let body = r#"{"queue":"plain","payload":"ms=50","steps":[{"tasks":2,"cpu":500}]}"#;
     let output = cell.submit(done, body, &["--wait", "30s"]);
@@ -124,10 +126,42 @@
 
 #[test]
 fn pool_submit_missing_file_names_it() {
-    let folder = create_temp_folder();
+    let folder = create_temp_folder("missing");
     let path = folder.join("none.json").display().to_string();
     let mut tool = Command::new(env!("CARGO_BIN_EXE_bronzerail"));
     let output = tool.args(["pool", "submit", "1", &path]).output().expect("the tool runs");
     assert_eq!(output.status.code(), Some(2));
     assert!(text(&output.stderr).contains("none.json"));
 }
+
+/// Guards against a job without the workspace that its operator names, and against an unclear error.
+#[test]
+fn pool_submit_workspace_is_checked_and_shown() {
+    let cell = Cell::start(KEYED_HOST);
+    cell.platform.set_workspaces(4, &[("w1", &["secret"]), ("w2", &[])]);
+    let end = Instant::now() + START_TIMEOUT;
+    while cell.run_json(&["pool", "queues"])[0]["rules"] != 4 {
+        assert!(Instant::now() < end, "the configuration was not read");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let body = r#"{"queue":"plain","workspace":"w2","payload":"ms=50","steps":[{"cpu":500}]}"#;
+    for (id, options, workspace) in [
+        ("00000000000000e1", &["--wait", "30s"][..], "w2"),
+        ("00000000000000e2", &["--wait", "30s", "--workspace", "w1"], "w1"),
+    ] {
+        let output = cell.submit(id, body, options);
+        assert_eq!(text(&output.stdout), format!("{id} completed\n"), "{}", text(&output.stderr));
+        assert_eq!(cell.run_json(&["pool", "explain", id])["workspace"], workspace);
+    }
+    let output = cell.submit("00000000000000e3", body, &["--workspace", "w3"]);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(text(&output.stderr).contains("no workspace of this name"), "{}", text(&output.stderr));
+    // The id belongs to the other workspace.
+    let output = cell.submit("00000000000000e2", body, &[]);
+    assert_eq!(output.status.code(), Some(4), "{}", text(&output.stderr));
+    for body in ["[]", "{"] {
+        let output = cell.submit("00000000000000e4", body, &["--workspace", "w1"]);
+        assert_eq!(output.status.code(), Some(2));
+        assert!(text(&output.stderr).contains("job.json"), "{}", text(&output.stderr));
+    }
+}
--- a/crates/control/src/lead/views.rs
+++ b/crates/control/src/lead/views.rs
@@ -37,6 +37,7 @@
         json!({
             "id": &*job.id,
             "queue": &*job.queue,
+            "workspace": &*job.workspace,
             "state": job.reported_state().map_or("being stored", JobState::as_str),
             "age_ms": ctx.now.saturating_sub(job.arrived).as_millis() as u64,
             "due_in_ms": due_in,
