--- a/crates/control/tests/keys.rs
+++ b/crates/control/tests/keys.rs
@@ -486,6 +486,26 @@
     assert!(matches!(ask(&mut sim, state("during"), &Credential::Missing), Some(Answer::State(_))));
 }
 
+// Guards against daemons that do not notice when keys begin or cease to be needed.
+#[test]
+fn invalid_request_follows_introduction_of_workspaces() {
+    let mut sim = start(24, rules(1, &[]));
+    let steps = [
+        (rules(1, &[]), Answer::Authorized),
+        (two_workspaces(2), Answer::Unauthorized),
+        (rules(3, &[("a", &[])]), Answer::Unauthorized),
+        (rules(4, &[]), Answer::Authorized),
+    ];
+    for (number, (rules, expected)) in steps.into_iter().enumerate() {
+        apply(&mut sim, rules);
+        for node in 0..NODES {
+            let check = Operation::CheckAccess;
+            let answer = ask_at(&mut sim, node, PREFIX, check, &Credential::Missing);
+            assert_eq!(answer.as_ref(), Some(&expected), "step {number}, n{node}");
+        }
+    }
+}
+
 // Guards against a daemon that answers from memory whether a key is valid.
 #[test]
 fn follower_without_leader_refuses_known_and_unknown_keys() {
