soak: clients with keys, and a key that changes all the time

Cause: no soak covers keys over faults.

Change: the clients belong to two workspaces and send their keys; 401 or 409 for them is a violation. A third workspace's key changes every 5 s, with versions that rise in uneven steps, and random daemons are asked with the key that was replaced. Being served is a violation 3 s after the change, unless a fault was on or had ended less than 8 s before. At the end of a run each daemon of the healed cell is judged, for the removed key and for the present one.

--- a/crates/soak/src/cell.rs
+++ b/crates/soak/src/cell.rs
@@ -13,13 +13,14 @@
 use control::Head;
 use rustix::process::{Pid, Signal, kill_process};
 use standin::platform::event::{Event, Kind, now_us};
-use standin::platform::job::{Entry, config};
+use standin::platform::job::Entry;
 use standin::platform::{Fault, Store, View, serve_view};
 use tokio::runtime::Runtime;
 
 use crate::address::Directory;
 use crate::check::Checker;
 use crate::effect::{Effects, Node, State};
+use crate::keys;
 use crate::link::{Frames, Link, Plain};
 use crate::plan::Spec;
 
@@ -153,7 +154,7 @@
     pub fn start(spec: &Spec, paths: Paths, checker: Arc<Mutex<Checker>>) -> Result<Self> {
         std::fs::create_dir_all(&paths.folder)?;
         let store = Arc::new(Store::default());
-        store.put("op", "config", &config(MAX_ATTEMPTS));
+        keys::write_config(&store, keys::FIRST_VERSION, MAX_ATTEMPTS, &keys::changing_key(0));
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         let process = std::process::id();
@@ -256,6 +257,11 @@
         self.shared.changes.load(Ordering::Relaxed)
     }
 
+    /// The store, for what operators write.
+    pub fn store(&self) -> Arc<Store> {
+        Arc::clone(&self.shared.store)
+    }
+
     /// Addresses at which daemons take clients' requests.
     pub fn client_addresses(&self) -> Vec<SocketAddr> {
         let address = |daemon| SocketAddr::from((daemon_ip(self.network, daemon), CALLERS_PORT));
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -32,6 +32,8 @@
         Unasked,
         /// A rejected job never runs.
         Refused,
+        /// A known key is served, and a removed one is not.
+        Key,
     }
 
     /// State of a job as a client sees it.
@@ -174,6 +176,8 @@
     /// Starts and ends of disturbances.
     disturbances: Vec<(u64, u64)>,
     ended_us: Option<u64>,
+    /// Violations of [`Rule::Key`].
+    key_violations: Vec<Violation>,
     /// Violations that [`Checker::take_new`] has returned.
     reported: BTreeSet<(Rule, String, u64)>,
 }
@@ -188,6 +192,7 @@
             downs: Vec::new(),
             disturbances: Vec::new(),
             ended_us: None,
+            key_violations: Vec::new(),
             reported: BTreeSet::new(),
         }
     }
@@ -223,6 +228,12 @@
         job.submission = job.submission.max(Submission::Refused);
     }
 
+    /// Takes that an answer to a request about something does not follow from the request's key.
+    pub fn key_violation(&mut self, subject: &str, at_us: u64, text: String) {
+        let text = format!("{text} at {}", self.seconds(at_us));
+        self.key_violations.push(violation(Rule::Key, subject, at_us, text));
+    }
+
     /// Takes that a client is about to cancel a job, whether or not it gets an answer.
     pub fn cancel_sent(&mut self, job: &str) {
         self.job(job).is_cancel_sent = true;
@@ -266,7 +277,7 @@
     /// All violations so far, in the order of their times.
     pub fn violations(&self) -> Vec<Violation> {
         let account = self.account();
-        let mut violations = Vec::new();
+        let mut violations = self.key_violations.clone();
         for (task, runs) in &account.runs {
             self.check_overlaps(task, runs, &mut violations);
             self.check_reruns(task, runs, &account, &mut violations);
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -39,19 +39,30 @@
 
 /// A connection to a daemon that stays open until it fails.
 #[derive(Debug)]
-struct Connection {
+pub struct Connection {
     address: SocketAddr,
     stream: Option<BufReader<TcpStream>>,
 }
 
 impl Connection {
-    /// Sends a request; `None` without a complete response in time.
-    fn call(&mut self, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+    /// A connection to an address, opened when it is first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, stream: None }
+    }
+
+    /// Sends a request with a key; `None` without a complete response in time.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Option<(u16, Value)> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect().ok()?,
         };
-        let reply = exchange(&mut stream, method, path, body).ok()?;
+        let reply = exchange(&mut stream, method, path, key, body).ok()?;
         self.stream = Some(stream);
         Some(reply)
     }
@@ -70,11 +81,12 @@
     stream: &mut BufReader<TcpStream>,
     method: &str,
     path: &str,
+    key: &str,
     body: &str,
 ) -> std::io::Result<(u16, Value)> {
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n\r\n",
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {key}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
     stream.get_mut().write_all((head + body).as_bytes())?;
@@ -137,6 +149,7 @@
 #[derive(Debug)]
 pub struct Client {
     connections: Vec<Connection>,
+    key: &'static str,
     random: StdRng,
     has_long_tasks: bool,
     open: BTreeMap<String, Open>,
@@ -145,17 +158,18 @@
 }
 
 impl Client {
-    /// Creates a client of daemons at addresses.
+    /// Creates a client of daemons at addresses, with the key of its workspace.
     pub fn new(
         addresses: &[SocketAddr],
+        key: &'static str,
         seed: u64,
         has_long_tasks: bool,
         progress: Arc<Progress>,
         checker: Arc<Mutex<Checker>>,
     ) -> Self {
-        let connection = |address: &SocketAddr| Connection { address: *address, stream: None };
         Self {
-            connections: addresses.iter().map(connection).collect(),
+            connections: addresses.iter().copied().map(Connection::new).collect(),
+            key,
             random: StdRng::seed_from_u64(seed),
             has_long_tasks,
             open: BTreeMap::new(),
@@ -207,9 +221,15 @@
     /// Sends a request for a job to any daemon.
     fn call(&mut self, method: &str, id: &str, body: &str) -> Option<(u16, Value)> {
         let daemon = self.random.random_range(0..self.connections.len());
-        let reply = self.connections[daemon].call(method, &format!("{PREFIX}{id}"), body);
-        if reply.is_none() {
-            Progress::count(&self.progress.unanswered);
+        let path = format!("{PREFIX}{id}");
+        let reply = self.connections[daemon].call(method, &path, self.key, body);
+        match &reply {
+            None => Progress::count(&self.progress.unanswered),
+            Some((status @ (401 | 409), _)) => {
+                let text = format!("{method} of job {id} with a valid key was answered {status}");
+                lock(&self.checker).key_violation(id, now_us(), text);
+            }
+            Some(_) => {}
         }
         reply
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod client;
 pub mod effect;
+pub mod keys;
 pub mod link;
 pub mod plan;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -154,14 +154,18 @@
         println!(
             "plan {}, seed {seed}: {verdict}, {count} violations; {} jobs accepted, {} ended, \
              {} starts and ends of runs, {} answers of a job not known, {} requests without an \
-             answer, daemons that ended by themselves: {:?}",
+             answer, daemons that ended by themselves: {:?}; requests with removed keys: {} refused, \
+             {} served before the daemons had to know, {} without an answer",
             args.plan,
             outcome.accepted,
             outcome.ended,
             outcome.changes,
             outcome.unknown,
             outcome.unanswered,
-            outcome.fallen
+            outcome.fallen,
+            outcome.probes.refused,
+            outcome.probes.served_early,
+            outcome.probes.unanswered
         );
         if count == 0 {
             std::fs::remove_dir_all(&folder)?;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use crate::cell::{Cell, MAX_ATTEMPTS, Paths, Result, lock};
 use crate::check::{Checker, Settings, Violation};
 use crate::client::{Client, Progress};
+use crate::keys::{self, KeyProbe, Probes};
 use crate::plan::{Plan, Spec};
 
 /// Number of clients.
@@ -44,6 +45,8 @@
         pub unanswered: u64,
         /// Starts and ends of runs on workers.
         pub changes: u64,
+        /// Requests with removed keys.
+        pub probes: Probes,
         /// Daemons that ended by themselves.
         pub fallen: Vec<usize>,
     }
@@ -92,6 +95,9 @@
     writeln!(notes, "seed {}\n{plan}", plan.seed)?;
     let origin = Instant::now();
     let mut clients = start_clients(&cell, plan, &checker);
+    let probe = KeyProbe::new(&cell, origin_us, plan, Arc::clone(&checker));
+    let (probes_ended, progress) = (Arc::clone(&clients.progress), Arc::clone(&clients.progress));
+    let key_thread = std::thread::spawn(move || probe.run(&probes_ended.is_ended));
     let mut reporter = Reporter { checker: Arc::clone(&checker), last: origin };
     let mut note = |text: String| -> Result<()> {
         let at = (now_us() - origin_us) as f64 / 1e6;
@@ -121,8 +127,9 @@
     note(format!("healed; daemons that ended by themselves: {fallen:?}"))?;
     clients.progress.is_draining.store(true, Ordering::SeqCst);
     wait_for_jobs(&cell, &clients, &mut reporter)?;
-    let progress = Arc::clone(&clients.progress);
     clients.progress.is_ended.store(true, Ordering::SeqCst);
+    let probe = key_thread.join().map_err(|_panic| "the thread that changes keys failed")?;
+    let probes = probe.check_at_end();
     for thread in clients.threads.drain(..) {
         if thread.join().is_err() {
             return Err("a client failed".into());
@@ -146,6 +153,7 @@
         unknown: count(&progress.unknown),
         unanswered: count(&progress.unanswered),
         changes,
+        probes,
         fallen,
     })
 }
@@ -168,6 +176,7 @@
         let seed = plan.seed.wrapping_mul(CLIENTS).wrapping_add(number);
         let client = Client::new(
             &addresses,
+            keys::client_key(number),
             seed,
             plan.has_long_tasks,
             Arc::clone(&progress),
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -343,3 +343,16 @@
     assert_eq!(State::from_name("completed"), Some(State::Completed));
     assert_eq!(State::from_name("other"), None);
 }
+
+/// Guards against an answer against a key that is told during the soak and forgotten at its end.
+#[test]
+fn key_answer_against_it_is_broken_and_told_once() {
+    let mut tale = Tale::silent(true);
+    tale.0.key_violation("127.0.0.1:8000", at(1500), "a removed key was served".to_owned());
+    assert_eq!(tale.0.take_new().len(), 1);
+    assert_eq!(tale.0.take_new(), Vec::<Violation>::new());
+    tale.0.end(at(2000));
+    let violation = tale.only();
+    assert_eq!((violation.rule, violation.at_us), (Rule::Key, at(1500)));
+    assert_eq!(violation.text, "a removed key was served at 1.500 s");
+}
--- a/crates/standin/src/platform/job.rs
+++ b/crates/standin/src/platform/job.rs
@@ -2,6 +2,8 @@
 
 use serde_json::{Value, json};
 
+use super::{Workspace, tenants};
+
 /// Service of the queue and of all workers.
 const SERVICE: &str = "service";
 
@@ -90,15 +92,16 @@
     }
 }
 
-/// Configuration with one queue, whose tasks may fail a number of times.
-pub fn config(max_attempts: u32) -> Value {
+/// Configuration with one queue, whose tasks may fail a number of times, and with workspaces.
+pub fn config(version: u64, max_attempts: u32, workspaces: &[Workspace<'_>]) -> Value {
     let route = json!({
         "name": "plain", "host": HOST, "path_prefix": PREFIX, "type": "non_idempotent",
         "timeout_ms": 3000, "target_runtime_ms": 1000, "priority": 0, "service": SERVICE,
         "max_attempts": max_attempts, "stretch": 1.5,
     });
     json!({
-        "version": 1, "routes": [route], "services": [],
+        "version": version, "routes": [route], "services": [],
+        "tenants": tenants(workspaces),
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262_144,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     })
