--- a/crates/control/tests/odd_frames.rs
+++ b/crates/control/tests/odd_frames.rs
@@ -62,6 +62,14 @@
         Body::Resign(Resignation { epoch, successor: "n1".to_owned() }),
         Body::Members(members),
         Body::Announce(Announcement { epoch, address: address() }),
+        Body::Request(Request {
+            id: 7,
+            host: support::HOST.to_owned(),
+            path: support::PREFIX.to_owned(),
+            op: 9,
+            key_digest: vec![7; 32],
+            ..Request::default()
+        }),
     ];
     bodies.into_iter().map(Frame::from).collect()
 }
