--- a/crates/control/tests/keys.rs
+++ b/crates/control/tests/keys.rs
@@ -211,6 +211,12 @@
     assert_eq!(accepts(&mut sim, "x", &key("ka")), vec![Some(Answer::Accepted); NODES]);
     apply(&mut sim, rules(5, &[("a", &["ka2"]), ("b", &["kb"])]));
     assert_eq!(accepts(&mut sim, "y", &key("ka")), vec![Some(Answer::Unauthorized); NODES]);
+    for node in 0..NODES {
+        for op in all_operations("x0") {
+            let answer = ask_at(&mut sim, node, PREFIX, op.clone(), &key("ka"));
+            assert_eq!(answer, Some(Answer::Unauthorized), "{op:?}");
+        }
+    }
     assert_eq!(accepts(&mut sim, "z", &key("ka2")), vec![Some(Answer::Accepted); NODES]);
     // A workspace may lose its last key.
     apply(&mut sim, rules(6, &[("a", &[]), ("b", &["kb"])]));
@@ -227,6 +233,9 @@
     assert_eq!(ask(&mut sim, submit("new"), &key("ka")), Some(Answer::Accepted));
     assert_eq!((workspace_of(&sim, "old"), workspace_of(&sim, "new")), ("a".into(), "b".into()));
     assert_eq!(ask(&mut sim, state("old"), &key("ka")), Some(Answer::JobNotFound));
+    assert_eq!(ask(&mut sim, cancel("old"), &key("ka")), Some(Answer::JobNotFound));
+    assert_eq!(ask(&mut sim, submit("old"), &key("ka")), Some(Answer::IdInUse));
+    assert_eq!(ask(&mut sim, submit("old"), &key("kb")), Some(Answer::Accepted));
     assert!(matches!(ask(&mut sim, state("old"), &key("kb")), Some(Answer::State(_))));
 }
 
