--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -594,7 +594,8 @@
                 (self.peer_addresses, self.peer_capacities) =
                     members.iter().map(|(address, peer)| (Name::new(address), peer)).unzip();
                 if let Some(bounds) = members.bounds {
-                    ctx.set_request_limits(bounds);
+                    ctx.needs_keys = Some(members.needs_keys);
+                    ctx.actions.push(Action::SetRequestLimits(bounds));
                 }
             }
             Some(Body::Resign(resignation)) => {
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -2,7 +2,7 @@
 //!
 //! The prost types are written by hand, so that the build needs no code generator.
 
-use scheduler::{Rules, Submission};
+use scheduler::{Limits, Submission};
 
 use crate::config::Capacity;
 
@@ -65,9 +65,6 @@
     /// Timeout for an idle connection, in ms.
     #[prost(uint32, tag = "4")]
     pub idle_ms: u32,
-    /// Whether the rules have workspaces, so that calls need a key.
-    #[prost(bool, tag = "5")]
-    pub needs_keys: bool,
 }
 
 /// Membership and request limits, as sent by the leader to all followers.
@@ -85,6 +82,9 @@
     /// Bandwidth of the link of each daemon in `addresses`; empty from an older version.
     #[prost(uint32, repeated, tag = "4")]
     pub link_kbps: Vec<u32>,
+    /// Whether the rules have workspaces, so that calls need keys; of no meaning without `bounds`.
+    #[prost(bool, tag = "5")]
+    pub needs_keys: bool,
 }
 
 impl Members {
@@ -105,15 +105,13 @@
     }
 }
 
-impl From<&Rules> for RequestLimits {
-    fn from(rules: &Rules) -> Self {
-        let limits = &rules.limits;
+impl From<&Limits> for RequestLimits {
+    fn from(limits: &Limits) -> Self {
         Self {
             header_bytes: limits.header_bytes as u32,
             body_bytes: limits.body_bytes as u32,
             header_ms: limits.header_timeout.as_millis() as u32,
             idle_ms: limits.idle_timeout.as_millis() as u32,
-            needs_keys: !rules.workspaces.is_empty(),
         }
     }
 }
@@ -162,7 +160,7 @@
     #[prost(string, tag = "3")]
     pub path: String,
     /// Operation: 1 submit, 2 state, 3 cancel, 4 pending; views: 5 job, 6 queues, 7 workers,
-    /// 8 members; 9 check of access.
+    /// 8 members; 10 check of access.
     #[prost(uint32, tag = "4")]
     pub op: u32,
     /// Job id, for state, cancel and the view of a job; otherwise empty.
--- a/crates/control/src/lead/peers.rs
+++ b/crates/control/src/lead/peers.rs
@@ -323,8 +323,10 @@
         if !self.peers.take_due_list(ctx.now) {
             return;
         }
-        let bounds = self.scheduler.rules.as_ref().map(RequestLimits::from);
-        let mut members = Members { bounds, ..Members::default() };
+        let rules = self.scheduler.rules.as_ref();
+        let bounds = rules.map(|rules| RequestLimits::from(&rules.limits));
+        let needs_keys = rules.is_some_and(|rules| !rules.workspaces.is_empty());
+        let mut members = Members { bounds, needs_keys, ..Members::default() };
         members.push(&ctx.config.peer_address, ctx.config.capacity);
         for peer in self.peers.followers.values() {
             members.push(&peer.address, peer.capacity);
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -68,12 +68,13 @@
         if let Some(rules) = change.rules
             && self.scheduler.rules.as_ref().is_none_or(|known| known.version < rules.version)
         {
-            let rules = ctx.newest_rules(*rules);
+            let rules = ctx.newest_rules(rules);
             log_event!(ctx, RulesChanged, "version" => rules.version,
-                "queues" => rules.queues.len(),
-                "workspaces" => rules.workspaces.iter().count());
-            ctx.set_request_limits(RequestLimits::from(&rules));
-            self.scheduler.set_rules(rules);
+                "queues" => rules.queues.len(), "workspaces" => rules.workspaces.iter().count());
+            ctx.actions.push(Action::SetRequestLimits(RequestLimits::from(&rules.limits)));
+            self.scheduler.set_rules(*rules);
+            let rules = self.scheduler.rules.as_ref();
+            ctx.needs_keys = rules.map(|rules| !rules.workspaces.is_empty());
             self.needs_placement = true;
             self.peers.request_list();
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -17,9 +17,7 @@
 use crate::config::Config;
 use crate::event::log_event;
 use crate::follow::{Follower, Transition};
-use crate::frame::{
-    Advice, AdviceRequest, Announcement, Body, Frame, RequestLimits, Ticket, Welcome,
-};
+use crate::frame::{Advice, AdviceRequest, Announcement, Body, Frame, Ticket, Welcome};
 use crate::input::{AdviceResult, Input, PeerEvent};
 use crate::lag::{LoopClock, TimerLag};
 use crate::lead::{Caller, Leader};
@@ -85,7 +83,7 @@
     /// Whether callers need keys by the rules last heard of; none before any were.
     pub needs_keys: Option<bool>,
     /// The newest rules that this process has applied as leader.
-    applied_rules: Option<Rules>,
+    applied_rules: Option<Box<Rules>>,
     last_call_id: u64,
     last_link_id: u64,
     rng: SmallRng,
@@ -106,16 +104,10 @@
         self.last_link_id
     }
 
-    /// Applies the limits on requests of the rules last heard of.
-    pub fn set_request_limits(&mut self, limits: RequestLimits) {
-        self.needs_keys = Some(limits.needs_keys);
-        self.actions.push(Action::SetRequestLimits(limits));
-    }
-
     /// The newer of the rules just read and those that this process applied before.
     ///
     /// A process that leads again may read an older version than it applied in its earlier term.
-    pub fn newest_rules(&mut self, read: Rules) -> Rules {
+    pub fn newest_rules(&mut self, read: Box<Rules>) -> Box<Rules> {
         match &self.applied_rules {
             Some(applied) if applied.version > read.version => applied.clone(),
             _ => {
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -15,11 +15,11 @@
         Operation::GetState(job) => (2, Some(job)),
         Operation::Cancel(job) => (3, Some(job)),
         Operation::CountPending => (4, None),
+        Operation::CheckAccess => (10, None),
         Operation::View(View::Job(job)) => (5, Some(job)),
         Operation::View(View::Queues) => (6, None),
         Operation::View(View::Workers) => (7, None),
         Operation::View(View::Members) => (8, None),
-        Operation::CheckAccess => (9, None),
     };
     let job = job.map(ToString::to_string).unwrap_or_default();
     let submission = match &call.op {
@@ -50,11 +50,11 @@
         2 => Operation::GetState(Name::new(&request.job)),
         3 => Operation::Cancel(Name::new(&request.job)),
         4 => Operation::CountPending,
+        10 => Operation::CheckAccess,
         5 => Operation::View(View::Job(Name::new(&request.job))),
         6 => Operation::View(View::Queues),
         7 => Operation::View(View::Workers),
         8 => Operation::View(View::Members),
-        9 => Operation::CheckAccess,
         _ => return None,
     };
     let target = if request.host.is_empty() && request.path.is_empty() {
--- a/crates/control/tests/odd_frames.rs
+++ b/crates/control/tests/odd_frames.rs
@@ -66,7 +66,7 @@
             id: 7,
             host: support::HOST.to_owned(),
             path: support::PREFIX.to_owned(),
-            op: 9,
+            op: 10,
             key_digest: vec![7; 32],
             ..Request::default()
         }),
