--- a/crates/control/src/follow/mod.rs
+++ b/crates/control/src/follow/mod.rs
@@ -594,6 +594,7 @@
                 (self.peer_addresses, self.peer_capacities) =
                     members.iter().map(|(address, peer)| (Name::new(address), peer)).unzip();
                 if let Some(bounds) = members.bounds {
+                    ctx.needs_keys = Some(members.needs_keys);
                     ctx.actions.push(Action::SetRequestLimits(bounds));
                 }
             }
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -82,6 +82,9 @@
     /// Bandwidth of the link of each daemon in `addresses`; empty from an older version.
     #[prost(uint32, repeated, tag = "4")]
     pub link_kbps: Vec<u32>,
+    /// Whether the rules have workspaces, so that calls need keys; of no meaning without `bounds`.
+    #[prost(bool, tag = "5")]
+    pub needs_keys: bool,
 }
 
 impl Members {
@@ -157,7 +160,7 @@
     #[prost(string, tag = "3")]
     pub path: String,
     /// Operation: 1 submit, 2 state, 3 cancel, 4 pending; views: 5 job, 6 queues, 7 workers,
-    /// 8 members.
+    /// 8 members; 10 check of access.
     #[prost(uint32, tag = "4")]
     pub op: u32,
     /// Job id, for state, cancel and the view of a job; otherwise empty.
@@ -184,7 +187,8 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Answer code: 1 accepted, 2 state, 3 cancelled, 4 pending, 5 no queue, 6 no job, 7 refused,
-    /// 8 unknown, 9 view, 10 too large, 11 unauthorized, 12 id in use, 13 never fits.
+    /// 8 unknown, 9 view, 10 too large, 11 unauthorized, 12 id in use, 13 never fits,
+    /// 14 authorized.
     #[prost(uint32, tag = "2")]
     pub answer: u32,
     /// Job state, number of pending jobs, or retry delay in ms; 0 for other answers.
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -15,6 +15,7 @@
         Operation::GetState(job) => (2, Some(job)),
         Operation::Cancel(job) => (3, Some(job)),
         Operation::CountPending => (4, None),
+        Operation::CheckAccess => (10, None),
         Operation::View(View::Job(job)) => (5, Some(job)),
         Operation::View(View::Queues) => (6, None),
         Operation::View(View::Workers) => (7, None),
@@ -49,6 +50,7 @@
         2 => Operation::GetState(Name::new(&request.job)),
         3 => Operation::Cancel(Name::new(&request.job)),
         4 => Operation::CountPending,
+        10 => Operation::CheckAccess,
         5 => Operation::View(View::Job(Name::new(&request.job))),
         6 => Operation::View(View::Queues),
         7 => Operation::View(View::Workers),
@@ -88,6 +90,7 @@
         Answer::Unauthorized => (11, 0),
         Answer::IdInUse => (12, 0),
         Answer::NeverFits(_) => (13, 0),
+        Answer::Authorized => (14, 0),
     };
     Reply { id, answer, value, text, queued_us: queued.as_micros() as u64 }
 }
@@ -119,6 +122,7 @@
         11 => Answer::Unauthorized,
         12 => Answer::IdInUse,
         13 => Answer::NeverFits(reply.text.clone()),
+        14 => Answer::Authorized,
         _ => Answer::OutcomeUnknown,
     }
 }
