scheduler: limits of workspaces hold in each pass

Change: a pass starts from the usage of all assigned runs and adds each placement. Single tasks, waves of wide steps and gangs start only within the limit; a workspace with nothing running may start one larger task, or a gang that exceeds the limit by a tenth at most. A step that can start nothing is passed by before the costly work: it makes no advice calls, gives up what it holds, and counts neither as handled nor as idle. One that calls for tickets or collects room claims its part of the limit, as otherwise all waiting steps of a workspace would call for the same part. After 3 s at the limit, a step that the workers could hold keeps later ones of its workspace from using what is left, so that small tasks do not keep a large task or a gang from starting. When a limit falls, starts that were not sent and exceed it are withdrawn, the lowest rank first. A gang that exceeds the limit by more than a tenth is refused at submission.

--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -74,6 +74,12 @@
                     self.send_answer(ctx, &caller, Answer::TooLarge);
                     return;
                 }
+                if let Some(reason) = self.scheduler.never_fits(&job) {
+                    log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
+                        "workspace" => &job.workspace, "reason" => &reason, "epoch" => self.epoch);
+                    self.send_answer(ctx, &caller, Answer::NeverFits(reason));
+                    return;
+                }
                 if let Some(excess) = self.scheduler.excess_wait(&job, &queue, ctx.now) {
                     log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
                         "excess_wait_ms" => excess.as_millis() as u64, "epoch" => self.epoch);
--- a/crates/scheduler/src/placement/holds.rs
+++ b/crates/scheduler/src/placement/holds.rs
@@ -25,20 +25,20 @@
     }
 
     /// Gives up what is held on workers that no call names and for which there is no ticket that is
-    /// valid after `until`, and what is held for more than the waiting tasks.
-    fn expire_holds(&mut self, until: Duration) {
+    /// valid after `until`, and what is held for more than the waiting tasks or than `most`.
+    fn expire_holds(&mut self, until: Duration, most: u32) {
         let named = |worker: &Name| self.pending_advice.values().flatten().any(|id| id == worker);
         let is_expired = |worker: &&Name| self.ticket(worker, until).is_none() && !named(worker);
         let expired: Vec<Name> = self.holds.keys().filter(is_expired).cloned().collect();
         for worker in expired {
             self.holds.remove(&worker);
         }
-        let mut remaining = self.waiting_tasks();
+        let mut remaining = self.waiting_tasks().min(most);
         for held in self.holds.values_mut() {
             *held = (*held).min(remaining);
             remaining -= *held;
         }
-        if self.waiting_tasks() == 0 {
+        if self.waiting_tasks().min(most) == 0 {
             self.holds.clear();
         }
     }
@@ -58,11 +58,12 @@
         let is_ready = job.ready_steps().any(|ready| ready == step_index);
         let Some(step) = job.steps.get_mut(step_index) else { return false };
         let spec = &job.submission.steps[step_index];
-        if !is_ready || (spec.is_gang && !step.all_waiting()) {
+        let most = self.budgets.startable(&job.workspace, spec);
+        if !is_ready || (spec.is_gang && !step.all_waiting()) || most == 0 {
             step.holds.clear();
             return false;
         }
-        step.expire_holds(self.start_arrival);
+        step.expire_holds(self.start_arrival, most);
         let held: u32 = step.holds.values().sum();
         let mut lacking = if spec.is_gang { step.waiting_tasks() - held } else { 0 };
         step.holds.retain(|id, held| {
@@ -96,8 +97,9 @@
     pub(super) fn restore_holds(&mut self, pending: &PendingStep<'_>) {
         let (id, step_index) = pending.key;
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
+        let most = self.budgets.startable(&job.workspace, pending.spec);
         let step = &mut job.steps[step_index as usize];
-        step.expire_holds(self.start_arrival);
+        step.expire_holds(self.start_arrival, most);
         let mut holds = std::mem::take(&mut step.holds);
         for (worker, held) in &mut holds {
             let Some(slot) = self.slot_indexes.get(worker).copied() else { continue };
@@ -129,7 +131,7 @@
     }
 
     /// Frees capacity for the step that holds it.
-    fn release(&mut self, capacity: &Resources) {
+    pub(super) fn release(&mut self, capacity: &Resources) {
         if !self.is_trial_placed {
             self.free_capacity = self.free_capacity.plus(capacity);
         }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -12,8 +12,11 @@
 mod gangs;
 mod holds;
 mod isolation;
+mod limits;
 
 pub(crate) use backfill::GangWait;
+use limits::Budgets;
+pub use limits::Resource;
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -100,6 +103,8 @@
     lent_until: Duration,
     /// Whether the expected start of a gang was refreshed.
     has_refreshed_wait: bool,
+    /// What workspaces with a limit may still start.
+    budgets: Budgets,
 }
 
 /// A step with tasks that wait for placement.
@@ -111,7 +116,7 @@
     candidates: Rc<Candidates>,
     /// Candidates that may run it, in ascending order, with the expiry of their tickets.
     allowed: Vec<(usize, Duration)>,
-    /// Indexes of the waiting tasks.
+    /// Indexes of the waiting tasks, of which its workspace may start all.
     waiting_tasks: Vec<u32>,
     /// When a task placed now has ended at the latest; the maximum if it may use no lent room.
     ends_at: Duration,
@@ -164,6 +169,7 @@
         }
         let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
+        let budgets = Budgets::new(self);
         let mut pass = Pass {
             scheduler: self,
             slot_indexes: slot_indexes.collect(),
@@ -177,6 +183,7 @@
             largest_lent: Resources::default(),
             lent_until: Duration::ZERO,
             has_refreshed_wait: false,
+            budgets,
         };
         pass.mark_suspects();
         pass.apply_holds();
@@ -202,9 +209,14 @@
             return;
         }
         let ready: Vec<usize> = ready.collect();
+        let has_limit = self.budgets.contains(&job.workspace);
         let Some(queue) = self.scheduler.queue(&job.queue).cloned() else { return };
         for step_index in ready {
-            self.place_step(id, step_index, &queue);
+            if has_limit {
+                self.place_limited_step(id, step_index, &queue);
+            } else {
+                self.place_step(id, step_index, &queue, u32::MAX);
+            }
         }
     }
 
@@ -219,8 +231,8 @@
             });
     }
 
-    /// Places a step, unless its tasks cannot fit or its gang has runs.
-    fn place_step(&mut self, id: &Name, step_index: usize, queue: &Queue) {
+    /// Places at most some tasks of a step, unless they cannot fit or its gang has runs.
+    fn place_step(&mut self, id: &Name, step_index: usize, queue: &Queue, most: u32) {
         let ends_at = self.latest_end(id, step_index, queue);
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let spec = &job.submission.steps[step_index];
@@ -257,7 +269,8 @@
         let spec = spec.clone();
         self.scheduler.steps_visited += 1;
         let waiting_tasks = state.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
-        let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32).collect();
+        let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32);
+        let waiting_tasks = waiting_tasks.take(most as usize).collect();
         let refused_by = state.doubt.refused_by.clone();
         let care = self.scheduler.care(id, step_index as u32, self.now);
         let candidates = self.find_candidates(queue, &spec);
@@ -411,6 +424,7 @@
         for (index, slot) in chosen {
             let slot = &mut self.slots[*slot];
             step.use_hold(&slot.id);
+            self.budgets.charge(&job.workspace, &pending.spec.need);
             let task = &mut step.tasks[*index as usize];
             task.run = if pending.spec.is_gang { gang_run } else { task.run + 1 };
             task.worker = Some(slot.id.clone());
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::job::{Job, Phase, Site, TaskKey};
 use crate::placement::Slot;
 use crate::pool::Pool;
-use crate::record::Submission;
+use crate::record::{Resources, Submission};
 use crate::rounds::Rounds;
 use crate::rules::{Queue, Rules};
 use crate::runs::Outcome;
@@ -108,6 +108,8 @@
     pub rules: Option<Rules>,
     /// Earlier queues of known jobs, used once the rules lack them.
     removed_queues: HashMap<Name, Queue>,
+    /// The latest limit of each workspace, also of those that the rules no longer list.
+    pub(crate) workspace_limits: HashMap<Name, Resources>,
     /// Open jobs and ended jobs not yet removed, by id.
     pub jobs: HashMap<Name, Job>,
     /// Workers of the pool.
@@ -319,6 +321,7 @@
             ranked_jobs.insert(self.rank(job));
         }
         self.ranked_jobs = ranked_jobs;
+        self.apply_limits();
     }
 
     /// Cancels a job; false if it is unknown, completed or failed.
--- a/crates/scheduler/src/step.rs
+++ b/crates/scheduler/src/step.rs
@@ -51,6 +51,8 @@
         pub(crate) holds: BTreeMap<Name, u32>,
         /// Its wait for room, if it is a gang that reserves capacity.
         pub(crate) gang_wait: Option<GangWait>,
+        /// Since when it can start nothing under the limit of its workspace; `None` if it can.
+        pub(crate) limited_since: Option<Duration>,
         /// What workers said of its starts and runs.
         pub(crate) doubt: Doubt,
         /// Workers that crashed under its tasks; `None` if there are none.
@@ -75,6 +77,7 @@
             last_advice_at: Duration::ZERO,
             holds: BTreeMap::new(),
             gang_wait: None,
+            limited_since: None,
             doubt: Doubt::default(),
             suspicion: None,
         }
--- a/crates/scheduler/src/usage.rs
+++ b/crates/scheduler/src/usage.rs
@@ -24,7 +24,8 @@
         pub withheld: u64,
         /// Neither used, reserved nor withheld.
         pub free: u64,
-        /// Steps whose turn has come and of which no task is assigned to a worker.
+        /// Steps whose turn has come and of which no task is assigned to a worker; those that wait at
+        /// the limit of their workspace do not count.
         pub idle_steps: usize,
         /// The gangs among them.
         pub idle_gangs: usize,
@@ -54,7 +55,7 @@
         let unused = usage.reserved + usage.withheld + usage.free;
         usage.used = usage.capacity.saturating_sub(unused);
         let open = self.ranked_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id));
-        for is_gang in open.flat_map(idle_steps) {
+        for is_gang in open.flat_map(|job| self.idle_steps(job)) {
             usage.idle_steps += 1;
             usage.idle_gangs += usize::from(is_gang);
         }
@@ -67,11 +68,14 @@
         let has_call = state.is_some_and(|state| !state.pending_advice.is_empty());
         self.collecting_gangs.insert((id.clone(), step), has_call);
     }
-}
 
-/// The ready steps of a job of which no task is assigned; whether each is a gang.
-fn idle_steps(job: &Job) -> impl Iterator<Item = bool> {
-    let has_no_runs =
-        |step: &usize| job.steps[*step].tasks.iter().all(|task| task.worker.is_none());
-    job.ready_steps().filter(has_no_runs).map(|step| job.submission.steps[step].is_gang)
+    /// The ready steps of a job of which no task is assigned, without those that wait at the limit
+    /// of their workspace; whether each is a gang.
+    fn idle_steps<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = bool> + 'a {
+        let is_idle = |step: &usize| {
+            !self.is_at_limit(job, *step)
+                && job.steps[*step].tasks.iter().all(|task| task.worker.is_none())
+        };
+        job.ready_steps().filter(is_idle).map(|step| job.submission.steps[step].is_gang)
+    }
 }
