scheduler: tests of the limits of workspaces

Each new run on a worker is judged by what the workers run, against the highest limit since the version that the leader knew at the first send.

--- a/crates/scheduler/tests/schedules/leader.rs
+++ b/crates/scheduler/tests/schedules/leader.rs
@@ -8,7 +8,7 @@
 use scheduler::{
     AdviceCall, AdviceCapacity, CallClass, Fate, Job, JobDiff, Listing, Loss, Phase, Refusal,
     Registration, Restored, Rules, RunState, Scheduler, Segment, SegmentBuilder, StartOrder,
-    StopOrder, StoredState,
+    StopOrder, StoredState, TaskKey,
 };
 
 use crate::worker::{StartRequest, Ticket};
@@ -96,6 +96,8 @@
     pub stops: Vec<StopOrder>,
     pub calls: Vec<Call>,
     free_at: [Duration; ADVICE_DAEMONS],
+    /// Version of the rules that was known at the first send of each start.
+    first_rules: BTreeMap<(TaskKey, u32), u64>,
 }
 
 impl Leader {
@@ -123,6 +125,7 @@
             stops: Vec::new(),
             calls: Vec::new(),
             free_at: Default::default(),
+            first_rules: BTreeMap::new(),
         };
         leader.scheduler.set_rules(rules);
         if are_workers_first {
@@ -323,6 +326,9 @@
             self.settle(start, refusal, now);
             return None;
         }
+        // A start without an answer may have taken effect, so it is sent again under a lower limit.
+        let known = self.scheduler.rules.as_ref().map_or(0, |rules| rules.version);
+        let rules = *self.first_rules.entry((start.key.clone(), start.run)).or_insert(known);
         let lease = self.lease(&start.worker);
         let lease_end = now + LEASE;
         lease.granted_until = lease.granted_until.max(lease_end);
@@ -346,6 +352,7 @@
             token: self.token,
             lease_end,
             ticket: needs_ticket.then(|| ticket.unwrap_or_else(expired)),
+            rules,
         })
     }
 
--- a/crates/scheduler/tests/schedules/main.rs
+++ b/crates/scheduler/tests/schedules/main.rs
@@ -5,12 +5,13 @@
 //! kind, are cut off, refuse and lose orders, an advice service that fails, and a store that stays
 //! away while ends add up beyond what a list shows. Checked in each turn: no second run while a
 //! first may live or has ended `done`, no start on a worker that does not fit, nobody's runs of
-//! jobs that were cancelled or have failed; and once the faults have ended, that each job ends that
-//! the workers can hold.
+//! jobs that were cancelled or have failed, no workspace that has more running than the highest of
+//! its limits that may be in force allows; and once the faults have ended, that each job ends that
+//! the workers and the limits can hold.
 //!
 //! `BRONZERAIL_SCHEDULES` sets the number of seeds, `BRONZERAIL_SEED` the first; with
 //! `BRONZERAIL_RULE` only one rule is checked: `twice`, `kind`, `capacity`, `ticket`, `unasked`,
-//! `lost` or `waits`.
+//! `lost`, `limit` or `waits`.
 
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/scheduler/tests/schedules/schedule.rs
+++ b/crates/scheduler/tests/schedules/schedule.rs
@@ -17,6 +17,12 @@
 const IDLE_WEIGHT: u64 = 80;
 /// Latest jobs of which one may be cancelled.
 const RECENT_JOBS: u64 = 8;
+/// Workspaces; some jobs belong to none.
+pub const WORKSPACES: [&str; 2] = ["red", "blue"];
+/// Limits on the `cpu` of a workspace; 0 is none.
+const LIMITS: [u32; 6] = [0, 1000, 2000, 3000, 5000, 8000];
+/// Turns in a hundred in which the limit of a workspace changes.
+const LIMIT_PERCENT: u64 = 5;
 /// `cpu` of a task, and of a task of a wide gang.
 const USUAL_CPU: u32 = 1000;
 const SMALL_CPU: u32 = 100;
@@ -117,6 +123,14 @@
     }
 }
 
+/// A new version of the rules: another limit for a workspace.
+#[derive(Debug, Clone)]
+pub struct LimitChange {
+    pub workspace: Name,
+    /// The limit on its `cpu`; `None` if the rules do not list it any more.
+    pub limit: Option<u32>,
+}
+
 /// A turn: its action, and a number that decides all chances of the turn.
 ///
 /// Turns do not share a sequence of random numbers, so that the others stay as they are when one
@@ -125,6 +139,7 @@
 pub struct Turn {
     pub salt: u64,
     pub action: Action,
+    pub limit: Option<LimitChange>,
 }
 
 /// What a seed decides.
@@ -236,7 +251,8 @@
         let weights = random.weights();
         let turns = (0..FAULT_TURNS).map(|number| {
             let action = random.action(&weights, &mut jobs);
-            Turn { salt: hash(&format!("turn {seed}.{number}")), action }
+            let limit = limit_change(seed, number);
+            Turn { salt: hash(&format!("turn {seed}.{number}")), action, limit }
         });
         let turns = turns.collect();
         Self { seed, rule, turns }
@@ -270,6 +286,11 @@
             if fails(&calmer) {
                 self = calmer;
             }
+            let mut calmer = self.clone();
+            calmer.turns[index].limit = None;
+            if fails(&calmer) {
+                self = calmer;
+            }
         }
         self
     }
@@ -279,6 +300,33 @@
     common::stable_hash(text.as_bytes())
 }
 
+/// Whether the jobs of a seed belong to workspaces; without, its course is that before them.
+pub fn has_workspaces(seed: u64) -> bool {
+    !seed.is_multiple_of(3)
+}
+
+/// The workspace of a job; empty for none.
+pub fn workspace_of(seed: u64, job: u64) -> &'static str {
+    let draw = hash(&format!("workspace {seed}.{job}")) as usize % 3;
+    if has_workspaces(seed) { WORKSPACES.get(draw).copied().unwrap_or_default() } else { "" }
+}
+
+/// The limit that a workspace has first.
+pub fn first_limit(seed: u64, workspace: &str) -> u32 {
+    LIMITS[hash(&format!("limit {seed}.{workspace}")) as usize % LIMITS.len()]
+}
+
+/// What a turn changes in the limits; its number decides it apart from the other actions.
+fn limit_change(seed: u64, turn: u64) -> Option<LimitChange> {
+    let draw = |topic: &str| hash(&format!("limit {topic} {seed}.{turn}"));
+    if !has_workspaces(seed) || draw("change") % 100 >= LIMIT_PERCENT {
+        return None;
+    }
+    let workspace = Name::new(WORKSPACES[draw("workspace") as usize % WORKSPACES.len()]);
+    let limit = LIMITS.get(draw("size") as usize % (LIMITS.len() + 1)).copied();
+    Some(LimitChange { workspace, limit })
+}
+
 pub fn worker_id(number: u64) -> Name {
     Name::new(&format!("w{number}"))
 }
--- a/crates/scheduler/tests/schedules/worker.rs
+++ b/crates/scheduler/tests/schedules/worker.rs
@@ -18,6 +18,8 @@
     pub lease_end: Duration,
     /// `None` if its queue takes no advice.
     pub ticket: Option<Ticket>,
+    /// Version of the rules that its sender knew when it sent the start first.
+    pub rules: u64,
 }
 
 /// Permission to start tasks of a step in one life of a worker.
--- a/crates/scheduler/tests/schedules/world.rs
+++ b/crates/scheduler/tests/schedules/world.rs
@@ -5,12 +5,15 @@
 
 use common::Name;
 use scheduler::{
-    Listing, Outcome, Phase, Queue, Refusal, Rules, StartOrder, Step, StopOrder, Submission,
-    TaskKey,
+    Listing, Outcome, Phase, Queue, Refusal, Resources, Rules, StartOrder, Step, StopOrder,
+    Submission, TaskKey, Workspace, Workspaces,
 };
 
 use crate::leader::{Acknowledgement, Answer, Call, Commit, Leader, Renewal};
-use crate::schedule::{Action, Schedule, Turn, WORKERS, hash, worker_id};
+use crate::schedule::{
+    Action, LimitChange, Schedule, Turn, WORKERS, WORKSPACES, first_limit, has_workspaces, hash,
+    worker_id, workspace_of,
+};
 use crate::support::model::slow_policy;
 use crate::support::{NOW, advice_policy, rules};
 use crate::worker::{StartRequest, Ticket, Truth};
@@ -46,6 +49,7 @@
 
 /// What was submitted.
 struct Spec {
+    workspace: &'static str,
     with_advice: bool,
     steps: Vec<Step>,
 }
@@ -60,6 +64,15 @@
     is_stored: bool,
 }
 
+/// One version of the limits on workspaces.
+#[derive(Clone, Default)]
+struct Limits {
+    /// Most `cpu` of each workspace; 0 for no limit.
+    cpu: BTreeMap<Name, u32>,
+    /// Workspaces that the rules do not list any more; a leader that knew their limits keeps them.
+    unlisted: BTreeSet<Name>,
+}
+
 /// A renewal under way.
 struct PendingRenewal {
     due: Duration,
@@ -93,6 +106,10 @@
     journal: Vec<Vec<u8>>,
     store_down_until: Duration,
     advice_down_until: Duration,
+    /// All versions of the limits; the first has the number 1.
+    limits: Vec<Limits>,
+    /// When the leader learns of the last version.
+    rules_due: Duration,
     renewals: Vec<PendingRenewal>,
     answers: Vec<PendingAnswer>,
     specs: BTreeMap<Name, Spec>,
@@ -121,9 +138,17 @@
     Report { fault: world.fault, trace: world.trace.unwrap_or_default() }
 }
 
-/// Rules with a queue without advice, and one with it.
-fn two_queues(seed: u64) -> Rules {
+/// A version of the rules, with a queue without advice and one with it.
+fn rules_of(seed: u64, version: u64, limits: &Limits) -> Rules {
     let mut rules = rules(None);
+    rules.version = version;
+    let listed = limits.cpu.iter().filter(|(name, _)| !limits.unlisted.contains(*name));
+    rules.workspaces = Workspaces::new(listed.map(|(name, cpu)| Workspace {
+        name: name.clone(),
+        weight: 1,
+        limit: Resources { cpu: *cpu, ..Resources::default() },
+        keys: Vec::new(),
+    }));
     let advice = if seed.is_multiple_of(2) { advice_policy() } else { slow_policy() };
     let with_advice = Queue {
         name: Name::new("advised"),
@@ -146,7 +171,13 @@
         let rows: BTreeMap<_, _> =
             truths.iter().map(|(id, truth)| (id.clone(), truth.registration())).collect();
         let registrations: Vec<_> = rows.values().cloned().collect();
-        let leader = Leader::new(1, two_queues(seed), &[], &registrations, true, NOW);
+        let mut limits = Limits::default();
+        if has_workspaces(seed) {
+            let first = |name| (Name::new(name), first_limit(seed, name));
+            limits.cpu = WORKSPACES.into_iter().map(first).collect();
+        }
+        let rules = rules_of(seed, 1, &limits);
+        let leader = Leader::new(1, rules, &[], &registrations, true, NOW);
         Self {
             seed,
             rule,
@@ -159,6 +190,8 @@
             journal: Vec::new(),
             store_down_until: Duration::ZERO,
             advice_down_until: Duration::ZERO,
+            limits: vec![limits],
+            rules_due: Duration::ZERO,
             renewals: Vec::new(),
             answers: Vec::new(),
             specs: BTreeMap::new(),
@@ -220,6 +253,10 @@
         for truth in self.truths.values_mut() {
             truth.expire(self.now);
         }
+        if let Some(change) = &turn.limit {
+            self.change_limit(change);
+        }
+        self.read_rules();
         self.act(&turn.action);
         self.end_runs();
         self.renew_leases();
@@ -283,14 +320,18 @@
     fn submit(&mut self, job: u64, with_advice: bool, steps: &[Step]) {
         let id = format!("j{job}");
         let queue = Name::new(if with_advice { "advised" } else { "q" });
-        let spec = Spec { with_advice, steps: steps.to_vec() };
-        self.specs.insert(Name::new(&id), spec);
+        let workspace = workspace_of(self.seed, job);
         let submission = Submission {
             id,
             payload: String::new(),
             steps: steps.to_vec(),
-            ..Submission::default()
+            workspace: workspace.to_owned(),
         };
+        if let Some(reason) = self.leader.scheduler.never_fits(&submission) {
+            return self.log(|| format!("j{job} is refused: {reason}"));
+        }
+        let spec = Spec { workspace, with_advice, steps: steps.to_vec() };
+        self.specs.insert(Name::new(&submission.id), spec);
         self.leader.scheduler.submit(submission, queue, self.now, 0);
     }
 
@@ -310,6 +351,61 @@
         }
     }
 
+    /// Stores a version of the rules with another limit; the leader learns of it later.
+    fn change_limit(&mut self, change: &LimitChange) {
+        let mut limits = self.limits.last().cloned().unwrap_or_default();
+        match change.limit {
+            Some(cpu) => {
+                limits.cpu.insert(change.workspace.clone(), cpu);
+                limits.unlisted.remove(&change.workspace);
+            }
+            // The leader knows the last limit that it keeps.
+            None if self.is_store_down() => return,
+            None => {
+                let rules = self.newest_rules();
+                self.leader.scheduler.set_rules(rules);
+                limits.unlisted.insert(change.workspace.clone());
+            }
+        }
+        self.log(|| format!("{change:?}"));
+        self.limits.push(limits);
+        self.rules_due = self.now + TURN * self.draw("rules", 30) as u32;
+    }
+
+    /// Lets the leader learn of the last version of the rules, if it is time for it.
+    fn read_rules(&mut self) {
+        let known = self.leader.scheduler.rules.as_ref().map_or(0, |rules| rules.version);
+        if known < self.limits.len() as u64 && self.now >= self.rules_due && !self.is_store_down() {
+            self.log(|| "the leader reads the rules".to_owned());
+            let rules = self.newest_rules();
+            self.leader.scheduler.set_rules(rules);
+        }
+    }
+
+    fn newest_rules(&self) -> Rules {
+        let limits = self.limits.last().cloned().unwrap_or_default();
+        rules_of(self.seed, self.limits.len() as u64, &limits)
+    }
+
+    /// Checks what a workspace has running as one of its tasks starts against the highest of its
+    /// limits since the version that the sender of the start knew.
+    fn check_limit(&mut self, request: &StartRequest) {
+        let spec = &self.specs[&request.start.key.job];
+        let first = (request.rules as usize).saturating_sub(1);
+        let limits = self.limits[first..].iter().map(|limits| limits.cpu.get(spec.workspace));
+        let limits = limits.map(|cpu| cpu.copied().filter(|cpu| *cpu > 0).unwrap_or(u32::MAX));
+        let Some(most) = limits.max().filter(|most| *most < u32::MAX) else { return };
+        let runs = self.truths.values().flat_map(|truth| truth.running.keys());
+        let own = runs.filter(|key| self.specs[&key.job].workspace == spec.workspace);
+        let used: u32 = own.map(|key| self.specs[&key.job].steps[key.step as usize].need.cpu).sum();
+        let one = spec.steps[request.start.key.step as usize].need.cpu;
+        if used > most * 11 / 10 + one {
+            let start = start_name(&request.start);
+            let text = format!("{start}: {} uses {used}, {most} at most", spec.workspace);
+            self.fail("limit", text);
+        }
+    }
+
     /// Starts a leader from what is stored.
     fn change_leader(&mut self) {
         self.store_down_until = Duration::ZERO;
@@ -323,7 +419,13 @@
         let token = self.leader.token + 1;
         let workers: Vec<_> = self.rows.values().cloned().collect();
         let are_workers_first = self.draw("workers first", 2) == 0;
-        let rules = two_queues(self.seed);
+        // The next leader never knew the limits of unlisted workspaces.
+        let mut limits = self.limits.last().cloned().unwrap_or_default();
+        for name in limits.unlisted.clone() {
+            limits.cpu.insert(name, 0);
+        }
+        self.limits.push(limits);
+        let rules = self.newest_rules();
         self.leader =
             Leader::new(token, rules, &self.journal, &workers, are_workers_first, self.now);
         let jobs = &self.leader.scheduler.jobs;
@@ -653,6 +755,7 @@
             Ok(false) => return None,
             Ok(true) => {}
         }
+        self.check_limit(request);
         let spec = self.specs[&start.key.job].steps[start.key.step as usize].clone();
         let used: u32 = self.truths[&start.worker]
             .running
@@ -744,7 +847,14 @@
     /// Whether the workers can hold each step of a job.
     fn can_hold(&self, id: &Name) -> bool {
         let spec = &self.specs[id];
+        let limits = self.limits.last().and_then(|limits| limits.cpu.get(spec.workspace));
+        let limit = limits.copied().filter(|cpu| *cpu > 0).unwrap_or(u32::MAX);
         spec.steps.iter().enumerate().all(|(index, step)| {
+            // A gang that was accepted under a higher limit waits for one.
+            let gang = step.need.cpu * step.count;
+            if step.is_gang && u64::from(gang) * 10 > u64::from(limit) * 11 {
+                return false;
+            }
             let places = self.truths.iter().map(|(worker, truth)| {
                 let fits = step.requirement.is_empty() || step.requirement == truth.kind;
                 let is_allowed = !spec.with_advice || self.is_allowed(id, index as u32, worker);
@@ -783,7 +893,7 @@
                 return self.log(|| "the last job has ended".to_owned());
             }
             let salt = hash(&format!("calm {}.{number}", self.seed));
-            self.take_turn(&Turn { salt, action: Action::Idle });
+            self.take_turn(&Turn { salt, action: Action::Idle, limit: None });
         }
         let waits = self.waiting_jobs().into_iter().map(|id| {
             let reason = self.leader.scheduler.first_wait_reason(&id, self.now);
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use scheduler::{
     ActiveRun, AdviceCapacity, AdviceKey, AdvicePolicy, CallClass, FinishedRun, Limits, Listing,
     Outcome, Queue, Registration, Resources, Rules, Scheduler, StartOrder, Step, Submission,
-    TaskKey, Workspaces,
+    TaskKey, Workspace, Workspaces,
 };
 
 pub const NOW: Duration = Duration::from_secs(10);
@@ -91,6 +91,32 @@
     scheduler.submit(job, Name::new("q"), NOW, 0);
 }
 
+/// Rules of a version in which workspaces have limits.
+pub fn limited_rules(
+    version: u64,
+    advice: Option<AdvicePolicy>,
+    limits: &[(&str, Resources)],
+) -> Rules {
+    let workspaces = limits.iter().map(|(name, limit)| Workspace {
+        name: Name::new(name),
+        weight: 1,
+        limit: *limit,
+        keys: Vec::new(),
+    });
+    Rules { version, workspaces: Workspaces::new(workspaces), ..rules(advice) }
+}
+
+/// Submits a job that belongs to a workspace.
+pub fn submit_in(scheduler: &mut Scheduler, workspace: &str, id: &str, steps: Vec<Step>) {
+    let job = Submission {
+        id: id.to_owned(),
+        payload: String::new(),
+        steps,
+        workspace: workspace.to_owned(),
+    };
+    scheduler.submit(job, Name::new("q"), NOW, 0);
+}
+
 /// Applies a list of a worker on which a run has ended and others are active.
 pub fn end_run<'a>(
     scheduler: &mut Scheduler,
