scheduler: jobs at their limit are passed by before their queue is read

Change: a pass looks up job and workspace once and leaves a step at its limit there, unless it holds room or may keep others from starting. The search for workers that could hold a step ends with the last place needed.

--- a/crates/scheduler/src/placement/limits.rs
+++ b/crates/scheduler/src/placement/limits.rs
@@ -15,7 +15,7 @@
 use crate::record::{Resources, Step, Submission};
 use crate::rules::Queue;
 use crate::scheduler::Scheduler;
-use crate::step::Eligibility;
+use crate::step::{Eligibility, StepState};
 use crate::worker::RunState;
 
 /// Time after which a step that waits at a limit keeps steps of lower rank of its workspace from
@@ -26,7 +26,7 @@
 
 /// Steps for which a pass decides whether they keep others of their workspace waiting.
 ///
-/// The decision visits all workers.
+/// The decision may visit all workers.
 const MAX_CLOSING_CHECKS: u32 = 2;
 
 /// Limits of workspaces that the rules no longer list are kept beyond this number only while jobs
@@ -142,9 +142,21 @@
         budgets
     }
 
-    /// Whether a workspace has a limit.
-    pub(super) fn contains(&self, workspace: &Name) -> bool {
-        self.0.contains_key(workspace)
+    /// Removes the ready steps of a job that can start nothing and of which there is no more to
+    /// decide; whether the workspace of the job has a limit.
+    ///
+    /// With an overload at the limits, most jobs end here in each pass.
+    pub(super) fn pass_by(&self, job: &mut Job, ready: &mut Vec<usize>, now: Duration) -> bool {
+        let Some(budget) = self.0.get(&job.workspace) else { return false };
+        ready.retain(|step_index| {
+            let (spec, state) = (&job.submission.steps[*step_index], &mut job.steps[*step_index]);
+            if (spec.is_gang && !state.all_waiting()) || budget.startable(spec) > 0 {
+                return true;
+            }
+            let since = state.wait_at_limit(now);
+            !state.holds.is_empty() || budget.may_close(spec, since, now)
+        });
+        true
     }
 
     /// Adds to the usage of a workspace.
@@ -156,11 +168,31 @@
 
     /// Number of tasks of a step that its workspace may start now.
     pub(super) fn startable(&self, workspace: &Name, step: &Step) -> u32 {
-        match self.0.get(workspace) {
-            None => u32::MAX,
-            Some(budget) if budget.is_closed => 0,
-            Some(budget) => startable(&budget.limit, &budget.used, step),
-        }
+        self.0.get(workspace).map_or(u32::MAX, |budget| budget.startable(step))
+    }
+}
+
+impl Budget {
+    /// Number of tasks of a step that may start now.
+    fn startable(&self, step: &Step) -> u32 {
+        if self.is_closed { 0 } else { startable(&self.limit, &self.used, step) }
+    }
+
+    /// Whether a step that waits at the limit since some time may keep what is left.
+    fn may_close(&self, step: &Step, since: Duration, now: Duration) -> bool {
+        !self.is_closed
+            && now >= since + PATIENCE
+            && self.closing_checks < MAX_CLOSING_CHECKS
+            && startable(&self.limit, &Resources::default(), step) > 0
+    }
+}
+
+impl StepState {
+    /// Records that it waits at the limit of its workspace; since when.
+    fn wait_at_limit(&mut self, now: Duration) -> Duration {
+        self.steps_ahead = None;
+        self.gang_wait = None;
+        *self.limited_since.get_or_insert(now)
     }
 }
 
@@ -212,15 +244,10 @@
     fn wait_at_limit(&mut self, id: &Name, step_index: usize, queue: &Queue) {
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let (spec, state) = (&job.submission.steps[step_index], &mut job.steps[step_index]);
-        state.steps_ahead = None;
-        state.gang_wait = None;
-        let since = *state.limited_since.get_or_insert(self.now);
+        let since = state.wait_at_limit(self.now);
         let holds = std::mem::take(&mut state.holds);
         let Some(budget) = self.budgets.0.get_mut(&job.workspace) else { return };
-        let may_close = !budget.is_closed
-            && self.now >= since + PATIENCE
-            && budget.closing_checks < MAX_CLOSING_CHECKS
-            && startable(&budget.limit, &Resources::default(), spec) > 0;
+        let may_close = budget.may_close(spec, since, self.now);
         let need = spec.need;
         for (worker, held) in &holds {
             if let Some(slot) = self.slot_indexes.get(worker) {
@@ -253,9 +280,11 @@
             _ if spec.spread > 0 => spec.need.max_copies_in(&slot.capacity).min(spec.spread),
             _ => spec.need.max_copies_in(&slot.capacity),
         };
-        let places = candidates.slots.iter().map(|slot| places(&self.slots[*slot]));
-        let needed = if spec.is_gang { spec.count } else { 1 };
-        places.fold(0, u32::saturating_add) >= needed
+        let mut lacking = if spec.is_gang { spec.count } else { 1 };
+        candidates.slots.iter().any(|slot| {
+            lacking = lacking.saturating_sub(places(&self.slots[*slot]));
+            lacking == 0
+        })
     }
 }
 
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -203,14 +203,18 @@
 impl Pass<'_> {
     /// Places the ready steps of a job.
     fn place_job(&mut self, id: &Name) {
-        let Some(job) = self.scheduler.jobs.get(id) else { return };
+        let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let mut ready = job.ready_steps().peekable();
         if ready.peek().is_none() {
             return;
         }
-        let ready: Vec<usize> = ready.collect();
-        let has_limit = self.budgets.contains(&job.workspace);
-        let Some(queue) = self.scheduler.queue(&job.queue).cloned() else { return };
+        let mut ready: Vec<usize> = ready.collect();
+        let has_limit = self.budgets.pass_by(job, &mut ready, self.now);
+        if ready.is_empty() {
+            return;
+        }
+        let queue = job.queue.clone();
+        let Some(queue) = self.scheduler.queue(&queue).cloned() else { return };
         for step_index in ready {
             if has_limit {
                 self.place_limited_step(id, step_index, &queue);
