scheduler, control, host, cli: what waits at a limit, and how much

Cause: a job that waits at the limit of its workspace shows "about to be placed", and no figure tells which workspace is at its limit.

Change: `explain` names the workspace, the resource, what is in use, the limit and what is needed. Metrics by workspace are those of the 32 largest by weight and one row for the others; the exporter reads the latest set, so that former ones leave no series. Line 5313 tells that a workspace is at its limit, once a minute for each of the 32; a start withdrawn as a limit fell gets line 5405 and counts as rejected with the reason `limit`; 5301 has the number of workspaces.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -219,6 +219,8 @@
     Workers(PoolWorkers),
     /// Show the daemons.
     Members(PoolMembers),
+    /// Show the workspaces.
+    Workspaces(PoolWorkspaces),
 }
 
 /// Submit a job; submitting it again under the same id creates no second job.
@@ -284,6 +286,11 @@
 #[argh(subcommand, name = "members")]
 pub struct PoolMembers {}
 
+/// Show the workspaces with their weights, limits, usage and waiting jobs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "workspaces")]
+pub struct PoolWorkspaces {}
+
 /// Wait until a request ends and print its result.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "wait", example = "{command_name} toolroom s-1 --for 10m")]
--- a/crates/cli/src/command/pool.rs
+++ b/crates/cli/src/command/pool.rs
@@ -49,6 +49,18 @@
     ("SILENT MS", "silent_ms"),
 ];
 
+/// Columns of `pool workspaces`.
+const WORKSPACE_COLUMNS: [Column; 8] = [
+    ("WORKSPACE", "workspace"),
+    ("WEIGHT", "weight"),
+    ("LIMIT", "limit"),
+    ("USED", "used"),
+    ("TASKS", "tasks"),
+    ("WAITING", "waiting"),
+    ("AT LIMIT", "at_limit"),
+    ("AT LIMIT MS", "at_limit_ms"),
+];
+
 /// Columns of the steps that `pool explain` prints.
 const STEP_COLUMNS: [Column; 6] = [
     ("STEP", "step"),
@@ -79,6 +91,9 @@
         PoolVerb::Members(_) => {
             views::print_view(config, "members", &["role", "member"], &MEMBER_COLUMNS)
         }
+        PoolVerb::Workspaces(_) => {
+            views::print_view(config, "workspaces", &["workspace"], &WORKSPACE_COLUMNS)
+        }
     }
 }
 
--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -30,6 +30,8 @@
         Workers,
         /// All daemons of the pool.
         Members,
+        /// All workspaces, with their limits and usage.
+        Workspaces,
     }
 
     /// Queue that a request addresses.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -68,6 +68,7 @@
     5310 LeasesExtended "leadership confirmed; leases are extended again";
     5311 RunLost "run lost with its worker";
     5312 SilenceExplained "heard of a worker that a run was lost with";
+    5313 WorkspaceAtLimit "workspace at its limit";
     5401 JobAccepted "job accepted";
     5402 JobEnded "job ended";
     5403 RequestRefused "request refused";
--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use scheduler::{Phase, Wait};
+use common::Name;
+use scheduler::{Phase, Wait, WorkspaceFigures};
 
 use crate::event::{log_event, log_job_event};
 use crate::lead::Leader;
-use crate::meter::{Counter, Gauge, Timing};
+use crate::meter::{Counter, Gauge, OTHER_WORKSPACES, Timing, WorkspaceGauge, WorkspaceValues};
 use crate::node::Context;
 use crate::usage::UsageFields;
 
@@ -20,6 +21,12 @@
 /// Most stuck jobs per check whose awaited worker is logged; each requires a pass over all runs.
 const MAX_AWAITED_PER_CHECK: usize = 5;
 
+/// Most workspaces with metrics and log lines of their own.
+const MAX_REPORTED_WORKSPACES: usize = 32;
+
+/// Interval at which a workspace at its limit is logged again.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_mins(1);
+
 impl Leader {
     /// Logs what each overdue job waits for, and again when that changes.
     pub(super) fn log_waits(&mut self, ctx: &mut Context) {
@@ -75,6 +82,58 @@
         job.drop_details();
     }
 
+    /// Reports the values of the largest workspaces by weight, and the sum of the others; logs which
+    /// of the former are at their limits.
+    fn report_workspaces(&mut self, ctx: &Context) {
+        let figures = self.scheduler.workspace_figures(ctx.now);
+        let mut reported: Vec<WorkspaceValues> = Vec::new();
+        for (number, own) in figures.iter().enumerate() {
+            let values = workspace_values(own);
+            if number < MAX_REPORTED_WORKSPACES {
+                reported.push(WorkspaceValues { workspace: own.name.clone(), values });
+                self.log_limit(ctx, own);
+                continue;
+            }
+            if number == MAX_REPORTED_WORKSPACES {
+                let workspace = Name::new(OTHER_WORKSPACES);
+                reported.push(WorkspaceValues { workspace, values: Default::default() });
+            }
+            if let Some(others) = reported.last_mut() {
+                for (sum, value) in others.values.iter_mut().zip(values) {
+                    *sum += value;
+                }
+            }
+        }
+        let is_recent = |at: &Duration| ctx.now < *at + LIMIT_LOG_INTERVAL;
+        self.logged_limits.retain(|_, logged| is_recent(logged));
+        ctx.meter.set_workspaces(reported);
+    }
+
+    /// Logs that a workspace is at its limit, unless that was logged lately.
+    fn log_limit(&mut self, ctx: &Context, figures: &WorkspaceFigures) {
+        let logged = self.logged_limits.get(&figures.name);
+        if !figures.is_at_limit || logged.is_some_and(|at| ctx.now < *at + LIMIT_LOG_INTERVAL) {
+            return;
+        }
+        self.logged_limits.insert(figures.name.clone(), ctx.now);
+        let WorkspaceFigures { name, used, limit, .. } = figures;
+        log_event!(ctx, WorkspaceAtLimit, "workspace" => %name, "tasks" => figures.runs,
+            "waiting_jobs" => figures.waiting_jobs, "used_mcpu" => used.cpu,
+            "limit_mcpu" => limit.cpu, "used_mb" => used.mem, "limit_mb" => limit.mem,
+            "used_gpus" => used.gpus, "limit_gpus" => limit.gpus,
+            "at_limit_ms" => figures.time_at_limit.as_millis() as u64, "epoch" => self.epoch);
+    }
+
+    /// Logs and counts the unsent starts that were withdrawn as a limit fell.
+    pub(super) fn log_withdrawn_starts(&mut self, ctx: &mut Context) {
+        for start in std::mem::take(&mut self.scheduler.withdrawn_starts) {
+            ctx.meter.add(Counter::StartsRejected, "limit", 1);
+            log_job_event!(ctx, &start.key.job, TaskNotStarted, "step" => start.key.step,
+                "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
+                "reason" => "limit", "epoch" => self.epoch);
+        }
+    }
+
     /// Reports the gauges of the leader's jobs, workers, followers and commits; returns the fields
     /// of the log event about the pool.
     pub fn report_gauges(&mut self, ctx: &Context) -> UsageFields {
@@ -93,7 +152,19 @@
         meter.set_gauge(Gauge::FreeCpu, free);
         meter.set_gauge(Gauge::Followers, self.peers.count() as u64);
         meter.set_gauge(Gauge::CommitAge, self.journal.commit_age(ctx.now).as_millis() as u64);
+        self.report_workspaces(ctx);
         let waste = self.scheduler.take_wasted_rounds(ctx.now);
         UsageFields::report(&**meter, self.scheduler.usage(), waste)
     }
 }
+
+/// The value of each gauge of a workspace.
+fn workspace_values(figures: &WorkspaceFigures) -> [u64; WorkspaceGauge::ALL.len()] {
+    WorkspaceGauge::ALL.map(|gauge| match gauge {
+        WorkspaceGauge::Tasks => figures.runs,
+        WorkspaceGauge::UsedCpu => figures.used.cpu.into(),
+        WorkspaceGauge::LimitCpu => figures.limit.cpu.into(),
+        WorkspaceGauge::WaitingJobs => figures.waiting_jobs,
+        WorkspaceGauge::TimeAtLimit => figures.time_at_limit.as_millis() as u64,
+    })
+}
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -164,6 +164,8 @@
     slow_since: Option<Duration>,
     /// The reason last logged for each overdue job that waits.
     logged_waits: HashMap<common::Name, WaitReason>,
+    /// When workspaces were last logged to be at their limits.
+    logged_limits: HashMap<common::Name, Duration>,
     /// Jobs of which a checkpoint that was too long has been logged.
     logged_checkpoints: BTreeSet<common::Name>,
     /// When overdue jobs were last checked.
@@ -209,6 +211,7 @@
             elected_at: now,
             slow_since: None,
             logged_waits: HashMap::new(),
+            logged_limits: HashMap::new(),
             logged_checkpoints: BTreeSet::new(),
             waits_logged_at: now,
         };
@@ -609,6 +612,7 @@
             self.send_stop(ctx, stop);
         }
         self.resend_stops(ctx);
+        self.log_withdrawn_starts(ctx);
         for worker in std::mem::take(&mut self.scheduler.newly_quarantined) {
             log_event!(ctx, WorkerQuarantined, "worker" => %worker);
             ctx.meter.add(Counter::Workers, "avoided", 1);
--- a/crates/control/src/lead/views.rs
+++ b/crates/control/src/lead/views.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use scheduler::{Job, JobState, Phase, Progress, Resources, Worker};
+use scheduler::{Job, JobState, Phase, Progress, Resources, Worker, WorkspaceFigures};
 use serde_json::{Value, json};
 
 use crate::answer::{Answer, View};
@@ -25,6 +25,10 @@
                 self.scheduler.pool.iter().map(|worker| worker_row(ctx, worker)).collect(),
             ),
             View::Members => rows_json(self.member_rows(ctx)),
+            View::Workspaces => {
+                let all = self.scheduler.workspace_figures(ctx.now);
+                rows_json(all.iter().map(workspace_row).collect())
+            }
         };
         Answer::View(value.to_string())
     }
@@ -149,6 +153,20 @@
     }
 }
 
+/// One workspace, with its limit and usage.
+fn workspace_row(figures: &WorkspaceFigures) -> Value {
+    json!({
+        "workspace": &*figures.name,
+        "weight": figures.weight,
+        "limit": resources_json(&figures.limit),
+        "used": resources_json(&figures.used),
+        "tasks": figures.runs,
+        "waiting": figures.waiting_jobs,
+        "at_limit": figures.is_at_limit,
+        "at_limit_ms": figures.time_at_limit.as_millis() as u64,
+    })
+}
+
 /// Resources of a task or worker.
 fn resources_json(need: &Resources) -> Value {
     json!({ "cpu": need.cpu, "memory": need.mem, "accelerators": need.gpus })
--- a/crates/control/src/lead/watch.rs
+++ b/crates/control/src/lead/watch.rs
@@ -69,7 +69,7 @@
             && self.scheduler.rules.as_ref().is_none_or(|known| known.version < rules.version)
         {
             log_event!(ctx, RulesChanged, "version" => rules.version,
-                "queues" => rules.queues.len());
+                "queues" => rules.queues.len(), "workspaces" => rules.workspaces.iter().count());
             ctx.actions.push(Action::SetRequestLimits(RequestLimits::from(&rules.limits)));
             self.scheduler.set_rules(*rules);
             self.needs_placement = true;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -40,7 +40,9 @@
 };
 pub use head::Head;
 pub use input::{AdviceResult, Change, Input, OrderReply, PeerEvent, RenewReply, WatchResult};
-pub use meter::{Counter, Gauge, Meter, NoopMeter, Timing};
+pub use meter::{
+    Counter, Gauge, Meter, NoopMeter, OTHER_WORKSPACES, Timing, WorkspaceGauge, WorkspaceValues,
+};
 pub use node::{Node, Role};
 pub use sampler::Sampler;
 pub use store::{CommitResult, Page, Row, RowKey, RowWrite, Transaction};
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -3,6 +3,8 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use common::Name;
+
 common::key! {
     /// Counter, with one label for the reason or outcome.
     pub enum Counter {
@@ -111,6 +113,35 @@
     }
 }
 
+common::key! {
+    /// Current value of a workspace that is reported at intervals.
+    pub enum WorkspaceGauge {
+        /// Tasks assigned to workers.
+        Tasks,
+        /// CPU that they use, in thousandths of a core.
+        UsedCpu,
+        /// Limit on it; 0 for none.
+        LimitCpu,
+        /// Jobs that wait with nothing assigned.
+        WaitingJobs,
+        /// Time at the limit since the leader began, in ms.
+        TimeAtLimit,
+    }
+}
+
+common::data! {
+    /// Values of one workspace, or of all that have none of their own.
+    pub struct WorkspaceValues {
+        /// Name of the workspace; [`OTHER_WORKSPACES`] for the sum of the others.
+        pub workspace: Name,
+        /// The value of each gauge.
+        pub values: [u64; WorkspaceGauge::ALL.len()],
+    }
+}
+
+/// Label of the sum of all workspaces that have no values of their own.
+pub const OTHER_WORKSPACES: &str = "(others)";
+
 /// Receiver of a node's measurements.
 pub trait Meter: Debug {
     /// Adds `by` to a counter under a label.
@@ -120,6 +151,9 @@
     /// Sets a gauge to a value.
     fn set_gauge(&self, gauge: Gauge, value: u64);
 
+    /// Replaces the values of all workspaces.
+    fn set_workspaces(&self, _workspaces: Vec<WorkspaceValues>) {}
+
     /// Reading of the clock that measures work; it stands still if work is not measured.
     fn work_clock(&self) -> Duration {
         Duration::ZERO
@@ -265,3 +299,20 @@
         }
     }
 }
+
+impl WorkspaceGauge {
+    /// All gauges.
+    pub const ALL: [Self; 5] =
+        [Self::Tasks, Self::UsedCpu, Self::LimitCpu, Self::WaitingJobs, Self::TimeAtLimit];
+
+    /// The metric's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Tasks => "bronzerail.workspace.tasks",
+            Self::UsedCpu => "bronzerail.workspace.used_cpu",
+            Self::LimitCpu => "bronzerail.workspace.limit_cpu",
+            Self::WaitingJobs => "bronzerail.workspace.jobs_waiting",
+            Self::TimeAtLimit => "bronzerail.workspace.at_limit_ms",
+        }
+    }
+}
--- a/crates/host/src/telemetry.rs
+++ b/crates/host/src/telemetry.rs
@@ -1,11 +1,12 @@
 //! Metrics collected with OpenTelemetry and exported as Prometheus text.
 
 use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use control::{Counter, Gauge, Meter, Timing};
+use control::{Counter, Gauge, Meter, Timing, WorkspaceGauge, WorkspaceValues};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{self, Histogram, MeterProvider};
+use opentelemetry::metrics::{self, AsyncInstrument, Histogram, MeterProvider};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -24,6 +25,8 @@
     counters: Vec<metrics::Counter<u64>>,
     histograms: Vec<Histogram<f64>>,
     gauges: Vec<metrics::Gauge<u64>>,
+    /// The latest values of each workspace; those of former ones are not exported.
+    workspaces: Arc<Mutex<Vec<WorkspaceValues>>>,
 }
 
 impl fmt::Debug for Telemetry {
@@ -52,10 +55,22 @@
             builder.with_boundaries(BUCKET_BOUNDS.to_vec()).build()
         };
         let gauge = |gauge: Gauge| meter.u64_gauge(gauge.name()).build();
+        let workspaces: Arc<Mutex<Vec<WorkspaceValues>>> = Arc::default();
+        for gauge in WorkspaceGauge::ALL {
+            let latest = Arc::clone(&workspaces);
+            let observe = move |observer: &dyn AsyncInstrument<u64>| {
+                for own in latest.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+                    let label = KeyValue::new("workspace", own.workspace.to_string());
+                    observer.observe(own.values[gauge as usize], &[label]);
+                }
+            };
+            meter.u64_observable_gauge(gauge.name()).with_callback(observe).build();
+        }
         Ok(Self {
             counters: Counter::ALL.map(counter).into(),
             histograms: Timing::ALL.map(histogram).into(),
             gauges: Gauge::ALL.map(gauge).into(),
+            workspaces,
             registry,
             started: Instant::now(),
             _provider: provider,
@@ -88,6 +103,10 @@
         self.gauges[gauge as usize].record(value, &[]);
     }
 
+    fn set_workspaces(&self, workspaces: Vec<WorkspaceValues>) {
+        *self.workspaces.lock().unwrap_or_else(PoisonError::into_inner) = workspaces;
+    }
+
     fn work_clock(&self) -> Duration {
         self.started.elapsed()
     }
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -8,6 +8,7 @@
 use common::Name;
 
 use crate::job::{Job, Phase};
+use crate::placement::Resource;
 use crate::record::Resources;
 use crate::scheduler::Scheduler;
 use crate::step::StepState;
@@ -22,6 +23,19 @@
         NoQueue,
         /// No worker with the service and required label accepts tasks now.
         NoWorker,
+        /// Its workspace may start nothing of it under its limit.
+        Limit {
+            /// Name of the workspace.
+            workspace: Name,
+            /// The resource that decides.
+            resource: Resource,
+            /// What a task needs of it, or all tasks of a gang.
+            need: u32,
+            /// What the workspace uses of it.
+            used: u32,
+            /// What it may use.
+            limit: u32,
+        },
         /// An advice call about this many workers is pending.
         Advice(usize),
         /// The advice service handles this many steps first.
@@ -111,6 +125,12 @@
             Self::EarlierStep(step) => write!(f, "waits for step {step}"),
             Self::NoQueue => write!(f, "its queue was removed"),
             Self::NoWorker => write!(f, "no suitable worker takes work"),
+            Self::Limit { workspace, resource, need, used, limit } => write!(
+                f,
+                "workspace {workspace} is at its limit: {used} of {limit} {} are in use, {need} more \
+                 are needed",
+                resource.unit()
+            ),
             Self::Advice(workers) => write!(f, "advice on {workers} workers is under way"),
             Self::AdviceService(ahead) => {
                 write!(f, "waits for the advice service: {ahead} steps ahead")
@@ -266,6 +286,9 @@
         if !self.pool.iter().any(|worker| is_candidate(&worker)) {
             return WaitReason::NoWorker;
         }
+        if let Some(reason) = self.limit_wait(job, step_index) {
+            return reason;
+        }
         if !step.pending_advice.is_empty() {
             return WaitReason::Advice(step.pending_advice.values().map(Vec::len).sum());
         }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -35,7 +35,7 @@
 pub use fate::{Fate, NotStarted, StopMark};
 pub use health::Doubt;
 pub use job::{Job, JobState, Phase, Site, StoredWorker, Task, TaskKey};
-pub use placement::Resource;
+pub use placement::{Resource, WorkspaceFigures};
 pub use pool::Pool;
 pub use record::{
     ChangeRecord, EndedRecord, FullRecord, JobRecord, QueueEntry, QueueRecord, Resources, Segment,
--- a/crates/scheduler/src/placement/limits.rs
+++ b/crates/scheduler/src/placement/limits.rs
@@ -5,16 +5,18 @@
 //! room. One that calls for tickets or collects room claims the part of the limit that it is
 //! going to use: otherwise each waiting step of a workspace would call for the same part.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use common::Name;
 
 use super::{Pass, Slot};
+use crate::explain::WaitReason;
 use crate::job::{Job, TaskKey};
 use crate::record::{Resources, Step, Submission};
 use crate::rules::Queue;
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
 use crate::worker::RunState;
 
@@ -48,6 +50,38 @@
     }
 }
 
+common::data! {
+    /// Figures of a workspace, for operators.
+    #[derive(Default)]
+    pub struct WorkspaceFigures {
+        /// Name of the workspace.
+        pub name: Name,
+        /// Its weight; 0 if the rules do not list it.
+        pub weight: u32,
+        /// Its limit; 0 for no limit on a resource.
+        pub limit: Resources,
+        /// Resources of its assigned runs.
+        pub used: Resources,
+        /// Number of these runs.
+        pub runs: u64,
+        /// Open jobs with a step whose turn has come, and without an assigned task.
+        pub waiting_jobs: u64,
+        /// Whether a step could start nothing under the limit in the last pass.
+        pub is_at_limit: bool,
+        /// Time for which that was so, since this scheduler began.
+        pub time_at_limit: Duration,
+    }
+
+    /// Time for which a workspace was at its limit.
+    #[derive(Copy, Default)]
+    pub(crate) struct LimitTime {
+        /// The sum of the times that are over.
+        total: Duration,
+        /// Since when it is at its limit; `None` if it is not.
+        since: Option<Duration>,
+    }
+}
+
 impl Resource {
     /// All kinds.
     pub const ALL: [Self; 3] = [Self::Cpu, Self::Memory, Self::Gpus];
@@ -118,6 +152,8 @@
     is_closed: bool,
     /// Steps for which it was decided whether they close it.
     closing_checks: u32,
+    /// Whether a step could start nothing under it.
+    is_reached: bool,
 }
 
 /// What each limited workspace may still start in a pass.
@@ -131,7 +167,16 @@
         let limited = limits.filter(|(_, limit)| **limit != Resources::default());
         let budgets = limited.map(|(name, limit)| {
             let used = Resources::default();
-            (name.clone(), Budget { limit: *limit, used, is_closed: false, closing_checks: 0 })
+            (
+                name.clone(),
+                Budget {
+                    limit: *limit,
+                    used,
+                    is_closed: false,
+                    closing_checks: 0,
+                    is_reached: false,
+                },
+            )
         });
         let mut budgets = Self(budgets.collect());
         if !budgets.0.is_empty() {
@@ -146,19 +191,26 @@
     /// decide; whether the workspace of the job has a limit.
     ///
     /// With an overload at the limits, most jobs end here in each pass.
-    pub(super) fn pass_by(&self, job: &mut Job, ready: &mut Vec<usize>, now: Duration) -> bool {
-        let Some(budget) = self.0.get(&job.workspace) else { return false };
+    pub(super) fn pass_by(&mut self, job: &mut Job, ready: &mut Vec<usize>, now: Duration) -> bool {
+        let Some(budget) = self.0.get_mut(&job.workspace) else { return false };
         ready.retain(|step_index| {
             let (spec, state) = (&job.submission.steps[*step_index], &mut job.steps[*step_index]);
             if (spec.is_gang && !state.all_waiting()) || budget.startable(spec) > 0 {
                 return true;
             }
             let since = state.wait_at_limit(now);
+            budget.is_reached = true;
             !state.holds.is_empty() || budget.may_close(spec, since, now)
         });
         true
     }
 
+    /// Workspaces of which a step could start nothing.
+    pub(super) fn reached(&self) -> HashSet<Name> {
+        let reached = self.0.iter().filter(|(_, budget)| budget.is_reached);
+        reached.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Adds to the usage of a workspace.
     pub(super) fn charge(&mut self, workspace: &Name, used: &Resources) {
         if let Some(budget) = self.0.get_mut(workspace) {
@@ -247,6 +299,7 @@
         let since = state.wait_at_limit(self.now);
         let holds = std::mem::take(&mut state.holds);
         let Some(budget) = self.budgets.0.get_mut(&job.workspace) else { return };
+        budget.is_reached = true;
         let may_close = budget.may_close(spec, since, self.now);
         let need = spec.need;
         for (worker, held) in &holds {
@@ -296,6 +349,95 @@
         limit.filter(|limit| *limit != Resources::default())
     }
 
+    /// What the waiting tasks of a step need and the limit of their workspace does not leave; `None`
+    /// if that is not what they wait for.
+    pub(crate) fn limit_wait(&self, job: &Job, step_index: usize) -> Option<WaitReason> {
+        if !self.is_at_limit(job, step_index) {
+            return None;
+        }
+        let limit = self.workspace_limit(&job.workspace)?;
+        let spec = &job.submission.steps[step_index];
+        let need = spec.need.times(if spec.is_gang { spec.count } else { 1 });
+        let used = self.used_by(&job.workspace);
+        let limited = Resource::ALL.into_iter().filter(|resource| resource.of(&limit) > 0);
+        // The resource of which the least is left, as a share of its limit, once the step has started.
+        let resource = limited.max_by_key(|resource| {
+            let wanted = u64::from(resource.of(&used)) + u64::from(resource.of(&need));
+            wanted * 1000 / u64::from(resource.of(&limit))
+        })?;
+        Some(WaitReason::Limit {
+            workspace: job.workspace.clone(),
+            resource,
+            need: resource.of(&need),
+            used: resource.of(&used),
+            limit: resource.of(&limit),
+        })
+    }
+
+    /// Adds what a pass found of the limits to the times at them.
+    pub(crate) fn record_limits(&mut self, reached: &HashSet<Name>, now: Duration) {
+        self.limit_times.retain(|name, _| self.workspace_limits.contains_key(name));
+        for (name, time) in &mut self.limit_times {
+            if !reached.contains(name)
+                && let Some(since) = time.since.take()
+            {
+                time.total += now.saturating_sub(since);
+            }
+        }
+        for name in reached {
+            self.limit_times.entry(name.clone()).or_default().since.get_or_insert(now);
+        }
+    }
+
+    /// Figures of all workspaces that the rules list, or that have open jobs or runs; the largest by
+    /// weight first.
+    pub fn workspace_figures(&self, now: Duration) -> Vec<WorkspaceFigures> {
+        let mut figures: BTreeMap<Name, WorkspaceFigures> = BTreeMap::new();
+        let listed = self.rules.iter().flat_map(|rules| rules.workspaces.iter());
+        let weights = listed.map(|own| (own.name.clone(), own.weight));
+        for (name, weight) in weights {
+            figures.entry(name).or_default().weight = weight;
+        }
+        for (name, used) in self.workspace_usage() {
+            figures.entry(name).or_default().used = used;
+        }
+        for run in self.pool.iter().flat_map(|worker| worker.assignments.values()) {
+            if !run.workspace.is_empty() {
+                figures.entry(run.workspace.clone()).or_default().runs += 1;
+            }
+        }
+        for job in self.ranked_jobs.iter().filter_map(|(_, _, id)| self.jobs.get(id)) {
+            if !job.workspace.is_empty() {
+                let own = figures.entry(job.workspace.clone()).or_default();
+                let waits = !job.has_runs() && job.ready_steps().next().is_some();
+                own.waiting_jobs += u64::from(waits);
+            }
+        }
+        let mut all: Vec<WorkspaceFigures> = figures
+            .into_iter()
+            .map(|(name, own)| {
+                let time = self.limit_times.get(&name).copied().unwrap_or_default();
+                let current = time.since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+                WorkspaceFigures {
+                    limit: self.workspace_limit(&name).unwrap_or_default(),
+                    is_at_limit: time.since.is_some(),
+                    time_at_limit: time.total + current,
+                    name,
+                    ..own
+                }
+            })
+            .collect();
+        // The sort keeps the order of names among equal weights.
+        all.sort_by_key(|own| Reverse(own.weight));
+        all
+    }
+
+    /// Resources of all assigned runs of a workspace.
+    fn used_by(&self, workspace: &Name) -> Resources {
+        let used = self.pool.iter().filter_map(|worker| worker.used_by.get(workspace));
+        used.fold(Resources::default(), |sum, used| sum.plus(used))
+    }
+
     /// Whether a step could start nothing under the limit of its workspace in the last pass.
     pub(crate) fn is_at_limit(&self, job: &Job, step_index: usize) -> bool {
         job.steps[step_index].limited_since.is_some()
@@ -377,6 +519,11 @@
                 }
             }
             for (key, run, worker) in withdrawn {
+                self.withdrawn_starts.push(StartOrder {
+                    key: key.clone(),
+                    run,
+                    worker: worker.clone(),
+                });
                 self.stop(key, run, worker);
             }
         }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -16,7 +16,8 @@
 
 pub(crate) use backfill::GangWait;
 use limits::Budgets;
-pub use limits::Resource;
+pub(crate) use limits::LimitTime;
+pub use limits::{Resource, WorkspaceFigures};
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -195,8 +196,9 @@
             }
             pass.place_job(&id);
         }
-        let slots = pass.slots;
+        let (slots, reached) = (pass.slots, pass.budgets.reached());
         self.last_slots = slots;
+        self.record_limits(&reached, now);
     }
 }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,7 +13,7 @@
 use crate::estimate::Estimator;
 use crate::fate::{Fate, NotStarted, StopMark};
 use crate::job::{Job, Phase, Site, TaskKey};
-use crate::placement::Slot;
+use crate::placement::{LimitTime, Slot};
 use crate::pool::Pool;
 use crate::record::{Resources, Submission};
 use crate::rounds::Rounds;
@@ -110,6 +110,10 @@
     removed_queues: HashMap<Name, Queue>,
     /// The latest limit of each workspace, also of those that the rules no longer list.
     pub(crate) workspace_limits: HashMap<Name, Resources>,
+    /// Time for which workspaces were at their limits.
+    pub(crate) limit_times: HashMap<Name, LimitTime>,
+    /// Unsent starts that were withdrawn as a limit fell, for the log.
+    pub withdrawn_starts: Vec<StartOrder>,
     /// Open jobs and ended jobs not yet removed, by id.
     pub jobs: HashMap<Name, Job>,
     /// Workers of the pool.
