--- a/crates/scheduler/src/placement/limits.rs
+++ b/crates/scheduler/src/placement/limits.rs
@@ -263,7 +263,14 @@
         }
         state.limited_since = None;
         self.place_step(id, step_index, queue, startable);
-        self.claim(id, step_index);
+        let Some(job) = self.scheduler.jobs.get(id) else { return };
+        let spec = &job.submission.steps[step_index];
+        if self.budgets.startable(&job.workspace, spec) > 0 {
+            self.claim(id, step_index);
+        } else if job.steps[step_index].has_waiting() {
+            // The rest of a wave waits for the next one.
+            self.wait_at_limit(id, step_index, queue);
+        }
     }
 
     /// Claims the part of the limit that a step needs which calls for tickets or collects room.
--- a/crates/scheduler/tests/limits.rs
+++ b/crates/scheduler/tests/limits.rs
@@ -6,8 +6,8 @@
 
 use common::Name;
 use scheduler::{
-    AdvicePolicy, Assignment, Fate, Job, Outcome, Refusal, Resources, RunState, Scheduler,
-    StartOrder, Step, StopOrder, Submission, TaskKey, Usage,
+    AdvicePolicy, Assignment, Fate, Job, Outcome, Refusal, Resource, Resources, RunState,
+    Scheduler, StartOrder, Step, StopOrder, Submission, TaskKey, Usage, WaitReason,
 };
 use support::model::{Model, Size};
 use support::{
@@ -593,3 +593,64 @@
     assert_eq!(usage(&scheduler, RED), Resources::default());
     assert_eq!(plan(&mut scheduler, NOW).len(), 1);
 }
+
+// Guards against a step at the limit that seems about to be placed, and against the resource or the
+// usage of another.
+#[test]
+fn explain_names_limit() {
+    let mut scheduler = limited_pool(Resources { cpu: 9000, mem: 250, gpus: 0 });
+    submit_in(&mut scheduler, RED, "a", vec![step(3)]);
+    submit_in(&mut scheduler, RED, "gang", vec![gang(2)]);
+    plan(&mut scheduler, NOW);
+    let reason = |scheduler: &Scheduler, id: &str| scheduler.first_wait_reason(id, NOW);
+    let expected = |need| WaitReason::Limit {
+        workspace: Name::new(RED),
+        resource: Resource::Memory,
+        need,
+        used: 200,
+        limit: 250,
+    };
+    assert_eq!(reason(&scheduler, "a"), Some(expected(100)));
+    assert_eq!(reason(&scheduler, "gang"), Some(expected(200)), "all its tasks");
+    let text = "workspace red is at its limit: 200 of 250 MB are in use, 100 more are needed";
+    assert_eq!(expected(100).to_string(), text);
+    set_limits(&mut scheduler, 3, &[(RED, cpu(0))]);
+    assert_eq!(reason(&scheduler, "a"), Some(WaitReason::NextPass), "it has no limit any more");
+}
+
+// Guards against figures that miss runs, jobs or times at the limit.
+#[test]
+fn workspace_figures_are_complete() {
+    let mut scheduler = limited_pool(cpu(2000));
+    for id in ["a", "b", "c"] {
+        submit_in(&mut scheduler, RED, id, vec![step(1), Step { after: vec![0], ..step(1) }]);
+    }
+    submit_in(&mut scheduler, BLUE, "d", vec![step(1)]);
+    let starts = plan(&mut scheduler, NOW);
+    run(&mut scheduler, &starts);
+    plan(&mut scheduler, NOW + secs(2));
+    let own = |scheduler: &Scheduler, name: &str, now| {
+        let figures = scheduler.workspace_figures(now);
+        figures.into_iter().find(|own| &*own.name == name).expect("it has figures")
+    };
+    let red = own(&scheduler, RED, NOW + secs(3));
+    assert_eq!((red.weight, red.runs, red.waiting_jobs), (1, 2, 1));
+    assert_eq!((red.used.cpu, red.limit, red.is_at_limit), (2000, cpu(2000), true));
+    assert_eq!(red.time_at_limit, secs(3));
+    let blue = own(&scheduler, BLUE, NOW);
+    assert_eq!((blue.weight, blue.runs, blue.waiting_jobs, blue.is_at_limit), (0, 1, 0, false));
+    set_limits(&mut scheduler, 3, &[(RED, cpu(4000))]);
+    plan(&mut scheduler, NOW + secs(4));
+    let red = own(&scheduler, RED, NOW + secs(9));
+    assert_eq!((red.is_at_limit, red.time_at_limit), (false, secs(4)));
+}
+
+// Guards against withdrawn starts that no line tells of.
+#[test]
+fn withdrawn_starts_are_told() {
+    let mut scheduler = limited_pool(cpu(3000));
+    submit_in(&mut scheduler, RED, "a", vec![step(3)]);
+    let starts = plan(&mut scheduler, NOW);
+    set_limits(&mut scheduler, 3, &[(RED, cpu(2000))]);
+    assert_eq!(scheduler.withdrawn_starts, starts[2..]);
+}
