--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -221,6 +221,8 @@
     Members(PoolMembers),
     /// Check a configuration before it comes into force.
     CheckConfig(PoolCheckConfig),
+    /// Show the workspaces.
+    Workspaces(PoolWorkspaces),
 }
 
 /// Check a configuration row without a network; prints all errors, warnings and differences.
@@ -312,6 +314,11 @@
 #[argh(subcommand, name = "members")]
 pub struct PoolMembers {}
 
+/// Show the workspaces with their weights, limits, usage and waiting jobs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "workspaces")]
+pub struct PoolWorkspaces {}
+
 /// Wait until a request ends and print its result.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "wait", example = "{command_name} toolroom s-1 --for 10m")]
