scheduler: workspaces share the pool by weight within each priority

Cause: jobs were visited by priority, due time and id only, so that a workspace that submits ten times its usual load made all others wait behind its backlog.

What is placed counts at once. What they cannot use is divided in a second round among the others, and the rest goes by rank. A gang that began to collect room below its share comes first until it starts; all it needs counts as used meanwhile. Tasks and gangs for which all free pieces are too small collect pieces, as smaller tasks of other workspaces took each.

Order of starts without workspaces is the same.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod runs;
 mod scheduler;
 mod segment;
+mod shares;
 mod step;
 mod usage;
 mod validation;
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -209,7 +209,8 @@
 
     /// A round for a gang that is expected to have room when the tickets arrive.
     fn round_for_awaited(&self, pending: &PendingStep<'_>, arrival: Duration) -> Option<Round> {
-        if !pending.spec.is_gang || pending.care != Care::Usual {
+        // Room that others will leave is not known yet, and held room comes before all jobs.
+        if !pending.spec.is_gang || pending.care != Care::Usual || self.gets_leftovers() {
             return None;
         }
         let count = pending.waiting_tasks.len() as u32;
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -44,6 +44,7 @@
         }
         self.restore_holds(&pending);
         self.collect(&pending);
+        self.keep_place(pending.key, &pending.spec.need.times(pending.spec.count));
     }
 
     /// Whether enough workers are allowed for a gang, so that it may do without learning about more.
@@ -130,6 +131,7 @@
             let named = step.holds.keys().filter_map(|id| self.slot_indexes.get(id).copied());
             let named: Vec<usize> = if held < count { named.collect() } else { Vec::new() };
             self.collect_on(pending, &named);
+            self.reserve_pieces(pending, &named);
             return;
         }
         let slots = self.collecting_slots(pending);
@@ -142,6 +144,7 @@
             self.collect_on(pending, &useful);
             let lend_until = self.lend_until(pending);
             self.reserve(pending, &slots, lend_until);
+            self.reserve_pieces(pending, &useful);
         }
     }
 
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -5,13 +5,14 @@
 //! Capacity that a gang collects until all its tasks fit is reserved in the copy, so that jobs
 //! of lower rank do not take it; `backfill` lends it to those that end early enough. `gangs`
 //! places gangs, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
-//! the calls.
+//! the calls, and `order` on the order of jobs where workspaces share the pool.
 
 mod advice;
 mod backfill;
 mod gangs;
 mod holds;
 mod isolation;
+mod order;
 
 pub(crate) use backfill::GangWait;
 
@@ -30,6 +31,7 @@
 use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
+use order::Order;
 
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
@@ -100,6 +102,8 @@
     lent_until: Duration,
     /// Whether the expected start of a gang was refreshed.
     has_refreshed_wait: bool,
+    /// Shares of the workspaces; `None` if the rules have none.
+    order: Option<Order>,
 }
 
 /// A step with tasks that wait for placement.
@@ -162,7 +166,7 @@
                 advice_capacity.set_short(class);
             }
         }
-        let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
+        let order = Order::new(self, &slots);
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
         let mut pass = Pass {
             scheduler: self,
@@ -177,17 +181,13 @@
             largest_lent: Resources::default(),
             lent_until: Duration::ZERO,
             has_refreshed_wait: false,
+            order,
         };
         pass.mark_suspects();
         pass.apply_holds();
         pass.update_largest_free();
         pass.largest_lent = pass.largest_free;
-        for id in ranked {
-            if pass.steps_handled >= MAX_STEPS_PER_PASS {
-                break;
-            }
-            pass.place_job(&id);
-        }
+        pass.visit_jobs();
         let slots = pass.slots;
         self.last_slots = slots;
     }
@@ -204,6 +204,9 @@
         let ready: Vec<usize> = ready.collect();
         let Some(queue) = self.scheduler.queue(&job.queue).cloned() else { return };
         for step_index in ready {
+            if self.is_step_postponed(id, step_index) {
+                continue;
+            }
             self.place_step(id, step_index, &queue);
         }
     }
@@ -236,6 +239,7 @@
             || spec.need.fits_in(&self.largest_free)
             || (ends_at <= self.lent_until && spec.need.fits_in(&self.largest_lent));
         if !spec.is_gang && !may_fit {
+            self.collect_for_tasks(id, step_index, queue);
             return;
         }
         if let Some(advice) = &queue.advice
@@ -307,6 +311,7 @@
         // All tasks of a step are alike, so the first without a slot ends the search.
         while let Some(index) = pending.waiting_tasks.get(placed).copied()
             && let Some(slot) = self.best_slot(&pending, &feasible)
+            && !self.exceeds_share(&pending.spec.need)
         {
             self.assign_tasks(&pending, &[(index, slot)]);
             placed += 1;
@@ -317,8 +322,13 @@
             self.steps_handled += 1;
             self.update_largest_free();
         }
-        if !pending.waiting_tasks.is_empty() && pending.queue.advice.is_some() {
-            self.ensure_advice(&pending);
+        if !pending.waiting_tasks.is_empty() && !self.has_used_share() {
+            if pending.queue.advice.is_some() {
+                self.ensure_advice(&pending);
+            }
+            if pending.care == Care::Usual {
+                self.collect_for_tasks(pending.key.0, pending.key.1 as usize, pending.queue);
+            }
         }
         self.restore_holds(&pending);
     }
@@ -416,6 +426,9 @@
             task.worker = Some(slot.id.clone());
             slot.take(&pending.spec.need);
             self.scheduler.rounds.record_use(pending.key, &slot.id);
+            if let Some(order) = &mut self.order {
+                order.charge(&job.workspace, pending.key, &pending.spec.need);
+            }
             let key = TaskKey { job: id.clone(), step: step_index, index: *index };
             let assignment = Assignment {
                 run: task.run,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -153,6 +153,9 @@
     /// Gangs, as job id and index of the step, for which the last pass reserved room; whether an
     /// advice call was under way.
     pub(crate) collecting_gangs: BTreeMap<(Name, u32), bool>,
+    /// Gangs that collect room and keep their places though their workspaces use their shares: job id
+    /// and index of the step.
+    pub(crate) kept_gangs: BTreeSet<(Name, u32)>,
     /// Rounds of advice calls whose tickets may not have expired.
     pub(crate) rounds: Rounds,
     /// Open jobs by rank: priority, due time, id.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod idle;
 pub mod load;
 pub mod model;
+pub mod shared;
 
 use std::time::Duration;
 
