scheduler, control: a workspace is refused for its own backlog only

Cause: the predicted wait of a job was that of its whole queue, so that the backlog of one workspace closed the queue for all others.

Fewer than four waiting jobs are no backlog of a workspace, as the least rate of starts that is assumed says nothing about a few long waits. Retry-After then spreads by up to a quarter. The log line of a refusal names the workspace.

--- a/crates/control/src/lead/requests.rs
+++ b/crates/control/src/lead/requests.rs
@@ -76,8 +76,10 @@
                 }
                 if let Some(excess) = self.scheduler.excess_wait(&job, &queue, ctx.now) {
                     log_job_event!(ctx, &job.id, RequestRefused, "queue" => %queue,
+                        "workspace" => &job.workspace,
                         "excess_wait_ms" => excess.as_millis() as u64, "epoch" => self.epoch);
-                    let answer = backlog_refusal(ctx, excess);
+                    let is_of_workspace = self.scheduler.has_workspaces();
+                    let answer = backlog_refusal(ctx, excess, is_of_workspace);
                     self.send_answer(ctx, &caller, answer);
                     return;
                 }
--- a/crates/control/src/pending.rs
+++ b/crates/control/src/pending.rs
@@ -348,10 +348,20 @@
     Answer::Refused { retry_after: base + spread, try_other_daemon: false }
 }
 
+/// Part of a wait, as a divisor, over which callers of one workspace return.
+const WORKSPACE_SPREAD_DIVISOR: u64 = 4;
+
 /// Returns a refusal that spreads the callers' return over the time after a backlog has shrunk.
-pub(crate) fn backlog_refusal(ctx: &mut Context, excess_wait: Duration) -> Answer {
+///
+/// The backlog of a workspace is that of few callers, which return over a shorter time.
+pub(crate) fn backlog_refusal(
+    ctx: &mut Context,
+    excess_wait: Duration,
+    is_of_workspace: bool,
+) -> Answer {
     let base = excess_wait.clamp(RETRY_AFTER, MAX_BACKLOG_RETRY_WAIT);
-    let spread = Duration::from_millis(ctx.random_below(base.as_millis() as u64));
+    let divisor = if is_of_workspace { WORKSPACE_SPREAD_DIVISOR } else { 1 };
+    let spread = Duration::from_millis(ctx.random_below(base.as_millis() as u64 / divisor));
     Answer::Refused { retry_after: base + spread, try_other_daemon: false }
 }
 
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -6,6 +6,11 @@
 //! else. The rate lags behind a load that grows, so a prediction counts only once a quarter of the
 //! jobs ahead has waited for longer than the time over which the rate is measured. A queue that
 //! refuses jobs still accepts one at intervals, so that it learns when jobs start again.
+//!
+//! Where workspaces share the pool, a job waits for the jobs of its own workspace, as those of the
+//! others do not come before it for long. So each workspace has a backlog and a rate of its own in
+//! each queue, which its share or its limit may bound. A rate counts only if jobs have waited all the
+//! while that it was measured: where nothing waits, it is small as few jobs arrive.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -51,10 +56,29 @@
     last_arrival: Duration,
 }
 
+/// Fewest jobs ahead that count as the backlog of a workspace.
+///
+/// The rate is taken as at least one start in the window, which is far too high or too low for the
+/// few gangs or long jobs that a small workspace has waiting.
+const MIN_WORKSPACE_BACKLOG: usize = 4;
+
+/// What a waiting job belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Origin {
+    /// Its queue.
+    pub queue: Name,
+    /// Its workspace; empty for none.
+    pub workspace: Name,
+}
+
 /// Waiting jobs and first starts of all queues.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     flows: HashMap<Name, Flow>,
+    /// The same for each workspace in each queue, with one for the jobs of none.
+    workspace_flows: HashMap<Origin, Flow>,
+    /// When idle flows of workspaces are dropped next.
+    next_cleanup: Duration,
     /// When the first pass ran; `None` before. Earlier starts are not known.
     since: Option<Duration>,
 }
@@ -63,45 +87,72 @@
     /// Records that a pass runs.
     pub fn record_pass(&mut self, now: Duration) {
         self.since.get_or_insert(now);
+        if self.next_cleanup <= now {
+            self.next_cleanup = now + RATE_MEMORY;
+            self.workspace_flows.retain(|_, flow| {
+                flow.forget_starts(now);
+                !flow.waiting.is_empty() || !flow.starts.is_empty()
+            });
+        }
+    }
+
+    /// The flows that a job belongs to, as far as they exist.
+    fn flows_of(&mut self, origin: &Origin) -> impl Iterator<Item = &mut Flow> {
+        let own = self.workspace_flows.get_mut(origin);
+        self.flows.get_mut(&origin.queue).into_iter().chain(own)
     }
 
     /// Adds a job that waits for its first start.
-    pub fn add(&mut self, queue: &Name, arrived: Duration, id: &Name) {
-        let flow = self.flows.entry(queue.clone()).or_default();
-        flow.waiting.insert((arrived, id.clone()));
-        flow.last_arrival = flow.last_arrival.max(arrived);
+    pub fn add(&mut self, origin: Origin, arrived: Duration, id: &Name) {
+        let flow = self.flows.entry(origin.queue.clone()).or_default();
+        let own = self.workspace_flows.entry(origin).or_default();
+        for flow in [flow, own] {
+            flow.waiting.insert((arrived, id.clone()));
+            flow.last_arrival = flow.last_arrival.max(arrived);
+        }
     }
 
     /// Records the first start of a job.
-    pub fn record_start(&mut self, queue: &Name, arrived: Duration, id: &Name, now: Duration) {
-        self.remove(queue, arrived, id);
-        if let Some(flow) = self.flows.get_mut(queue) {
+    pub fn record_start(&mut self, origin: &Origin, arrived: Duration, id: &Name, now: Duration) {
+        self.remove(origin, arrived, id);
+        for flow in self.flows_of(origin) {
             flow.record_start(Start { at: now, arrived });
         }
     }
 
     /// Removes a job that no longer waits.
-    pub fn remove(&mut self, queue: &Name, arrived: Duration, id: &Name) {
-        if let Some(flow) = self.flows.get_mut(queue) {
+    pub fn remove(&mut self, origin: &Origin, arrived: Duration, id: &Name) {
+        for flow in self.flows_of(origin) {
             flow.waiting.remove(&(arrived, id.clone()));
         }
     }
 
     /// How far beyond its slack a job that arrives now would wait; `None` if it is to be accepted.
+    ///
+    /// Where workspaces share the pool, that follows from the backlog of the job's own.
     pub fn excess_wait(
         &mut self,
-        queue: &Name,
+        origin: &Origin,
+        is_shared: bool,
         slack: Duration,
         now: Duration,
     ) -> Option<Duration> {
         let has_full_window = self.since.is_some_and(|since| since + RATE_WINDOW <= now);
-        let flow = self.flows.get_mut(queue).filter(|_| has_full_window)?;
+        let (flow, min_backlog) = if is_shared {
+            (self.workspace_flows.get_mut(origin), MIN_WORKSPACE_BACKLOG)
+        } else {
+            (self.flows.get_mut(&origin.queue), 0)
+        };
+        let flow = flow.filter(|_| has_full_window)?;
         if flow.last_arrival + PROBE_INTERVAL <= now {
             return None;
         }
         flow.forget_starts(now);
         let ahead = || flow.waiting.range((flow.overtaken, Name::default())..);
         let count = ahead().count();
+        if count < min_backlog {
+            return None;
+        }
         let wait = Duration::from_secs_f64(count as f64 / flow.rate(now));
         let excess = wait.checked_sub(slack)?;
         let has_aged =
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -5,6 +5,7 @@
 
 use common::Name;
 
+use crate::admission::Origin;
 use crate::record::{JobRecord, QueueRecord, StepRecord, Submission, TaskRecord};
 use crate::step::StepState;
 use crate::validation::MAX_STORED_TASKS;
@@ -258,6 +259,11 @@
         Some(job)
     }
 
+    /// Its queue and workspace.
+    pub(crate) fn origin(&self) -> Origin {
+        Origin { queue: self.queue.clone(), workspace: self.workspace.clone() }
+    }
+
     /// Whether any task is assigned to a worker.
     pub(crate) fn has_runs(&self) -> bool {
         self.steps.iter().any(|step| step.tasks.iter().any(|task| task.worker.is_some()))
--- a/crates/scheduler/src/placement/order.rs
+++ b/crates/scheduler/src/placement/order.rs
@@ -60,7 +60,9 @@
     /// The order of a pass; `None` if the rules have no workspaces.
     pub(super) fn new(scheduler: &mut Scheduler, slots: &[Slot]) -> Option<Self> {
         let kept = std::mem::take(&mut scheduler.kept_gangs);
-        scheduler.rules.as_ref().filter(|rules| !rules.workspaces.is_empty())?;
+        if !scheduler.has_workspaces() {
+            return None;
+        }
         let mut order = Self {
             shares: Shares::new(shared_capacity(&scheduler.pool, slots)),
             indexes: HashMap::new(),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use common::Name;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Origin};
 use crate::advice::CallClass;
 use crate::crash::{Explanation, LostRun};
 use crate::estimate::Estimator;
@@ -176,7 +176,7 @@
         if job.phase == Phase::Open {
             self.ranked_jobs.insert(self.rank(&job));
             if !job.has_started {
-                self.admission.add(&job.queue, job.arrived, &job.id);
+                self.admission.add(job.origin(), job.arrived, &job.id);
             }
         }
         for (step_index, step) in job.steps.iter().enumerate() {
@@ -211,7 +211,13 @@
         let rules = self.queue(queue)?;
         let target = path.mul_f64(rules.target_factor) + rules.target_offset;
         let slack = (target * WORTHLESS_AFTER_TARGETS).saturating_sub(path);
-        self.admission.excess_wait(queue, slack, now)
+        let origin = Origin { queue: queue.clone(), workspace: Name::new(&submission.workspace) };
+        self.admission.excess_wait(&origin, self.has_workspaces(), slack, now)
+    }
+
+    /// Whether workspaces share the pool.
+    pub fn has_workspaces(&self) -> bool {
+        self.rules.as_ref().is_some_and(|rules| !rules.workspaces.is_empty())
     }
 
     /// Adds a new job and marks its row for writing.
@@ -356,7 +362,7 @@
         job.phase = phase;
         job.ended_ms = store_clock_ms;
         if !job.has_started {
-            self.admission.remove(&job.queue, job.arrived, &job.id);
+            self.admission.remove(&job.origin(), job.arrived, &job.id);
         }
         self.changed_jobs.insert(job.id.clone());
         let mut active_runs = Vec::new();
@@ -446,7 +452,7 @@
         if let Some(job) = self.jobs.get_mut(job)
             && !std::mem::replace(&mut job.has_started, true)
         {
-            self.admission.record_start(&job.queue, job.arrived, &job.id, now);
+            self.admission.record_start(&job.origin(), job.arrived, &job.id, now);
         }
     }
 
--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -7,7 +7,9 @@
 
 use common::Name;
 use scheduler::{Resources, Step};
-use support::shared::{FIRST, Load, SharedPool, TICK, USUAL, mean_ms, singles, tasks, workspace};
+use support::shared::{
+    FIRST, Load, SharedPool, Submitted, TICK, USUAL, mean_ms, singles, tasks, workspace,
+};
 use support::{NOW, secs};
 
 /// Workspaces of equal weight.
@@ -45,7 +47,6 @@
     for (usual, flooded) in usual.iter().zip(&flooded) {
         assert!((run_ms + flooded) <= (run_ms + usual) * 1.1, "{usual} ms, flooded {flooded} ms");
     }
-    println!("usual {usual:?}, flooded {flooded:?}");
 }
 
 /// Parts of the pool that workspaces use, each with more work than its share.
@@ -218,3 +219,61 @@
     assert!((parts["cpu"] - 0.667).abs() < 0.06, "{parts:?}");
     assert!((parts["mem"] - 0.333).abs() < 0.03, "{parts:?}");
 }
+
+/// Jobs of a workspace that were refused.
+fn refusals(pool: &SharedPool, workspace: &str) -> usize {
+    pool.refused.get(workspace).map_or(0, Vec::len)
+}
+
+// Guards against refusals of the jobs of workspaces that have no backlog, because another one has.
+#[test]
+fn refusals_hit_only_flooding_workspace() {
+    let mut pool = SharedPool::new(5, equal_workspaces());
+    pool.has_admission = true;
+    let mut loads = NAMES.map(|name| singles(name, 6.0)).to_vec();
+    loads[0].per_second *= 10.0;
+    // Rare jobs say nothing of the rate at which their workspace could start more.
+    loads[9].per_second = 0.4;
+    pool.offer(&loads, secs(25));
+    assert!(refusals(&pool, "w0") > 100, "{:?}", pool.refused);
+    assert!(NAMES[1..].iter().all(|name| refusals(&pool, name) == 0), "{:?}", pool.refused);
+    // The slack is three targets of two run times and a second, less the run.
+    let accepted = pool.submitted.values().filter(|job| &*job.workspace == "w0");
+    let is_late = |job: &&Submitted| {
+        let wait = job.first_start.unwrap_or(pool.now).saturating_sub(job.arrived);
+        wait > job.run_time * 5 + secs(3)
+    };
+    let late = accepted.clone().filter(is_late).count();
+    // Those of the first seconds are accepted before a rate is known.
+    assert!(late <= accepted.count() / 5, "{late} are late");
+}
+
+// Guards against a workspace that is refused for good once it was, and against a wait to return that
+// does not follow from its own backlog.
+#[test]
+fn workspace_is_accepted_again_after_its_backlog() {
+    let mut pool = SharedPool::new(5, equal_workspaces());
+    pool.has_admission = true;
+    let loads = NAMES.map(|name| singles(name, if name == "w0" { 60.0 } else { 7.0 }));
+    pool.offer(&loads, secs(25));
+    let refused = refusals(&pool, "w0");
+    assert!(refused > 100, "{refused} refused");
+    let excess = pool.refused["w0"].iter().max().copied().unwrap_or_default();
+    // The slack of the jobs that run longest is 10.5 s, that of the shortest is 5.5 s.
+    assert!(excess < secs(6), "{excess:?} beyond the slack");
+    pool.offer(&[singles("w0", 6.0)], secs(8));
+    let before = refusals(&pool, "w0");
+    pool.offer(&[singles("w0", 6.0)], secs(8));
+    assert_eq!(refusals(&pool, "w0"), before);
+}
+
+// Guards against refusals of a workspace whose few jobs wait for long, as gangs that collect room.
+#[test]
+fn rare_gangs_are_accepted() {
+    let mut pool = SharedPool::new(5, equal_workspaces());
+    pool.has_admission = true;
+    let step = gang(10, 4);
+    let gangs = Load { workspace: "w9", queue: USUAL, per_second: 0.5, step, run_time: secs(1) };
+    pool.offer(&[flood("w0"), flood("w1"), gangs], secs(30));
+    assert_eq!(refusals(&pool, "w9"), 0, "{:?}", pool.refused.get("w9"));
+}
