--- a/crates/measure/src/pass.rs
+++ b/crates/measure/src/pass.rs
@@ -5,7 +5,7 @@
 use common::Name;
 use scheduler::{
     AdviceCapacity, AdvicePolicy, CallClass, Limits, Queue, Registration, Resources, Rules,
-    Scheduler, Step, Submission, Workspaces,
+    Scheduler, Step, Submission, Workspace, Workspaces,
 };
 use serde_json::{Map, Value};
 
@@ -15,6 +15,9 @@
 /// Passes whose mean duration is reported.
 const PASSES: u32 = 200;
 
+/// Numbers of workspaces that share the pool.
+const WORKSPACES: [usize; 3] = [0, 20, 500];
+
 /// Simulated time between two passes.
 const PASS_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -50,28 +53,52 @@
     ];
     let mut durations = Map::new();
     for (name, needs_advice, free_cpu, step) in cases {
-        let mut scheduler = new_pool(size, needs_advice, free_cpu);
-        for number in 0..size.jobs {
-            let id = format!("{number:016x}");
-            let job = Submission {
-                id,
-                payload: String::new(),
-                steps: vec![step.clone()],
-                ..Submission::default()
+        for workspaces in WORKSPACES {
+            let mut scheduler = new_pool(size, workspaces, needs_advice, free_cpu);
+            for number in 0..size.jobs {
+                let id = format!("{number:016x}");
+                let job = Submission {
+                    id,
+                    payload: String::new(),
+                    steps: vec![step.clone()],
+                    workspace: workspace_name(number, workspaces).to_string(),
+                };
+                scheduler.submit(job, Name::new("q"), START, 0);
+            }
+            let duration = mean_pass(&mut scheduler, size.followers / 3);
+            let name = match workspaces {
+                0 => name.to_owned(),
+                _ => format!("{name}, {workspaces} workspaces"),
             };
-            scheduler.submit(job, Name::new("q"), START, 0);
+            println!("{name}: {duration:?}");
+            durations.insert(name, Value::from(duration.as_secs_f64() * 1e6));
         }
-        let duration = mean_pass(&mut scheduler, size.followers / 3);
-        println!("{name}: {duration:?}");
-        durations.insert(name.to_owned(), Value::from(duration.as_secs_f64() * 1e6));
     }
     Ok(Value::Object(Map::from_iter([("pass_us".to_owned(), Value::Object(durations))])))
 }
 
-/// A pool whose workers have `free_cpu` left.
-fn new_pool(size: PoolSize, needs_advice: bool, free_cpu: u32) -> Scheduler {
+/// Name of the workspace of a job or run, of a number of them; empty if there are none.
+fn workspace_name(number: usize, workspaces: usize) -> Name {
+    match workspaces {
+        0 => Name::default(),
+        _ => Name::from(format!("workspace-{:03}", number % workspaces)),
+    }
+}
+
+/// A pool whose workers have `free_cpu` left; workspaces use the rest in runs of a core each.
+fn new_pool(size: PoolSize, workspaces: usize, needs_advice: bool, free_cpu: u32) -> Scheduler {
     let mut scheduler = Scheduler::default();
-    scheduler.set_rules(rules(needs_advice));
+    let names = (0..workspaces).map(|number| workspace_name(number, workspaces));
+    let workspaces_of_rules = names.zip(1..).map(|(name, weight)| Workspace {
+        name,
+        weight,
+        limit: Resources::default(),
+        keys: Vec::new(),
+    });
+    scheduler.set_rules(Rules {
+        workspaces: Workspaces::new(workspaces_of_rules),
+        ..rules(needs_advice)
+    });
     for number in 0..size.workers {
         let id = Name::from(format!("worker-{number:04}").as_str());
         scheduler.pool.register(Registration {
@@ -87,6 +114,12 @@
         let worker = scheduler.pool.get_mut(&id).expect("the worker was registered");
         worker.has_current_token = true;
         worker.allocated = Resources { cpu: WORKER_CPU - free_cpu, mem: 0, gpus: 0 };
+        let runs = ((WORKER_CPU - free_cpu) / 1000) as usize;
+        for run in 0..runs.min(workspaces) {
+            let number = number * runs + run;
+            let used = Resources { cpu: 1000, mem: 0, gpus: 0 };
+            worker.used_by.insert(workspace_name(number, workspaces), used);
+        }
     }
     scheduler
 }
