--- a/crates/scheduler/src/placement/limits.rs
+++ b/crates/scheduler/src/placement/limits.rs
@@ -24,7 +24,7 @@
 /// using what the limit leaves.
 ///
 /// A stream of small tasks would otherwise keep a large task or a gang from ever starting.
-const PATIENCE: Duration = Duration::from_secs(3);
+const CLOSING_DELAY: Duration = Duration::from_secs(3);
 
 /// Steps for which a pass decides whether they keep others of their workspace waiting.
 ///
@@ -233,7 +233,7 @@
     /// Whether a step that waits at the limit since some time may keep what is left.
     fn may_close(&self, step: &Step, since: Duration, now: Duration) -> bool {
         !self.is_closed
-            && now >= since + PATIENCE
+            && now >= since + CLOSING_DELAY
             && self.closing_checks < MAX_CLOSING_CHECKS
             && startable(&self.limit, &Resources::default(), step) > 0
     }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -5,7 +5,7 @@
 //! Capacity that a gang collects until all its tasks fit is reserved in the copy, so that jobs
 //! of lower rank do not take it; `backfill` lends it to those that end early enough. `gangs`
 //! places gangs, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
-//! the calls.
+//! the calls, and `order` on the order of jobs where workspaces share the pool.
 
 mod advice;
 mod backfill;
@@ -13,6 +13,7 @@
 mod holds;
 mod isolation;
 mod limits;
+mod order;
 
 pub(crate) use backfill::GangWait;
 use limits::Budgets;
@@ -34,6 +35,7 @@
 use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
+use order::Order;
 
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
@@ -106,6 +108,8 @@
     has_refreshed_wait: bool,
     /// What workspaces with a limit may still start.
     budgets: Budgets,
+    /// Shares of the workspaces; `None` if the rules have none.
+    order: Option<Order>,
 }
 
 /// A step with tasks that wait for placement.
@@ -168,7 +172,7 @@
                 advice_capacity.set_short(class);
             }
         }
-        let ranked: Vec<Name> = self.ranked_jobs.iter().map(|(_, _, id)| id.clone()).collect();
+        let order = Order::new(self, &slots);
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
         let budgets = Budgets::new(self);
         let mut pass = Pass {
@@ -185,17 +189,13 @@
             lent_until: Duration::ZERO,
             has_refreshed_wait: false,
             budgets,
+            order,
         };
         pass.mark_suspects();
         pass.apply_holds();
         pass.update_largest_free();
         pass.largest_lent = pass.largest_free;
-        for id in ranked {
-            if pass.steps_handled >= MAX_STEPS_PER_PASS {
-                break;
-            }
-            pass.place_job(&id);
-        }
+        pass.visit_jobs();
         let (slots, reached) = (pass.slots, pass.budgets.reached());
         self.last_slots = slots;
         self.record_limits(&reached, now);
@@ -218,6 +218,9 @@
         let queue = job.queue.clone();
         let Some(queue) = self.scheduler.queue(&queue).cloned() else { return };
         for step_index in ready {
+            if self.is_step_postponed(id, step_index) {
+                continue;
+            }
             if has_limit {
                 self.place_limited_step(id, step_index, &queue);
             } else {
@@ -254,6 +257,7 @@
             || spec.need.fits_in(&self.largest_free)
             || (ends_at <= self.lent_until && spec.need.fits_in(&self.largest_lent));
         if !spec.is_gang && !may_fit {
+            self.collect_for_tasks(id, step_index, queue);
             return;
         }
         if let Some(advice) = &queue.advice
@@ -326,6 +330,7 @@
         // All tasks of a step are alike, so the first without a slot ends the search.
         while let Some(index) = pending.waiting_tasks.get(placed).copied()
             && let Some(slot) = self.best_slot(&pending, &feasible)
+            && !self.exceeds_share(&pending.spec.need)
         {
             self.assign_tasks(&pending, &[(index, slot)]);
             placed += 1;
@@ -336,8 +341,13 @@
             self.steps_handled += 1;
             self.update_largest_free();
         }
-        if !pending.waiting_tasks.is_empty() && pending.queue.advice.is_some() {
-            self.ensure_advice(&pending);
+        if !pending.waiting_tasks.is_empty() && !self.has_used_share() {
+            if pending.queue.advice.is_some() {
+                self.ensure_advice(&pending);
+            }
+            if pending.care == Care::Usual {
+                self.collect_for_tasks(pending.key.0, pending.key.1 as usize, pending.queue);
+            }
         }
         self.restore_holds(&pending);
     }
@@ -436,6 +446,9 @@
             task.worker = Some(slot.id.clone());
             slot.take(&pending.spec.need);
             self.scheduler.rounds.record_use(pending.key, &slot.id);
+            if let Some(order) = &mut self.order {
+                order.charge(&job.workspace, pending.key, &pending.spec.need);
+            }
             let key = TaskKey { job: id.clone(), step: step_index, index: *index };
             let assignment = Assignment {
                 run: task.run,
