scheduler: a model of run times and worker speeds, learned from finished runs

Change: crates/scheduler/src/forecast, without state of the scheduler, I/O or a clock. For each kind (queue, workspace, CPU class, gang or not) the estimate times a learned ratio and the history of run times compete; a prediction replaces the assumption only after 20 runs of several steps whose errors show that it is better beyond chance. Speeds come from how far runs deviate from what their step lets expect, by a Kalman filter a worker in the logarithm; they count only if they differ beyond their errors. Distributions are logarithmic histograms that halve their weights. The crate lru bounds kinds and workers.

Tried first: all runs of a step count for their worker's speed. Like workers then seemed to differ, as the tasks of a step that share a worker deviate alike.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod estimate;
 mod explain;
 mod fate;
+pub mod forecast;
 mod health;
 mod job;
 mod placement;
