scheduler: expected ends of runs follow learned run times

Cause: where room is expected, and for how long a gang or an explanation waits for it, followed estimates that are off by up to 90%; an overdue run was expected to last for a quarter of its age.

Change: expected_end asks the model for the time on the run's worker; of an overdue run, for the median of those that took longer, if there were any.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -246,10 +246,11 @@
 
     /// Number of tasks of a step that a slot is expected to have room for at a time.
     pub(super) fn places_at(&self, pending: &PendingStep<'_>, slot: usize, at: Duration) -> u32 {
-        let Some(worker) = self.scheduler.pool.get(&self.slots[slot].id) else { return 0 };
+        let id = &self.slots[slot].id;
+        let Some(worker) = self.scheduler.pool.get(id) else { return 0 };
         let mut room = self.slots[slot].free_capacity;
         for (key, run) in &worker.assignments {
-            if self.scheduler.expected_end(key, run, self.now) <= at {
+            if self.scheduler.expected_end(id, key, run, self.now) <= at {
                 room = room.plus(&run.need);
             }
         }
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -73,9 +73,10 @@
         let mut total: u32 = rooms.iter().map(places).sum();
         let mut ends = Vec::new();
         for (index, worker) in allowed.iter().enumerate() {
+            let id = &worker.registration.id;
             let runs = worker.assignments.iter();
             ends.extend(
-                runs.map(|(task, run)| (self.expected_end(task, run, now), index, task, run)),
+                runs.map(|(task, run)| (self.expected_end(id, task, run, now), index, task, run)),
             );
         }
         ends.sort_unstable_by_key(|(end, index, ..)| (*end, *index));
@@ -142,13 +143,22 @@
         Some((slot.reserved_for.as_ref()?, &slot.reserved))
     }
 
-    /// When a run is expected to end: by its estimate, or if it is overdue, by its age.
-    pub(crate) fn expected_end(&self, key: &TaskKey, run: &Assignment, now: Duration) -> Duration {
-        let run_time = self.jobs.get(&key.job).and_then(|job| {
-            let spec = job.submission.steps.get(key.step as usize)?;
-            Some(self.estimator.run_time(&job.queue, spec.estimate))
-        });
-        let end = run.changed_at + run_time.unwrap_or_default();
-        if end > now { end } else { now + now.saturating_sub(run.changed_at) / OVERDUE_AGE_DIVISOR }
+    /// When a worker's run is expected to end; if it is overdue, by the runs that took as long, or by
+    /// its age.
+    pub(crate) fn expected_end(
+        &self,
+        worker: &str,
+        key: &TaskKey,
+        run: &Assignment,
+        now: Duration,
+    ) -> Duration {
+        let prediction = self.predict_on(worker, key);
+        let run_time = prediction.map(|prediction| prediction.expected).unwrap_or_default();
+        if run.changed_at + run_time > now {
+            return run.changed_at + run_time;
+        }
+        let age = now.saturating_sub(run.changed_at);
+        let longer = prediction.and_then(|prediction| prediction.expected_beyond(age));
+        longer.map_or(now + age / OVERDUE_AGE_DIVISOR, |run_time| run.changed_at + run_time)
     }
 }
--- a/crates/scheduler/src/run_times.rs
+++ b/crates/scheduler/src/run_times.rs
@@ -17,6 +17,19 @@
         self.forecast.predict(&kind(queue, workspace, spec), spec.estimate, assumed)
     }
 
+    /// Expected run time of a task on a worker; `None` if its job is unknown.
+    pub(crate) fn predict_on(&self, worker: &str, key: &TaskKey) -> Option<Prediction<'_>> {
+        let job = self.jobs.get(&key.job)?;
+        let spec = job.submission.steps.get(key.step as usize)?;
+        let assumed = self.estimator.run_time(&job.queue, spec.estimate);
+        let kind = kind(&job.queue, &job.workspace, spec);
+        if spec.is_gang {
+            // Its members end together, whatever the speed of each worker.
+            return Some(self.forecast.predict(&kind, spec.estimate, assumed));
+        }
+        Some(self.forecast.predict_on(worker, &kind, spec.estimate, assumed))
+    }
+
     /// Learns from a run that ended successfully, as `assignment` was then.
     pub(crate) fn record_run_time(
         &mut self,
--- a/crates/scheduler/tests/run_times.rs
+++ b/crates/scheduler/tests/run_times.rs
@@ -234,3 +234,27 @@
     assert!(quick > secs(2), "{quick:?}");
     assert_eq!(excess("long"), None);
 }
+
+// Guards against a forecast of room that follows wrong estimates: two tasks estimated at 1 s take
+// 8 s; one in thirty takes 56 s, which a task that is at work for 20 s is expected to do.
+#[test]
+fn expected_room_follows_history() {
+    let mut driver = Driver::new(&["w1"]);
+    for run in 0..90 {
+        driver.run_job("", 1000, if run % 30 == 7 { secs(56) } else { secs(8) });
+    }
+    driver.submit("a", "", vec![step(2)]);
+    for start in driver.starts() {
+        driver.scheduler.confirm_start(&start, driver.now);
+    }
+    driver.submit("b", "", vec![step(1)]);
+    let mut room_after = |elapsed: Duration| {
+        driver.now += elapsed;
+        assert!(driver.starts().is_empty());
+        let wait = driver.scheduler.first_wait("b", driver.now).expect("the job waits");
+        wait.awaited.expect("the worker is expected to have room").after
+    };
+    assert!(is_about(room_after(Duration::ZERO), secs(8)));
+    assert!(room_after(secs(6)).abs_diff(secs(2)) < Duration::from_millis(700));
+    assert!(is_about(room_after(secs(14)), secs(36)));
+}
