scheduler: a crash is proven against a task only within learned run times

Cause: a run counts as certainly at work for half of its expected time, by estimates that may be ten times too long; a task that had ended was blamed for the crash of its worker.

Change: the model's expected time counts, and no more than the time within which 5 of 100 runs end.

--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -41,6 +41,9 @@
 /// crashed.
 const PROVEN_RUN_TIME_DIVISOR: u32 = 2;
 
+/// Share of runs that end sooner than one that certainly has not ended, if a history shows it.
+const SHORTEST_RUN_SHARE: f64 = 0.05;
+
 /// Time from a confirmed start for which the run of a suspected task is on trial.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 
@@ -238,7 +241,7 @@
             });
             let is_proven = loss == Loss::Crash
                 && assignment.fate.is_seen()
-                && ran_for <= self.expected_run_time(key) / PROVEN_RUN_TIME_DIVISOR;
+                && ran_for <= self.proven_run_time(worker, key);
             if loss != Loss::Departure && self.count_loss(key, assignment, worker, loss, is_proven)
             {
                 tasks.push(key.clone());
@@ -247,13 +250,11 @@
         tasks
     }
 
-    /// How long a run of a task is expected to take.
-    fn expected_run_time(&self, key: &TaskKey) -> Duration {
-        let job = self.jobs.get(&key.job);
-        let step = job.and_then(|job| Some((job, job.submission.steps.get(key.step as usize)?)));
-        step.map_or(Duration::ZERO, |(job, step)| {
-            self.estimator.run_time(&job.queue, step.estimate)
-        })
+    /// Time for which a run of a task on a worker has certainly not ended.
+    fn proven_run_time(&self, worker: &str, key: &TaskKey) -> Duration {
+        let Some(prediction) = self.predict_on(worker, key) else { return Duration::ZERO };
+        let shortest = prediction.quantile(SHORTEST_RUN_SHARE).unwrap_or(prediction.expected);
+        shortest.min(prediction.expected / PROVEN_RUN_TIME_DIVISOR)
     }
 
     /// Counts a lost worker of a task; false if the run is not the task's present one.
--- a/crates/scheduler/tests/run_times.rs
+++ b/crates/scheduler/tests/run_times.rs
@@ -339,3 +339,28 @@
     assert!(room_after(secs(6)).abs_diff(secs(2)) < Duration::from_millis(700));
     assert!(is_about(room_after(secs(14)), secs(36)));
 }
+
+// Guards against crashes that are proven against a task which had ended: a worker crashed 5 s
+// after the start of a task that is estimated at 60 s and takes 0.5 s.
+#[test]
+fn crash_after_usual_run_time_is_doubtful() {
+    let crash_after = |run_time: Duration, elapsed: Duration| {
+        let mut driver = Driver::new(&["w1"]);
+        for _ in 0..40 {
+            driver.run_job("", 60_000, run_time);
+        }
+        driver.submit("a", "", vec![Step { estimate: 60_000, ..step(1) }]);
+        let start = driver.starts().remove(0);
+        driver.scheduler.confirm_start(&start, driver.now);
+        driver.now += elapsed;
+        let listing =
+            Listing { incarnation: 2, running: vec![], finished: vec![], is_complete: true };
+        let now = driver.now + Duration::from_millis(1);
+        driver.scheduler.apply_listing(&start.worker, &listing, true, now, now, 0);
+        let task = &driver.scheduler.jobs["a"].steps[0].tasks[0];
+        (task.crashes, task.doubtful_crashes)
+    };
+    assert_eq!(crash_after(Duration::from_millis(500), secs(5)), (0, 1));
+    assert_eq!(crash_after(Duration::from_millis(500), Duration::from_millis(200)), (1, 0));
+    assert_eq!(crash_after(secs(60), secs(5)), (1, 0));
+}
