scheduler: a history must predict better by 10% to replace the assumption

Cause: with a bound of 5%, run times that follow estimates up to 20% off were predicted by their history, though decisions hardly gain.

Change: the least gain is 10%. expected_room_follows_history relied on a history that the queue's factor followed too; its queue has two workspaces now, which the factor cannot fit, with the same assertions.

--- a/crates/scheduler/src/forecast/history.rs
+++ b/crates/scheduler/src/forecast/history.rs
@@ -34,7 +34,7 @@
 const UNMEASURED_VARIANCE: f32 = 0.36;
 
 /// Least difference between errors that is of use, as a logarithm.
-const MIN_GAIN: f32 = 0.05;
+const MIN_GAIN: f32 = 0.1;
 
 /// Standard errors by which a gain must exceed 0.
 const GAIN_CERTAINTY: f32 = 2.0;
--- a/crates/scheduler/tests/run_times.rs
+++ b/crates/scheduler/tests/run_times.rs
@@ -316,15 +316,16 @@
     assert!(started < submitted + secs(8));
 }
 
-// Guards against a forecast of room that follows wrong estimates: two tasks estimated at 1 s take
-// 8 s; one in thirty takes 56 s, which a task that is at work for 20 s is expected to do.
+// Guards against a forecast of room that follows wrong estimates: tasks of a workspace that are
+// estimated at 1 s take 8 s, and one in thirty 56 s, which one at work for 20 s is expected to do.
 #[test]
 fn expected_room_follows_history() {
     let mut driver = Driver::new(&["w1"]);
     for run in 0..90 {
-        driver.run_job("", 1000, if run % 30 == 7 { secs(56) } else { secs(8) });
+        driver.run_job("quick", 1000, Duration::from_millis(500));
+        driver.run_job("slow", 1000, if run % 30 == 7 { secs(56) } else { secs(8) });
     }
-    driver.submit("a", "", vec![step(2)]);
+    driver.submit("a", "slow", vec![step(2)]);
     for start in driver.starts() {
         driver.scheduler.confirm_start(&start, driver.now);
     }
