scheduler: urgent steps prefer fast workers, gangs workers of like speed

Cause: workers whose speeds differ by a factor of 2.7 are chosen by free room alone: urgent steps land on slow ones, gangs wait for their slowest task, and a worker that has become slow is preferred, as it is never full.

A step with a slack below a quarter of its remaining path takes the worker with the least free share minus the logarithm of the speed, one with more than 1.5 times takes the slow ones; the preference outweighs no more room than the speed differs by. Gangs get workers within 28% of each other if they fit. Far slower workers count as doubtful. Lent room is measured by the worker's speed. Nothing changes unless speeds differ beyond noise, but for slow workers.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -274,7 +274,7 @@
             let mut places = self.isolated_places(pending, slot);
             if places > 0 && !pending.spec.is_gang {
                 let called_for = &self.slots[slot].called_for;
-                let uncalled = self.slots[slot].available(pending.ends_at).minus(called_for);
+                let uncalled = self.available(pending, slot).minus(called_for);
                 places = places.min(self.fitting_in(pending, slot, &uncalled));
             }
             // A gang collects room over time, so workers that are full now count too.
@@ -287,6 +287,7 @@
         unknown.sort_by_cached_key(|(slot, _)| {
             let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
             let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
+            let places = self.weighted_places(pending, *slot, places);
             (self.is_doubtful(pending, *slot), Reverse(places), expected_use.cpu)
         });
         unknown
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -81,7 +81,8 @@
         {
             return Some(chosen);
         }
-        self.choose_among(pending, &feasible)
+        let alike = self.choose_alike(pending, &feasible);
+        alike.or_else(|| self.choose_among(pending, &feasible))
     }
 
     /// Slots for all tasks of a gang within one rack.
@@ -97,7 +98,8 @@
                 racks.entry(rack).or_default().push(*slot);
             }
         }
-        racks.values().find_map(|slots| self.choose_among(pending, slots))
+        let alike = racks.values().find_map(|slots| self.choose_alike(pending, slots));
+        alike.or_else(|| racks.values().find_map(|slots| self.choose_among(pending, slots)))
     }
 
     /// Chooses slots in the given order; `None` if the gang does not fit.
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -4,7 +4,7 @@
 //! capacity. What steps hold for the tickets of their advice calls (`holds`) is set aside first.
 //! Capacity that a gang collects until all its tasks fit is reserved in the copy, so that jobs
 //! of lower rank do not take it; `backfill` lends it to those that end early enough. `gangs`
-//! places gangs, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
+//! places gangs, `speeds` prefers workers by their speed, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
 //! the calls.
 
 mod advice;
@@ -12,6 +12,7 @@
 mod gangs;
 mod holds;
 mod isolation;
+mod speeds;
 
 pub(crate) use backfill::GangWait;
 
@@ -30,12 +31,14 @@
 use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
+use speeds::Haste;
 
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
 
 /// Free capacity of one worker during a pass.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each has a different source")]
 pub(crate) struct Slot {
     pub(crate) id: Name,
     /// Capacity of the worker.
@@ -66,6 +69,10 @@
     is_trial_placed: bool,
     /// The step, as job id and index, that may crash the worker; others keep away.
     suspect: Option<Rc<(Name, u32)>>,
+    /// Speed of its worker; 1 if speeds do not differ.
+    speed: f64,
+    /// Whether its worker is far slower than others, or than it was.
+    is_slow: bool,
 }
 
 /// Slots whose workers have a service and a label.
@@ -119,6 +126,8 @@
     refused_by: Vec<Name>,
     /// How its tasks are placed, as workers may have crashed under them.
     care: Care,
+    /// How much time it has.
+    haste: Haste,
 }
 
 impl Scheduler {
@@ -148,6 +157,8 @@
             is_collected: false,
             is_trial_placed: false,
             suspect: None,
+            speed: self.forecast.speed(&worker.registration.id),
+            is_slow: self.forecast.is_slow(&worker.registration.id, now),
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -260,6 +271,7 @@
         let waiting_tasks = waiting_tasks.map(|(index, _)| index as u32).collect();
         let refused_by = state.doubt.refused_by.clone();
         let care = self.scheduler.care(id, step_index as u32, self.now);
+        let haste = self.haste(id, step_index);
         let candidates = self.find_candidates(queue, &spec);
         let allowed = self.find_allowed(id, step_index, queue, &candidates);
         let pending = PendingStep {
@@ -272,6 +284,7 @@
             ends_at,
             refused_by,
             care,
+            haste,
         };
         if spec.is_gang { self.place_gang(pending) } else { self.place_tasks(pending) }
     }
@@ -354,10 +367,16 @@
 
     /// Number of tasks of a step that fit on a slot.
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
-        let available = self.slots[slot].available(pending.ends_at);
+        let available = self.available(pending, slot);
         self.fitting_in(pending, slot, &available)
     }
 
+    /// Capacity of a slot for a task of a step, with what is lent until the task has ended.
+    fn available(&self, pending: &PendingStep<'_>, slot: usize) -> Resources {
+        let slot = &self.slots[slot];
+        slot.available(self.latest_end_on(pending, slot))
+    }
+
     /// Number of tasks of a step that a slot would hold with a free capacity.
     fn fitting_in(&self, pending: &PendingStep<'_>, slot: usize, free: &Resources) -> u32 {
         let slot = &self.slots[slot];
@@ -371,7 +390,8 @@
             .map_or(copies, |worker| copies.min(worker.remaining_spread(pending.key, pending.spec)))
     }
 
-    /// The feasible slot with the least free CPU, preferably with the affinity label; on a doubtful
+    /// The feasible slot with the least free CPU, preferably with the affinity label and, if it has
+    /// little or much time, of such a speed; on a doubtful
     /// worker or on room that is lent only if there is no other.
     fn best_slot(&self, pending: &PendingStep<'_>, feasible: &[usize]) -> Option<usize> {
         let feasible =
@@ -381,14 +401,16 @@
             let is_lent = !pending.spec.need.fits_in(free);
             let is_doubtful = self.is_doubtful(pending, *slot);
             let has_affinity = self.has_affinity(pending.spec, *slot);
-            (self.is_shunned(pending, *slot), is_doubtful, is_lent, !has_affinity, free.cpu)
+            let speed_rank = self.speed_rank(pending, *slot);
+            let is_shunned = self.is_shunned(pending, *slot);
+            (is_shunned, is_doubtful, is_lent, !has_affinity, speed_rank, free.cpu)
         })
     }
 
-    /// Whether a slot's worker refused or failed tasks, or refused this step.
+    /// Whether a slot's worker refused or failed tasks, is far too slow, or refused this step.
     fn is_doubtful(&self, pending: &PendingStep<'_>, slot: usize) -> bool {
         let slot = &self.slots[slot];
-        slot.is_trial || pending.refused_by.contains(&slot.id)
+        slot.is_trial || slot.is_slow || pending.refused_by.contains(&slot.id)
     }
 
     /// Whether a slot's worker has the step's preferred label, if any.
