scheduler: predictions without an effective history skip the model

Cause: a pass asks for the expected end of each run on the workers of each gang that collects room; two lookups by four names each are wasted where no history corrects the estimates.

Change: the model counts the histories that differ from the assumption. Counts and names for the operators' view come with it.

--- a/crates/scheduler/src/forecast/history.rs
+++ b/crates/scheduler/src/forecast/history.rs
@@ -170,6 +170,11 @@
         score.is_better().then_some(best)
     }
 
+    /// Whether predictions differ from the assumption, with or without an estimate.
+    pub fn is_corrected(&self) -> bool {
+        self.is_sufficient() && (self.predictor(true).is_some() || self.predictor(false).is_some())
+    }
+
     fn best(&self, has_estimate: bool) -> Source {
         let is_ratio = has_estimate
             && self.ratio_score.steps > 0
--- a/crates/scheduler/src/forecast/mod.rs
+++ b/crates/scheduler/src/forecast/mod.rs
@@ -137,6 +137,20 @@
         pub source: Source,
     }
 
+    /// Sizes of the model.
+    pub struct Counts {
+        /// Kinds.
+        pub kinds: usize,
+        /// Kinds whose predictions differ from the assumption.
+        pub corrected_kinds: usize,
+        /// Queues with a history of their own.
+        pub queues: usize,
+        /// Workers.
+        pub workers: usize,
+        /// Workers that are far slower than the others, or than they were.
+        pub slow_workers: usize,
+    }
+
     /// What is learned of a worker.
     pub struct SpeedSummary {
         /// Id of the worker.
@@ -159,6 +173,8 @@
 pub struct Forecast {
     kinds: LruCache<Kind, History>,
     queues: LruCache<Name, History>,
+    /// Histories among them whose predictions differ from the assumption.
+    corrected: usize,
     speeds: Speeds,
 }
 
@@ -169,6 +185,17 @@
     }
 }
 
+impl Source {
+    /// Its name in views and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Assumption => "estimate",
+            Self::Ratio => "corrected estimate",
+            Self::History => "history",
+        }
+    }
+}
+
 impl Distribution<'_> {
     fn quantile(&self, share: f32) -> f32 {
         match self {
@@ -195,6 +222,18 @@
 }
 
 impl Prediction<'_> {
+    /// The assumption, without a history.
+    pub fn assumed(run_time: Duration) -> Self {
+        Self {
+            expected: run_time,
+            source: Source::Assumption,
+            is_of_queue: false,
+            runs: 0,
+            speed: 0.0,
+            distribution: None,
+        }
+    }
+
     /// The time that a share of such runs takes at most; `None` without history.
     pub fn quantile(&self, share: f64) -> Option<Duration> {
         let time = self.distribution?.quantile(share as f32);
@@ -214,6 +253,7 @@
         Self {
             kinds: LruCache::unbounded(),
             queues: LruCache::unbounded(),
+            corrected: 0,
             speeds: Speeds::default(),
         }
     }
@@ -237,13 +277,18 @@
             assumed: log_ms(sample.assumed),
         };
         let assumption = Expectation { mean: run.assumed, variance: ASSUMED_VARIANCE };
-        let queue = history_mut(&mut self.queues, &sample.kind.queue, MAX_QUEUES);
-        let queue_prior = queue.expectation(run.estimate).unwrap_or(assumption);
-        queue.record(&run, queue_prior);
-        let kind = history_mut(&mut self.kinds, sample.kind, MAX_KINDS);
-        let prior = kind.expectation(run.estimate).unwrap_or(queue_prior);
-        let expected = kind.step_expectation(&run, prior);
-        kind.record(&run, prior);
+        let (key, corrected) = (&sample.kind.queue, &mut self.corrected);
+        let queue_prior = update(&mut self.queues, key, MAX_QUEUES, corrected, |queue| {
+            let prior = queue.expectation(run.estimate).unwrap_or(assumption);
+            queue.record(&run, prior);
+            prior
+        });
+        let expected = update(&mut self.kinds, sample.kind, MAX_KINDS, corrected, |kind| {
+            let prior = kind.expectation(run.estimate).unwrap_or(queue_prior);
+            let expected = kind.step_expectation(&run, prior);
+            kind.record(&run, prior);
+            expected
+        });
         if let Some(expected) = expected
             && sample.run_time >= MIN_SPEED_TIME
             && !is_gang
@@ -254,6 +299,11 @@
         }
     }
 
+    /// Whether any prediction differs from the assumption.
+    pub fn has_effect(&self) -> bool {
+        self.corrected > 0 || self.speeds_differ()
+    }
+
     /// Predicts the run time of a step on a worker of speed 1.
     ///
     /// `assumed` is the prediction if no history contradicts it.
@@ -347,9 +397,17 @@
         (MAX_KINDS + MAX_QUEUES) * kind + MAX_WORKERS * worker
     }
 
-    /// Number of kinds, queues and workers that it knows.
-    pub fn sizes(&self) -> (usize, usize, usize) {
-        (self.kinds.len(), self.queues.len(), self.speeds.iter().count())
+    /// Sizes of what it knows.
+    pub fn counts(&self, now: Duration) -> Counts {
+        let kinds = self.kinds.iter();
+        let workers = self.speeds.iter();
+        Counts {
+            kinds: self.kinds.len(),
+            corrected_kinds: kinds.filter(|(_, history)| history.is_corrected()).count(),
+            queues: self.queues.len(),
+            workers: workers.len(),
+            slow_workers: self.speeds.iter().filter(|(id, _)| self.is_slow(id, now)).count(),
+        }
     }
 }
 
@@ -368,16 +426,27 @@
     }
 }
 
-/// The history of a key, made the latest one; the one unused for longest is evicted.
-fn history_mut<'a, K: Clone + Eq + std::hash::Hash>(
-    histories: &'a mut LruCache<K, History>,
+/// Changes the history of a key and makes it the latest one; the one unused for longest is evicted.
+///
+/// `corrected` counts the histories that correct the assumption.
+fn update<K: Clone + Eq + std::hash::Hash, R>(
+    histories: &mut LruCache<K, History>,
     key: &K,
     most: usize,
-) -> &'a mut History {
-    if !histories.contains(key) && histories.len() >= most {
-        histories.pop_lru();
+    corrected: &mut usize,
+    change: impl FnOnce(&mut History) -> R,
+) -> R {
+    if !histories.contains(key)
+        && histories.len() >= most
+        && let Some((_, evicted)) = histories.pop_lru()
+    {
+        *corrected -= usize::from(evicted.is_corrected());
     }
-    histories.get_or_insert_mut_ref(key, History::new)
+    let history = histories.get_or_insert_mut_ref(key, History::new);
+    *corrected -= usize::from(history.is_corrected());
+    let result = change(history);
+    *corrected += usize::from(history.is_corrected());
+    result
 }
 
 fn log_ms(time: Duration) -> f32 {
--- a/crates/scheduler/src/forecast/snapshot.rs
+++ b/crates/scheduler/src/forecast/snapshot.rs
@@ -8,7 +8,7 @@
 use super::histogram::Histogram;
 use super::history::{History, Score};
 use super::speeds::Speed;
-use super::{Forecast, Kind, MAX_KINDS, MAX_QUEUES, MAX_WORKERS, history_mut};
+use super::{Forecast, Kind, MAX_KINDS, MAX_QUEUES, MAX_WORKERS, update};
 
 /// Most bytes of a snapshot.
 const MAX_BYTES: usize = 16 * 1024;
@@ -135,15 +135,15 @@
         *self = Self::default();
         for record in snapshot.histories.iter().rev() {
             let queue = Name::new(&record.queue);
-            let history = match record.cpu_class.checked_sub(1) {
-                None => history_mut(&mut self.queues, &queue, MAX_QUEUES),
-                Some(cpu_class) => {
-                    let workspace = Name::new(&record.workspace);
-                    let kind = Kind { queue, workspace, cpu_class, is_gang: record.is_gang };
-                    history_mut(&mut self.kinds, &kind, MAX_KINDS)
-                }
-            };
-            restore_history(history, record);
+            let corrected = &mut self.corrected;
+            let restore = |history: &mut History| restore_history(history, record);
+            if let Some(cpu_class) = record.cpu_class.checked_sub(1) {
+                let workspace = Name::new(&record.workspace);
+                let kind = Kind { queue, workspace, cpu_class, is_gang: record.is_gang };
+                update(&mut self.kinds, &kind, MAX_KINDS, corrected, restore);
+            } else {
+                update(&mut self.queues, &queue, MAX_QUEUES, corrected, restore);
+            }
         }
         let speeds = &snapshot.speeds[..snapshot.speeds.len().min(MAX_WORKERS)];
         for record in speeds.iter().rev() {
--- a/crates/scheduler/src/forecast/speeds.rs
+++ b/crates/scheduler/src/forecast/speeds.rs
@@ -229,7 +229,7 @@
     }
 
     /// Workers with their speeds, the latest first.
-    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Speed)> {
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = (&Name, &Speed)> {
         self.workers.iter()
     }
 
--- a/crates/scheduler/src/run_times.rs
+++ b/crates/scheduler/src/run_times.rs
@@ -14,14 +14,21 @@
     /// Expected run time of a step's tasks on a worker of usual speed.
     pub(crate) fn predict(&self, queue: &Name, workspace: &Name, spec: &Step) -> Prediction<'_> {
         let assumed = self.estimator.run_time(queue, spec.estimate);
+        if !self.forecast.has_effect() {
+            return Prediction::assumed(assumed);
+        }
         self.forecast.predict(&kind(queue, workspace, spec), spec.estimate, assumed)
     }
 
     /// Expected run time of a task on a worker; `None` if its job is unknown.
-    pub(crate) fn predict_on(&self, worker: &str, key: &TaskKey) -> Option<Prediction<'_>> {
+    pub fn predict_on(&self, worker: &str, key: &TaskKey) -> Option<Prediction<'_>> {
         let job = self.jobs.get(&key.job)?;
         let spec = job.submission.steps.get(key.step as usize)?;
         let assumed = self.estimator.run_time(&job.queue, spec.estimate);
+        // A pass asks for thousands of runs.
+        if !self.forecast.has_effect() {
+            return Some(Prediction::assumed(assumed));
+        }
         let kind = kind(&job.queue, &job.workspace, spec);
         if spec.is_gang {
             // Its members end together, whatever the speed of each worker.
--- a/crates/scheduler/tests/forecast.rs
+++ b/crates/scheduler/tests/forecast.rs
@@ -442,9 +442,9 @@
         world.record(&kind, estimate_ms, usual, number, 1);
         estimates.insert(kind, estimate_ms);
     }
-    let (kinds, queues, workers) = world.forecast.sizes();
-    assert_eq!((kinds, workers), (MAX_KINDS, MAX_WORKERS));
-    assert!(queues <= 64);
+    let counts = world.forecast.counts(world.now);
+    assert_eq!((counts.kinds, counts.workers), (MAX_KINDS, MAX_WORKERS));
+    assert!(counts.queues <= 64);
     println!("bytes at most: {}", Forecast::max_bytes());
     assert!(Forecast::max_bytes() < 1_500_000);
     let (latest, _) = &world.workers[3 * MAX_WORKERS - 1];
@@ -474,7 +474,7 @@
     let mut damaged = snapshot;
     damaged.truncate(100);
     restored.restore(&damaged, secs(1)).expect_err("it is cut");
-    assert_eq!(restored.sizes().2, 350, "what was learned is kept");
+    assert_eq!(restored.counts(secs(1)).workers, 350, "what was learned is kept");
 }
 
 // Guards against runs that say nothing of the work: the time until their end is listed dominates.
