--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -219,6 +219,8 @@
     Workers(PoolWorkers),
     /// Show the daemons.
     Members(PoolMembers),
+    /// Show the learned run times and worker speeds.
+    Estimates(PoolEstimates),
 }
 
 /// Submit a job; submitting it again under the same id creates no second job.
@@ -284,6 +286,15 @@
 #[argh(subcommand, name = "members")]
 pub struct PoolMembers {}
 
+/// Show what the leader has learned: run times by kind of step, and speeds of workers.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "estimates",
+    note = "SOURCE is what predictions rely on: the client's estimate, the estimate corrected by a learned ratio, or the history of run times. Errors are means, as a share of the run time. A queue without a workspace and a size is the fallback for kinds with few runs. Each leader learns anew."
+)]
+pub struct PoolEstimates {}
+
 /// Wait until a request ends and print its result.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "wait", example = "{command_name} toolroom s-1 --for 10m")]
--- a/crates/cli/src/command/pool.rs
+++ b/crates/cli/src/command/pool.rs
@@ -49,6 +49,31 @@
     ("SILENT MS", "silent_ms"),
 ];
 
+/// Columns of the kinds of steps that `pool estimates` prints.
+const KIND_COLUMNS: [Column; 11] = [
+    ("QUEUE", "queue"),
+    ("WORKSPACE", "workspace"),
+    ("MCPU FROM", "cpu_from"),
+    ("GANG", "gang"),
+    ("RUNS", "runs"),
+    ("HALF WITHIN MS", "median_ms"),
+    ("95% WITHIN MS", "high_ms"),
+    ("RATIO", "ratio"),
+    ("RATIO ERROR", "ratio_error"),
+    ("HISTORY ERROR", "history_error"),
+    ("SOURCE", "source"),
+];
+
+/// Columns of the workers that `pool estimates` prints.
+const SPEED_COLUMNS: [Column; 6] = [
+    ("WORKER", "worker"),
+    ("SPEED", "speed"),
+    ("ERROR", "error"),
+    ("RUNS", "runs"),
+    ("AGE S", "age_s"),
+    ("SLOW", "slow"),
+];
+
 /// Columns of the steps that `pool explain` prints.
 const STEP_COLUMNS: [Column; 6] = [
     ("STEP", "step"),
@@ -79,6 +104,7 @@
         PoolVerb::Members(_) => {
             views::print_view(config, "members", &["role", "member"], &MEMBER_COLUMNS)
         }
+        PoolVerb::Estimates(_) => estimates(config),
     }
 }
 
@@ -133,6 +159,35 @@
     Ok(())
 }
 
+/// Prints the learned run times and worker speeds.
+fn estimates(config: &Config) -> Result<(), Error> {
+    let answer = Client::new(config, MAX_ANSWER_TIME).get("/v1/estimates")?;
+    if let Some(error) = answer.error() {
+        return Err(error);
+    }
+    if config.is_json {
+        print_json(&answer.body);
+        return Ok(());
+    }
+    print_table(&KIND_COLUMNS, &answer.body);
+    let differ = answer.body["speeds_differ"].as_bool().unwrap_or(false);
+    let use_of_speeds =
+        if differ { "used" } else { "not used, as they do not differ beyond noise" };
+    println!("\nspeeds of workers, {use_of_speeds}:");
+    print_table(&SPEED_COLUMNS, &answer.body["speeds"]);
+    Ok(())
+}
+
+/// Prints rows and the number of those left out.
+fn print_table(columns: &[Column], body: &Value) {
+    let rows: Vec<Value> = body["rows"].as_array().cloned().unwrap_or_default();
+    print!("{}", format_table(columns, &rows));
+    let left_out = body["left_out"].as_u64().unwrap_or(0);
+    if left_out > 0 {
+        println!("{left_out} more rows are not shown");
+    }
+}
+
 /// Formats the state, age, objective and queue position of a job.
 fn format_summary(answer: &Answer) -> String {
     let number = |field: &str| answer.body[field].as_i64().unwrap_or(0);
--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -110,6 +110,11 @@
     );
     assert_eq!(cell.run_json(&["pool", "members"])[0]["role"], "leader");
     assert_eq!(cell.run_json(&["pool", "queues"])[1]["open"], 1);
+    // Two runs are not enough to correct anything.
+    let estimates = cell.run_json(&["pool", "estimates"]);
+    assert_eq!(estimates["speeds_differ"], false);
+    let table = text(&cell.run_tool(&["pool", "estimates"]).stdout);
+    assert!(table.contains("HISTORY ERROR") && table.contains("do not differ"), "{table}");
 
     assert_eq!(
         text(&cell.run_tool(&["pool", "cancel", large]).stdout),
--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -30,6 +30,8 @@
         Workers,
         /// All daemons of the pool.
         Members,
+        /// Learned run times and worker speeds.
+        Estimates,
     }
 
     /// Queue that a request addresses.
--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -93,6 +93,12 @@
         meter.set_gauge(Gauge::FreeCpu, free);
         meter.set_gauge(Gauge::Followers, self.peers.count() as u64);
         meter.set_gauge(Gauge::CommitAge, self.journal.commit_age(ctx.now).as_millis() as u64);
+        let learned = self.scheduler.forecast.counts(ctx.now);
+        meter.set_gauge(Gauge::LearnedKinds, learned.kinds as u64);
+        meter.set_gauge(Gauge::CorrectedKinds, learned.corrected_kinds as u64);
+        meter.set_gauge(Gauge::LearnedWorkers, learned.workers as u64);
+        meter.set_gauge(Gauge::SlowWorkers, learned.slow_workers as u64);
+        meter.set_gauge(Gauge::SpeedsDiffer, self.scheduler.forecast.speeds_differ().into());
         let waste = self.scheduler.take_wasted_rounds(ctx.now);
         UsageFields::report(&**meter, self.scheduler.usage(), waste)
     }
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -326,8 +326,14 @@
             ctx.meter.record_duration(Timing::FirstStart, age);
         }
         if ctx.sampler.should_log_start(&start.key.job, start.run, ctx.now) {
+            let prediction = self.scheduler.predict_on(&start.worker, &start.key);
+            let expected = prediction.map(|prediction| prediction.expected.as_millis() as u64);
+            let source = prediction.map(|prediction| prediction.source.as_str());
+            let speed = self.scheduler.forecast.speed(&start.worker);
             log_event!(ctx, TaskStarted, "job" => %start.key.job, "step" => start.key.step,
                 "index" => start.key.index, "run" => start.run, "worker" => %start.worker,
+                "expected_ms" => expected, "expected_by" => source,
+                "speed_percent" => (speed * 100.0).round() as u64,
                 "took_ms" => took.as_millis() as u64, "age_ms" => age.as_millis() as u64,
                 "epoch" => self.epoch);
         }
--- a/crates/control/src/lead/views.rs
+++ b/crates/control/src/lead/views.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use scheduler::forecast::{KindSummary, SpeedSummary};
 use scheduler::{Job, JobState, Phase, Progress, Resources, Worker};
 use serde_json::{Value, json};
 
@@ -25,6 +26,7 @@
                 self.scheduler.pool.iter().map(|worker| worker_row(ctx, worker)).collect(),
             ),
             View::Members => rows_json(self.member_rows(ctx)),
+            View::Estimates => self.estimates_json(ctx),
         };
         Answer::View(value.to_string())
     }
@@ -72,6 +74,21 @@
         rules.queues.iter().map(row).collect()
     }
 
+    /// Learned kinds of steps, those with the latest runs first, and workers by speed.
+    fn estimates_json(&self, ctx: &Context) -> Value {
+        let forecast = &self.scheduler.forecast;
+        let kinds = forecast.kind_summaries().map(|kind| kind_row(&kind)).collect();
+        let mut kinds = truncated(kinds, MAX_VIEW_ROWS / 2);
+        let mut speeds: Vec<_> = forecast.speed_summaries(ctx.now).collect();
+        let left_out = speeds.len().saturating_sub(MAX_VIEW_ROWS / 2);
+        speeds.truncate(MAX_VIEW_ROWS / 2);
+        speeds.sort_by(|a, b| a.speed.total_cmp(&b.speed));
+        let speeds: Vec<Value> = speeds.iter().map(|speed| speed_row(ctx, speed)).collect();
+        kinds["speeds"] = json!({ "rows": speeds, "left_out": left_out });
+        kinds["speeds_differ"] = forecast.speeds_differ().into();
+        kinds
+    }
+
     /// One row per daemon, the leader first.
     fn member_rows(&self, ctx: &Context) -> Vec<Value> {
         let leader = json!({
@@ -96,12 +113,53 @@
 }
 
 /// Rows of a view, truncated to the maximum, and the number of omitted rows.
-fn rows_json(mut all: Vec<Value>) -> Value {
-    let left_out = all.len().saturating_sub(MAX_VIEW_ROWS);
-    all.truncate(MAX_VIEW_ROWS);
+fn rows_json(all: Vec<Value>) -> Value {
+    truncated(all, MAX_VIEW_ROWS)
+}
+
+/// The first rows, and the number of omitted ones.
+fn truncated(mut all: Vec<Value>, most: usize) -> Value {
+    let left_out = all.len().saturating_sub(most);
+    all.truncate(most);
     json!({ "rows": all, "left_out": left_out })
 }
 
+/// What is learned of a kind of steps; a queue as a whole has neither workspace nor size.
+fn kind_row(summary: &KindSummary) -> Value {
+    let kind = &summary.kind;
+    let is_single = !summary.is_of_queue;
+    json!({
+        "queue": &*kind.queue,
+        "workspace": &*kind.workspace,
+        "cpu_from": is_single.then(|| 1_u64 << kind.cpu_class),
+        "gang": is_single.then_some(kind.is_gang),
+        "runs": summary.runs,
+        "median_ms": summary.median.as_millis() as u64,
+        "high_ms": summary.high.as_millis() as u64,
+        "ratio": rounded(summary.ratio),
+        "ratio_error": rounded(summary.ratio_error),
+        "history_error": rounded(summary.history_error),
+        "source": summary.source.as_str(),
+    })
+}
+
+/// What is learned of a worker.
+fn speed_row(ctx: &Context, summary: &SpeedSummary) -> Value {
+    json!({
+        "worker": &*summary.worker,
+        "speed": rounded(summary.speed),
+        "error": rounded(summary.deviation),
+        "runs": summary.runs,
+        "age_s": ctx.now.saturating_sub(summary.updated_at).as_secs(),
+        "slow": summary.is_slow,
+    })
+}
+
+/// A number with two decimals.
+fn rounded(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 /// Progress of one step, in numbers of tasks.
 fn step_row((number, progress): (usize, &Progress)) -> Value {
     json!({
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -98,6 +98,16 @@
         CollectingGangs,
         /// Gangs among those without an advice call under way.
         UncalledGangs,
+        /// Kinds of steps with learned run times.
+        LearnedKinds,
+        /// Kinds among those whose predictions differ from the clients' estimates.
+        CorrectedKinds,
+        /// Workers whose speed is learned.
+        LearnedWorkers,
+        /// Workers among those that are far slower than others, or than they were.
+        SlowWorkers,
+        /// Whether the speeds of workers differ beyond noise: 1 or 0.
+        SpeedsDiffer,
         /// Connected followers.
         Followers,
         /// Time since the last commit, in ms.
@@ -214,7 +224,7 @@
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 26] = [
         Self::IsLeader,
         Self::Requests,
         Self::OpenJobs,
@@ -231,6 +241,11 @@
         Self::IdleGangs,
         Self::CollectingGangs,
         Self::UncalledGangs,
+        Self::LearnedKinds,
+        Self::CorrectedKinds,
+        Self::LearnedWorkers,
+        Self::SlowWorkers,
+        Self::SpeedsDiffer,
         Self::Followers,
         Self::CommitAge,
         Self::TimerLag,
@@ -257,6 +272,11 @@
             Self::IdleGangs => "bronzerail.gangs.idle",
             Self::CollectingGangs => "bronzerail.gangs.collecting",
             Self::UncalledGangs => "bronzerail.gangs.uncalled",
+            Self::LearnedKinds => "bronzerail.estimates.kinds",
+            Self::CorrectedKinds => "bronzerail.estimates.corrected_kinds",
+            Self::LearnedWorkers => "bronzerail.estimates.workers",
+            Self::SlowWorkers => "bronzerail.estimates.slow_workers",
+            Self::SpeedsDiffer => "bronzerail.estimates.speeds_differ",
             Self::Followers => "bronzerail.followers",
             Self::CommitAge => "bronzerail.store.age",
             Self::TimerLag => "bronzerail.loop.lag",
--- a/crates/control/src/request_codec.rs
+++ b/crates/control/src/request_codec.rs
@@ -19,6 +19,7 @@
         Operation::View(View::Queues) => (6, None),
         Operation::View(View::Workers) => (7, None),
         Operation::View(View::Members) => (8, None),
+        Operation::View(View::Estimates) => (9, None),
     };
     let job = job.map(ToString::to_string).unwrap_or_default();
     let submission = match &call.op {
@@ -53,6 +54,7 @@
         6 => Operation::View(View::Queues),
         7 => Operation::View(View::Workers),
         8 => Operation::View(View::Members),
+        9 => Operation::View(View::Estimates),
         _ => return None,
     };
     let target = if request.host.is_empty() && request.path.is_empty() {
--- a/crates/control/tests/usage.rs
+++ b/crates/control/tests/usage.rs
@@ -115,6 +115,9 @@
     assert_eq!(gauge(Gauge::PoolFreeCpu) + gauge(Gauge::PoolWithheldCpu), 0);
     let gangs = [Gauge::IdleSteps, Gauge::IdleGangs, Gauge::CollectingGangs, Gauge::UncalledGangs];
     assert_eq!(gangs.map(gauge), [1; 4]);
+    let learned = [Gauge::LearnedKinds, Gauge::CorrectedKinds, Gauge::LearnedWorkers];
+    assert_eq!(learned.map(gauge), [0; 3], "no run has ended");
+    assert_eq!((gauge(Gauge::SlowWorkers), gauge(Gauge::SpeedsDiffer)), (0, 0));
     let lines = lines.0.lock().expect("no test panicked");
     let line = lines.last().expect("the leader logs its load");
     let shares = ["used", "reserved", "withheld", "free"];
--- a/crates/host/src/operator_api.rs
+++ b/crates/host/src/operator_api.rs
@@ -162,6 +162,7 @@
             (&Method::GET, ["v1", "queues"]) => view(View::Queues).await,
             (&Method::GET, ["v1", "workers"]) => view(View::Workers).await,
             (&Method::GET, ["v1", "members"]) => view(View::Members).await,
+            (&Method::GET, ["v1", "estimates"]) => view(View::Estimates).await,
             (&Method::GET, ["v1", "jobs", id, "explain"]) => view(View::Job(Name::new(id))).await,
             (&Method::GET, ["v1", "jobs", id]) => {
                 self.ask_leader(Name::default(), Operation::GetState(Name::new(id))).await
