--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod decide;
 pub mod environment;
+pub mod estimates;
 pub mod faults;
 pub mod fit;
 pub mod leader;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use measure::bench::Result;
 use measure::environment::Environment;
-use measure::{capacity, decide, faults, leader, pass, path};
+use measure::{capacity, decide, estimates, faults, leader, pass, path};
 use serde_json::Value;
 
 #[global_allocator]
@@ -37,6 +37,8 @@
     Leader(Leader),
     /// Duration of a placement pass.
     Pass(Pass),
+    /// Errors of predicted run times.
+    Estimates(Estimates),
 }
 
 /// Measure nine daemons under quick and study load together.
@@ -62,6 +64,11 @@
 #[argh(subcommand, name = "decide")]
 struct Decide {}
 
+/// Measure the errors of predicted run times, and the cost of learning them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "estimates")]
+struct Estimates {}
+
 /// Extrapolate the cost of the control plane to the target size.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "capacity")]
@@ -120,6 +127,7 @@
         Measure::Path(args) => path::run(&Environment::find()?, args.rate),
         Measure::Capacity(args) => capacity::run(&Environment::find()?, args.plots.as_deref()),
         Measure::Decide(_) => decide::run(),
+        Measure::Estimates(_) => estimates::run(),
         Measure::Pass(args) => pass::run(leader::PoolSize {
             workers: args.workers,
             jobs: args.jobs,
