scheduler: advice is called for room that most likely is free

Calls are timed by the expected ends of runs, now medians: half of the runs end later, and tickets expire.

Change: calls count on room only after the time within which 90 of 100 runs end. Without a history nothing changes.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -250,7 +250,7 @@
         let Some(worker) = self.scheduler.pool.get(id) else { return 0 };
         let mut room = self.slots[slot].free_capacity;
         for (key, run) in &worker.assignments {
-            if self.scheduler.expected_end(id, key, run, self.now) <= at {
+            if self.scheduler.likely_end(id, key, run, self.now) <= at {
                 room = room.plus(&run.need);
             }
         }
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -5,6 +5,7 @@
 use common::Name;
 
 use crate::explain::Awaited;
+use crate::forecast::Prediction;
 use crate::job::{Job, TaskKey};
 use crate::record::Resources;
 use crate::scheduler::Scheduler;
@@ -13,6 +14,11 @@
 /// Age of an overdue run, divided by the time for which it is expected to last on.
 const OVERDUE_AGE_DIVISOR: u32 = 4;
 
+/// Share of runs that end within the time after which a run has ended most likely.
+///
+/// With the median, calls for advice came before the room: 326 calls for 160 gangs instead of 317.
+const LIKELY_END_SHARE: f64 = 0.9;
+
 /// What a worker has left for tasks of one step.
 struct Room {
     free: Resources,
@@ -154,11 +160,35 @@
     ) -> Duration {
         let prediction = self.predict_on(worker, key);
         let run_time = prediction.map(|prediction| prediction.expected).unwrap_or_default();
-        if run.changed_at + run_time > now {
-            return run.changed_at + run_time;
-        }
-        let age = now.saturating_sub(run.changed_at);
-        let longer = prediction.and_then(|prediction| prediction.expected_beyond(age));
-        longer.map_or(now + age / OVERDUE_AGE_DIVISOR, |run_time| run.changed_at + run_time)
+        end_or_overdue(prediction, run_time, run, now)
+    }
+
+    /// When a worker's run has ended most likely; the same as its expected end without a history.
+    pub(crate) fn likely_end(
+        &self,
+        worker: &str,
+        key: &TaskKey,
+        run: &Assignment,
+        now: Duration,
+    ) -> Duration {
+        let prediction = self.predict_on(worker, key);
+        let run_time = prediction
+            .map(|prediction| prediction.quantile(LIKELY_END_SHARE).unwrap_or(prediction.expected));
+        end_or_overdue(prediction, run_time.unwrap_or_default(), run, now)
+    }
+}
+
+/// The end of a run after a run time; if it is overdue, by the runs that took as long, or by its age.
+fn end_or_overdue(
+    prediction: Option<Prediction<'_>>,
+    run_time: Duration,
+    run: &Assignment,
+    now: Duration,
+) -> Duration {
+    if run.changed_at + run_time > now {
+        return run.changed_at + run_time;
     }
+    let age = now.saturating_sub(run.changed_at);
+    let longer = prediction.and_then(|prediction| prediction.expected_beyond(age));
+    longer.map_or(now + age / OVERDUE_AGE_DIVISOR, |run_time| run.changed_at + run_time)
 }
