--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -223,6 +223,8 @@
     CheckConfig(PoolCheckConfig),
     /// Show the workspaces.
     Workspaces(PoolWorkspaces),
+    /// Show the learned run times and worker speeds.
+    Estimates(PoolEstimates),
 }
 
 /// Check a configuration row without a network; prints all errors, warnings and differences.
@@ -319,6 +321,15 @@
 #[argh(subcommand, name = "workspaces")]
 pub struct PoolWorkspaces {}
 
+/// Show what the leader has learned: run times by kind of step, and speeds of workers.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "estimates",
+    note = "SOURCE is what predictions rely on: the client's estimate, the estimate corrected by a learned ratio, or the history of run times. Errors are means, as a share of the run time. A queue without a workspace and a size is the fallback for kinds with few runs. Each leader learns anew."
+)]
+pub struct PoolEstimates {}
+
 /// Wait until a request ends and print its result.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "wait", example = "{command_name} toolroom s-1 --for 10m")]
--- a/crates/control/src/answer.rs
+++ b/crates/control/src/answer.rs
@@ -34,6 +34,8 @@
         Members,
         /// All workspaces, with their limits and usage.
         Workspaces,
+        /// Learned run times and worker speeds.
+        Estimates,
     }
 
     /// Queue that a request addresses.
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -160,7 +160,7 @@
     #[prost(string, tag = "3")]
     pub path: String,
     /// Operation: 1 submit, 2 state, 3 cancel, 4 pending; views: 5 job, 6 queues, 7 workers,
-    /// 8 members; 10 check of access.
+    /// 8 members, 9 workspaces, 11 estimates; 10 check of access.
     #[prost(uint32, tag = "4")]
     pub op: u32,
     /// Job id, for state, cancel and the view of a job; otherwise empty.
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -247,10 +247,11 @@
 
     /// Number of tasks of a step that a slot is expected to have room for at a time.
     pub(super) fn places_at(&self, pending: &PendingStep<'_>, slot: usize, at: Duration) -> u32 {
-        let Some(worker) = self.scheduler.pool.get(&self.slots[slot].id) else { return 0 };
+        let id = &self.slots[slot].id;
+        let Some(worker) = self.scheduler.pool.get(id) else { return 0 };
         let mut room = self.slots[slot].free_capacity;
         for (key, run) in &worker.assignments {
-            if self.scheduler.expected_end(key, run, self.now) <= at {
+            if self.scheduler.likely_end(id, key, run, self.now) <= at {
                 room = room.plus(&run.need);
             }
         }
@@ -274,7 +275,7 @@
             let mut places = self.isolated_places(pending, slot);
             if places > 0 && !pending.spec.is_gang {
                 let called_for = &self.slots[slot].called_for;
-                let uncalled = self.slots[slot].available(pending.ends_at).minus(called_for);
+                let uncalled = self.available(pending, slot).minus(called_for);
                 places = places.min(self.fitting_in(pending, slot, &uncalled));
             }
             // A gang collects room over time, so workers that are full now count too.
@@ -287,6 +288,7 @@
         unknown.sort_by_cached_key(|(slot, _)| {
             let Slot { free_capacity, expected_use, .. } = &self.slots[*slot];
             let places = pending.spec.need.max_copies_in(&free_capacity.minus(expected_use));
+            let places = self.weighted_places(pending, *slot, places);
             (self.is_doubtful(pending, *slot), Reverse(places), expected_use.cpu)
         });
         unknown
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -4,8 +4,9 @@
 //! capacity. What steps hold for the tickets of their advice calls (`holds`) is set aside first.
 //! Capacity that a gang collects until all its tasks fit is reserved in the copy, so that jobs
 //! of lower rank do not take it; `backfill` lends it to those that end early enough. `gangs`
-//! places gangs, `isolation` keeps tasks apart that may crash their workers, `advice` decides on
-//! the calls, and `order` on the order of jobs where workspaces share the pool.
+//! places gangs, `speeds` prefers workers by their speed, `isolation` keeps tasks apart that may
+//! crash their workers, `advice` decides on the calls, and `order` on the order of jobs where
+//! workspaces share the pool.
 
 mod advice;
 mod backfill;
@@ -14,6 +15,7 @@
 mod isolation;
 mod limits;
 mod order;
+mod speeds;
 
 pub(crate) use backfill::GangWait;
 use limits::Budgets;
@@ -36,12 +38,14 @@
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
 use order::Order;
+use speeds::Haste;
 
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
 
 /// Free capacity of one worker during a pass.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each has a different source")]
 pub(crate) struct Slot {
     pub(crate) id: Name,
     /// Capacity of the worker.
@@ -72,6 +76,10 @@
     is_trial_placed: bool,
     /// The step, as job id and index, that may crash the worker; others keep away.
     suspect: Option<Rc<(Name, u32)>>,
+    /// Speed of its worker; 1 if speeds do not differ.
+    speed: f64,
+    /// Whether its worker is far slower than others, or than it was.
+    is_slow: bool,
 }
 
 /// Slots whose workers have a service and a label.
@@ -129,6 +137,8 @@
     refused_by: Vec<Name>,
     /// How its tasks are placed, as workers may have crashed under them.
     care: Care,
+    /// How much time it has.
+    haste: Haste,
 }
 
 impl Scheduler {
@@ -158,6 +168,8 @@
             is_collected: false,
             is_trial_placed: false,
             suspect: None,
+            speed: self.forecast.speed(&worker.registration.id),
+            is_slow: self.forecast.is_slow(&worker.registration.id, now),
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -283,6 +295,7 @@
         let waiting_tasks = waiting_tasks.take(most as usize).collect();
         let refused_by = state.doubt.refused_by.clone();
         let care = self.scheduler.care(id, step_index as u32, self.now);
+        let haste = self.haste(id, step_index);
         let candidates = self.find_candidates(queue, &spec);
         let allowed = self.find_allowed(id, step_index, queue, &candidates);
         let pending = PendingStep {
@@ -295,6 +308,7 @@
             ends_at,
             refused_by,
             care,
+            haste,
         };
         if spec.is_gang { self.place_gang(pending) } else { self.place_tasks(pending) }
     }
@@ -383,10 +397,16 @@
 
     /// Number of tasks of a step that fit on a slot.
     fn fitting_tasks(&self, pending: &PendingStep<'_>, slot: usize) -> u32 {
-        let available = self.slots[slot].available(pending.ends_at);
+        let available = self.available(pending, slot);
         self.fitting_in(pending, slot, &available)
     }
 
+    /// Capacity of a slot for a task of a step, with what is lent until the task has ended.
+    fn available(&self, pending: &PendingStep<'_>, slot: usize) -> Resources {
+        let slot = &self.slots[slot];
+        slot.available(self.latest_end_on(pending, slot))
+    }
+
     /// Number of tasks of a step that a slot would hold with a free capacity.
     fn fitting_in(&self, pending: &PendingStep<'_>, slot: usize, free: &Resources) -> u32 {
         let slot = &self.slots[slot];
@@ -400,7 +420,8 @@
             .map_or(copies, |worker| copies.min(worker.remaining_spread(pending.key, pending.spec)))
     }
 
-    /// The feasible slot with the least free CPU, preferably with the affinity label; on a doubtful
+    /// The feasible slot with the least free CPU, preferably with the affinity label and, if it has
+    /// little or much time, of such a speed; on a doubtful
     /// worker or on room that is lent only if there is no other.
     fn best_slot(&self, pending: &PendingStep<'_>, feasible: &[usize]) -> Option<usize> {
         let feasible =
@@ -410,14 +431,16 @@
             let is_lent = !pending.spec.need.fits_in(free);
             let is_doubtful = self.is_doubtful(pending, *slot);
             let has_affinity = self.has_affinity(pending.spec, *slot);
-            (self.is_shunned(pending, *slot), is_doubtful, is_lent, !has_affinity, free.cpu)
+            let speed_rank = self.speed_rank(pending, *slot);
+            let is_shunned = self.is_shunned(pending, *slot);
+            (is_shunned, is_doubtful, is_lent, !has_affinity, speed_rank, free.cpu)
         })
     }
 
-    /// Whether a slot's worker refused or failed tasks, or refused this step.
+    /// Whether a slot's worker refused or failed tasks, is far too slow, or refused this step.
     fn is_doubtful(&self, pending: &PendingStep<'_>, slot: usize) -> bool {
         let slot = &self.slots[slot];
-        slot.is_trial || pending.refused_by.contains(&slot.id)
+        slot.is_trial || slot.is_slow || pending.refused_by.contains(&slot.id)
     }
 
     /// Whether a slot's worker has the step's preferred label, if any.
@@ -458,6 +481,7 @@
                 fate: Fate::default(),
                 incarnation: 0,
                 is_lost: false,
+                is_timed: false,
                 workspace: job.workspace.clone(),
             };
             if let Some(worker) = self.scheduler.pool.get_mut(&slot.id) {
--- a/crates/scheduler/tests/limits.rs
+++ b/crates/scheduler/tests/limits.rs
@@ -22,7 +22,7 @@
 const BLUE: &str = "blue";
 
 /// Time after which a step that waits at a limit keeps others of its workspace from starting.
-const PATIENCE: Duration = Duration::from_secs(3);
+const CLOSING_DELAY: Duration = Duration::from_secs(3);
 
 fn cpu(cpu: u32) -> Resources {
     Resources { cpu, ..Resources::default() }
@@ -468,6 +468,7 @@
             changed_at: NOW,
             fate: Fate::default(),
             incarnation: 1,
+            is_timed: false,
             is_lost: false,
             workspace: Name::new(RED),
         };
@@ -510,7 +511,7 @@
             running.extend(starts);
         }
         let started_at = started_at.expect("it starts at some time");
-        assert!(started_at <= NOW + PATIENCE + secs(3), "{started_at:?}");
+        assert!(started_at <= NOW + CLOSING_DELAY + secs(3), "{started_at:?}");
     }
 }
 
@@ -525,7 +526,7 @@
     submit_in(&mut scheduler, RED, "large", vec![Step { need, estimate: 1, ..step(1) }]);
     plan(&mut scheduler, NOW);
     submit_in(&mut scheduler, RED, "small", vec![step(1)]);
-    assert_eq!(jobs(&plan(&mut scheduler, NOW + 2 * PATIENCE)), ["small"]);
+    assert_eq!(jobs(&plan(&mut scheduler, NOW + 2 * CLOSING_DELAY)), ["small"]);
 }
 
 // Guards against other decisions where no limit applies: without workspaces in the rules, whatever
