--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -94,6 +94,7 @@
         meter.set_gauge(Gauge::Followers, self.peers.count() as u64);
         meter.set_gauge(Gauge::CommitAge, self.journal.commit_age(ctx.now).as_millis() as u64);
         let waste = self.scheduler.take_wasted_rounds(ctx.now);
-        UsageFields::report(&**meter, self.scheduler.usage(), waste)
+        let preempted = std::mem::take(&mut self.scheduler.preempted_runs);
+        UsageFields::report(&**meter, self.scheduler.usage(), waste, preempted)
     }
 }
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -42,6 +42,8 @@
         Leases,
         /// Rounds of advice calls whose tickets all expired unused, these tickets, and those for gangs.
         Waste,
+        /// Runs stopped to make room for gangs of higher priority.
+        Preempted,
     }
 
     /// Duration that is measured.
@@ -138,7 +140,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
@@ -157,6 +159,7 @@
         Self::Placement,
         Self::Leases,
         Self::Waste,
+        Self::Preempted,
     ];
 
     /// The metric's name.
@@ -180,6 +183,7 @@
             Self::Placement => "bronzerail.placement",
             Self::Leases => "bronzerail.leases",
             Self::Waste => "bronzerail.advice.wasted",
+            Self::Preempted => "bronzerail.preempted",
         }
     }
 }
--- a/crates/control/src/usage.rs
+++ b/crates/control/src/usage.rs
@@ -7,11 +7,11 @@
 
 /// Fields of the log event about the leader's pool; none for other daemons.
 #[derive(Debug)]
-pub(crate) struct UsageFields(Option<(Usage, Waste)>);
+pub(crate) struct UsageFields(Option<(Usage, Waste, u64)>);
 
 impl UsageFields {
-    /// Reports the metrics of a leader.
-    pub fn report(meter: &dyn Meter, usage: Usage, waste: Waste) -> Self {
+    /// Reports the metrics of a leader, which preempted some runs since the last report.
+    pub fn report(meter: &dyn Meter, usage: Usage, waste: Waste, preempted: u64) -> Self {
         meter.set_gauge(Gauge::PoolCpu, usage.capacity);
         meter.set_gauge(Gauge::PoolUsedCpu, usage.used);
         meter.set_gauge(Gauge::PoolReservedCpu, usage.reserved);
@@ -30,7 +30,10 @@
             meter.add(Counter::Waste, "gang_rounds", waste.gang_rounds);
             meter.add(Counter::Waste, "gang_tickets", waste.gang_tickets);
         }
-        Self(Some((usage, waste)))
+        if preempted > 0 {
+            meter.add(Counter::Preempted, "runs", preempted);
+        }
+        Self(Some((usage, waste, preempted)))
     }
 
     /// No fields.
@@ -41,7 +44,7 @@
 
 impl KV for UsageFields {
     fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
-        let Some((usage, waste)) = &self.0 else { return Ok(()) };
+        let Some((usage, waste, preempted)) = &self.0 else { return Ok(()) };
         let percent = |share: u64| share * 100 / usage.capacity.max(1);
         serializer.emit_u64("pool_mcpu", usage.capacity)?;
         for (key, percent_key, share) in [
@@ -61,6 +64,7 @@
         serializer.emit_u64("wasted_rounds", waste.rounds)?;
         serializer.emit_u64("wasted_tickets", waste.tickets)?;
         serializer.emit_u64("wasted_gang_rounds", waste.gang_rounds)?;
-        serializer.emit_u64("wasted_gang_tickets", waste.gang_tickets)
+        serializer.emit_u64("wasted_gang_tickets", waste.gang_tickets)?;
+        serializer.emit_u64("preempted_runs", *preempted)
     }
 }
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -91,7 +91,8 @@
             return;
         }
         let priority = pending.queue.priority;
-        let is_optional = round.is_to_learn && self.has_enough_candidates(pending);
+        let is_optional =
+            round.is_to_learn && self.has_enough_candidates(pending) && !self.may_preempt(pending);
         if is_optional && !self.is_worthwhile(pending, &round) {
             return;
         }
@@ -248,8 +249,11 @@
     pub(super) fn places_at(&self, pending: &PendingStep<'_>, slot: usize, at: Duration) -> u32 {
         let Some(worker) = self.scheduler.pool.get(&self.slots[slot].id) else { return 0 };
         let mut room = self.slots[slot].free_capacity;
+        let may_preempt = self.may_preempt(pending);
         for (key, run) in &worker.assignments {
-            if self.scheduler.expected_end(key, run, self.now) <= at {
+            if self.scheduler.expected_end(key, run, self.now) <= at
+                || (may_preempt && self.is_preemptible(pending, key, run))
+            {
                 room = room.plus(&run.need);
             }
         }
--- a/crates/scheduler/src/placement/gangs.rs
+++ b/crates/scheduler/src/placement/gangs.rs
@@ -42,6 +42,7 @@
         if pending.queue.advice.is_some() {
             self.ensure_advice(&pending);
         }
+        self.preempt(&pending);
         self.restore_holds(&pending);
         self.collect(&pending);
     }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod gangs;
 mod holds;
 mod isolation;
+mod preemption;
 
 pub(crate) use backfill::GangWait;
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -142,6 +142,8 @@
     pub newly_quarantined: Vec<Name>,
     /// Jobs of which a checkpoint was too long to be kept, for the log.
     pub long_checkpoints: BTreeSet<Name>,
+    /// Runs stopped to make room for gangs of higher priority, for the log.
+    pub preempted_runs: u64,
     /// Steps that placement passes have visited so far.
     pub steps_visited: u64,
     /// Observed run times and advice results.
