--- a/crates/control/src/lead/measure.rs
+++ b/crates/control/src/lead/measure.rs
@@ -160,7 +160,8 @@
         meter.set_gauge(Gauge::SlowWorkers, learned.slow_workers as u64);
         meter.set_gauge(Gauge::SpeedsDiffer, self.scheduler.forecast.speeds_differ().into());
         let waste = self.scheduler.take_wasted_rounds(ctx.now);
-        UsageFields::report(&**meter, self.scheduler.usage(), waste)
+        let preempted = std::mem::take(&mut self.scheduler.preempted_runs);
+        UsageFields::report(&**meter, self.scheduler.usage(), waste, preempted)
     }
 }
 
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -46,6 +46,8 @@
         Denied,
         /// Rounds of advice calls whose tickets all expired unused, these tickets, and those for gangs.
         Waste,
+        /// Runs stopped to make room for gangs of higher priority.
+        Preempted,
     }
 
     /// Duration that is measured.
@@ -204,6 +206,7 @@
         Self::Leases,
         Self::Denied,
         Self::Waste,
+        Self::Preempted,
     ];
 
     /// The metric's name.
@@ -228,6 +231,7 @@
             Self::Leases => "bronzerail.leases",
             Self::Denied => "bronzerail.access.denied",
             Self::Waste => "bronzerail.advice.wasted",
+            Self::Preempted => "bronzerail.preempted",
         }
     }
 }
--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -91,7 +91,8 @@
             return;
         }
         let priority = pending.queue.priority;
-        let is_optional = round.is_to_learn && self.has_enough_candidates(pending);
+        let is_optional =
+            round.is_to_learn && self.has_enough_candidates(pending) && !self.may_preempt(pending);
         if is_optional && !self.is_worthwhile(pending, &round) {
             return;
         }
@@ -250,8 +251,11 @@
         let id = &self.slots[slot].id;
         let Some(worker) = self.scheduler.pool.get(id) else { return 0 };
         let mut room = self.slots[slot].free_capacity;
+        let may_preempt = self.may_preempt(pending);
         for (key, run) in &worker.assignments {
-            if self.scheduler.likely_end(id, key, run, self.now) <= at {
+            if self.scheduler.likely_end(id, key, run, self.now) <= at
+                || (may_preempt && self.is_preemptible(pending, key, run))
+            {
                 room = room.plus(&run.need);
             }
         }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -15,6 +15,7 @@
 mod isolation;
 mod limits;
 mod order;
+mod preemption;
 mod speeds;
 
 pub(crate) use backfill::GangWait;
