--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -110,6 +110,7 @@
     );
     assert_eq!(cell.run_json(&["pool", "members"])[0]["role"], "leader");
     assert_eq!(cell.run_json(&["pool", "queues"])[1]["open"], 1);
+    assert_eq!(cell.run_json(&["pool", "workspaces"]), Value::Array(Vec::new()));
 
     assert_eq!(
         text(&cell.run_tool(&["pool", "cancel", large]).stdout),
--- a/crates/scheduler/tests/schedules/schedule.rs
+++ b/crates/scheduler/tests/schedules/schedule.rs
@@ -20,7 +20,7 @@
 /// Workspaces; some jobs belong to none.
 pub const WORKSPACES: [&str; 2] = ["red", "blue"];
 /// Limits on the `cpu` of a workspace; 0 is none.
-const LIMITS: [u32; 6] = [0, 1000, 2000, 3000, 5000, 8000];
+const LIMITS: [u32; 7] = [0, 500, 1000, 2000, 3000, 5000, 8000];
 /// Turns in a hundred in which the limit of a workspace changes.
 const LIMIT_PERCENT: u64 = 5;
 /// `cpu` of a task, and of a task of a wide gang.
