--- a/crates/cli/tests/pool.rs
+++ b/crates/cli/tests/pool.rs
@@ -112,6 +112,7 @@
     );
     assert_eq!(cell.run_json(&["pool", "members"])[0]["role"], "leader");
     assert_eq!(cell.run_json(&["pool", "queues"])[1]["open"], 1);
+    assert_eq!(cell.run_json(&["pool", "workspaces"]), Value::Array(Vec::new()));
     // Two runs are not enough to correct anything.
     let estimates = cell.run_json(&["pool", "estimates"]);
     assert_eq!(estimates["speeds_differ"], false);
--- a/crates/control/src/meter.rs
+++ b/crates/control/src/meter.rs
@@ -186,7 +186,7 @@
 
 impl Counter {
     /// All counters.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::Answers,
         Self::Starts,
         Self::StartsRejected,
