scheduler: explain names the share of a postponed workspace

Cause: a job that waits because its workspace has its share was reported as waiting for room, which sends an operator to the wrong place.

Tests: that reason; a change of leader while one workspace has the whole pool; a share that its workspace cannot use is divided by weight.

--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -51,6 +51,15 @@
             /// Id of one of the workers with room.
             worker: Name,
         },
+        /// Its workspace uses its share of the pool, and others with less come first.
+        Share {
+            /// Name of the workspace.
+            workspace: Name,
+            /// What it uses of the resource that it uses most, in percent of the pool.
+            used: u32,
+            /// Its share of the pool, in percent.
+            share: u32,
+        },
         /// Workers with room are passed over after refused starts or failed runs.
         Backoff {
             /// Id of the one that is released first.
@@ -128,6 +137,9 @@
             Self::Reserved { job, worker } => {
                 write!(f, "room is reserved for job {job}, as on worker {worker}")
             }
+            Self::Share { workspace, used, share } => {
+                write!(f, "workspace {workspace} uses {used}% of the pool, its share is {share}%")
+            }
             Self::Backoff { worker } => {
                 write!(f, "workers with room, as {worker}, refused starts or failed tasks")
             }
@@ -275,6 +287,16 @@
         } else {
             self.room_wait_reason(job, step_index, &allowed, now)
         };
+        let reason = match reason {
+            WaitReason::Gang { .. }
+            | WaitReason::NoCapacity { .. }
+            | WaitReason::Reserved { .. }
+            | WaitReason::NextPass => {
+                let step = (&job.id, step_index as u32);
+                self.share_reason(&job.workspace, queue.priority, step).unwrap_or(reason)
+            }
+            reason => reason,
+        };
         let is_delayed = step.doubt.starts_not_before > now;
         let reason = match reason {
             WaitReason::Gang { .. } | WaitReason::NoCapacity { .. } | WaitReason::Spread(_) => self
--- a/crates/scheduler/src/placement/order.rs
+++ b/crates/scheduler/src/placement/order.rs
@@ -16,6 +16,7 @@
 use common::Name;
 
 use super::{MAX_STEPS_PER_PASS, Pass, PendingStep, Slot};
+use crate::explain::WaitReason;
 use crate::job::Job;
 use crate::pool::Pool;
 use crate::record::Resources;
@@ -46,6 +47,8 @@
     shares: Shares,
     /// Indexes of the workspaces in the shares.
     indexes: HashMap<Name, usize>,
+    /// Names of the workspaces, by index.
+    names: Vec<Name>,
     /// Gangs that keep their places, as job id and index of the step.
     kept: BTreeSet<(Name, u32)>,
     /// Workspace of the visited job; `None` if that need not keep within a share.
@@ -60,12 +63,14 @@
     /// The order of a pass; `None` if the rules have no workspaces.
     pub(super) fn new(scheduler: &mut Scheduler, slots: &[Slot]) -> Option<Self> {
         let kept = std::mem::take(&mut scheduler.kept_gangs);
+        scheduler.postponed_workspaces.clear();
         if !scheduler.has_workspaces() {
             return None;
         }
         let mut order = Self {
             shares: Shares::new(shared_capacity(&scheduler.pool, slots)),
             indexes: HashMap::new(),
+            names: Vec::new(),
             kept: BTreeSet::new(),
             limited: None,
             is_postponed: false,
@@ -91,6 +96,7 @@
         let rules = scheduler.rules.as_ref();
         let workspace = rules.and_then(|rules| rules.workspaces.get(&name));
         let index = self.shares.add(workspace.map_or(0, |workspace| workspace.weight), usage);
+        self.names.push(name.clone());
         self.indexes.insert(name, index);
         index
     }
@@ -137,8 +143,7 @@
 
     /// Leaves the workspaces without postponed jobs no more than they use, and divides the rest among
     /// the others.
-    fn share_unused(&mut self, postponed: &[Turn]) {
-        let waiting: BTreeSet<_> = postponed.iter().filter_map(|turn| turn.workspace).collect();
+    fn share_unused(&mut self, waiting: &BTreeSet<usize>) {
         for index in 0..self.indexes.len() {
             if !waiting.contains(&index) {
                 self.shares.settle(index);
@@ -172,7 +177,7 @@
             let length = rest.partition_point(|(other, _)| *other <= priority);
             let (jobs, later) = rest.split_at_mut(length);
             let turns = self.take_turns(jobs);
-            self.visit_priority(turns);
+            self.visit_priority(priority, turns);
             rest = later;
         }
         if self.steps_handled >= MAX_STEPS_PER_PASS
@@ -216,7 +221,7 @@
     }
 
     /// Visits the jobs of a priority: first those whose workspaces are below their shares.
-    fn visit_priority(&mut self, mut turns: Vec<Turn>) {
+    fn visit_priority(&mut self, priority: u32, mut turns: Vec<Turn>) {
         for round in 0..=SHARED_ROUNDS {
             let mut postponed = Vec::new();
             for turn in turns {
@@ -242,7 +247,14 @@
             if let Some(order) = &mut self.order
                 && round + 1 < SHARED_ROUNDS
             {
-                order.share_unused(&postponed);
+                let waiting: BTreeSet<_> =
+                    postponed.iter().filter_map(|turn| turn.workspace).collect();
+                for index in &waiting {
+                    let key = (priority, order.names[*index].clone());
+                    let percents = order.shares.percents(*index);
+                    self.scheduler.postponed_workspaces.insert(key, percents);
+                }
+                order.share_unused(&waiting);
             }
             turns = postponed;
         }
@@ -358,6 +370,23 @@
     }
 }
 
+impl Scheduler {
+    /// Why a step of a workspace waits if the last pass postponed it.
+    pub(crate) fn share_reason(
+        &self,
+        workspace: &Name,
+        priority: u32,
+        (id, step_index): (&Name, u32),
+    ) -> Option<WaitReason> {
+        if self.kept_gangs.contains(&(id.clone(), step_index)) {
+            return None;
+        }
+        let postponed = self.postponed_workspaces.get(&(priority, workspace.clone()));
+        let (used, share) = postponed.copied()?;
+        Some(WaitReason::Share { workspace: workspace.clone(), used, share })
+    }
+}
+
 /// Capacity of usable workers that jobs without a workspace do not use.
 fn shared_capacity(pool: &Pool, slots: &[Slot]) -> Resources {
     let mut capacity = Resources::default();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -156,6 +156,8 @@
     /// Gangs that collect room and keep their places though their workspaces use their shares: job id
     /// and index of the step.
     pub(crate) kept_gangs: BTreeSet<(Name, u32)>,
+    /// Workspaces that the last pass postponed, by priority: what each used, and its share, in percent.
+    pub(crate) postponed_workspaces: BTreeMap<(u32, Name), (u32, u32)>,
     /// Rounds of advice calls whose tickets may not have expired.
     pub(crate) rounds: Rounds,
     /// Open jobs by rank: priority, due time, id.
--- a/crates/scheduler/src/shares.rs
+++ b/crates/scheduler/src/shares.rs
@@ -108,6 +108,13 @@
         self.members[index].is_full
     }
 
+    /// What a workspace uses of the resource that it uses most, and its share, in percent.
+    pub fn percents(&self, index: usize) -> (u32, u32) {
+        let member = &self.members[index];
+        let percent = |part: f64| (part * 100.0).round().min(f64::from(u32::MAX)) as u32;
+        (percent(dominant(&self.parts(&member.usage))), percent(member.share))
+    }
+
     /// Computes the shares from the demands.
     pub fn compute(&mut self) {
         let demands: Vec<_> =
--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Resources, Step};
+use scheduler::{Resources, Step, WaitReason};
 use support::shared::{
     FIRST, Load, SharedPool, Submitted, TICK, USUAL, mean_ms, singles, tasks, workspace,
 };
@@ -155,20 +155,41 @@
     }
 }
 
-// Guards against shares that depend on what only the former leader knew.
+// Guards against a next leader that does not count what the former one started, and against shares
+// that depend on what only the former leader knew.
 #[test]
 fn shares_hold_after_change_of_leader() {
     let workspaces = vec![workspace("a", 1), workspace("b", 3)];
     let mut pool = SharedPool::new(5, workspaces);
     // The first has the whole pool and a long queue before the second begins.
-    pool.offer(&[flood("a")], secs(5));
-    pool.offer(&[flood("b")], secs(1));
+    let long = Load { run_time: secs(4), ..flood("a") };
+    pool.offer(&[long], secs(3));
+    let former = pool.started.len();
     pool.change_leader();
+    pool.offer(&[flood("b")], secs(1));
+    let started = &pool.started[former..];
+    assert!(!started.is_empty(), "room became free");
+    assert!(started.iter().all(|key| key.job.starts_with("b-")), "{started:?}");
     let parts = used_parts(&mut pool, &[flood("a"), flood("b")], secs(10));
     assert!((parts["a"] - 0.25).abs() < 0.03, "{parts:?}");
     assert!((parts["b"] - 0.75).abs() < 0.03, "{parts:?}");
 }
 
+// Guards against a share that is kept, or divided by due time, as its workspace demands what no
+// worker can run.
+#[test]
+fn share_of_unusable_demand_goes_to_others_by_weight() {
+    let workspaces = vec![workspace("a", 1), workspace("b", 1), workspace("c", 8)];
+    let mut pool = SharedPool::new(5, workspaces);
+    let step = Step { requirement: "none".to_owned(), ..tasks(200, 1) };
+    pool.submit("c", USUAL, step, secs(1));
+    // The jobs of the first are due earlier than those of the second.
+    pool.offer(&[flood("a")], secs(3));
+    let parts = used_parts(&mut pool, &[flood("a"), flood("b")], secs(10));
+    assert!((parts["a"] - 0.5).abs() < 0.05, "{parts:?}");
+    assert!((parts["b"] - 0.5).abs() < 0.05, "{parts:?}");
+}
+
 /// Order in which tasks of jobs of unlike sizes and priorities start.
 fn start_order(workspaces: Vec<scheduler::Workspace>, names: [&str; 2]) -> Vec<(Name, u32)> {
     let mut pool = SharedPool::new(3, workspaces);
@@ -277,3 +298,21 @@
     pool.offer(&[flood("w0"), flood("w1"), gangs], secs(30));
     assert_eq!(refusals(&pool, "w9"), 0, "{:?}", pool.refused.get("w9"));
 }
+
+// Guards against a wait for a share that looks like a lack of room.
+#[test]
+fn explain_names_share_of_postponed_workspace() {
+    let workspaces = vec![workspace("a", 1), workspace("b", 3)];
+    let mut pool = SharedPool::new(5, workspaces);
+    pool.offer(&[flood("a"), flood("b")], secs(4));
+    let id = pool.submit("a", USUAL, tasks(1, 1), secs(1));
+    pool.run_for(TICK);
+    let reason = pool.scheduler.first_wait_reason(&id, pool.now).expect("the step waits");
+    let WaitReason::Share { workspace, used, share } = reason else { panic!("{reason:?}") };
+    assert_eq!((&*workspace, share), ("a", 25));
+    assert!((24..=28).contains(&used), "{used}%");
+    let id = pool.submit("", USUAL, tasks(1, 16), secs(1));
+    pool.run_for(TICK);
+    let reason = pool.scheduler.first_wait_reason(&id, pool.now);
+    assert!(matches!(reason, Some(WaitReason::NoCapacity { .. })), "{reason:?}");
+}
