scheduler: a pass predicts the end of each run once at most

Cause: each gang that asks for advice or collects room asked for the end of each run on its workers, at 0.4 us each once the model has an effect.

Change: a slot keeps the likely ends of its worker's runs for the pass, until a task is placed there.

Measured: five test files of the scheduler and control's advice pass, with its bound of 320 calls; the duration of passes without learned runs is in docs/design/run-times.md, with learned runs it was not measured.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -246,13 +246,16 @@
 
     /// Number of tasks of a step that a slot is expected to have room for at a time.
     pub(super) fn places_at(&self, pending: &PendingStep<'_>, slot: usize, at: Duration) -> u32 {
-        let id = &self.slots[slot].id;
+        let Slot { id, ends, free_capacity, .. } = &self.slots[slot];
         let Some(worker) = self.scheduler.pool.get(id) else { return 0 };
-        let mut room = self.slots[slot].free_capacity;
-        for (key, run) in &worker.assignments {
-            if self.scheduler.likely_end(id, key, run, self.now) <= at {
-                room = room.plus(&run.need);
-            }
+        let ends = ends.get_or_init(|| {
+            let runs = worker.assignments.iter();
+            let end = |(key, run)| self.scheduler.likely_end(id, key, run, self.now);
+            runs.map(|run| (end(run), run.1.need)).collect()
+        });
+        let mut room = *free_capacity;
+        for (_, need) in ends.iter().filter(|(end, _)| *end <= at) {
+            room = room.plus(need);
         }
         self.fitting_in(pending, slot, &room)
     }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -16,6 +16,7 @@
 
 pub(crate) use backfill::GangWait;
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,6 +70,8 @@
     is_trial_placed: bool,
     /// The step, as job id and index, that may crash the worker; others keep away.
     suspect: Option<Rc<(Name, u32)>>,
+    /// Likely ends of its worker's runs and what they use, once a step has asked for them.
+    ends: OnceCell<Vec<(Duration, Resources)>>,
     /// Speed of its worker; 1 if speeds do not differ.
     speed: f64,
     /// Whether its worker is far slower than others, or than it was.
@@ -157,6 +160,7 @@
             is_collected: false,
             is_trial_placed: false,
             suspect: None,
+            ends: OnceCell::new(),
             speed: self.forecast.speed(&worker.registration.id),
             is_slow: self.forecast.is_slow(&worker.registration.id, now),
         });
@@ -437,6 +441,7 @@
             task.run = if pending.spec.is_gang { gang_run } else { task.run + 1 };
             task.worker = Some(slot.id.clone());
             slot.take(&pending.spec.need);
+            slot.ends.take();
             self.scheduler.rounds.record_use(pending.key, &slot.id);
             let key = TaskKey { job: id.clone(), step: step_index, index: *index };
             let assignment = Assignment {
