control: test of starts that await their commit as a limit falls

Cause: the withdrawal of unsent starts was tested in the scheduler only; the leader's part, which drops them once their commit is answered, was not.

Change: a test of the node submits jobs at 40 times around the moment at which the leader learns of a lower limit, with late answers to commits.

--- a/crates/control/tests/limits.rs
+++ b/crates/control/tests/limits.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -29,12 +29,17 @@
 /// Time within which a leader reports what has changed.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
-/// The latest values of workspaces.
+/// The latest values of workspaces, and the number of starts withdrawn for their limits.
 #[derive(Debug, Default)]
-struct Values(RefCell<Vec<WorkspaceValues>>);
+struct Values(RefCell<Vec<WorkspaceValues>>, Cell<u64>);
 
 impl Meter for Values {
-    fn add(&self, _counter: Counter, _label: &'static str, _by: u64) {}
+    fn add(&self, counter: Counter, label: &'static str, by: u64) {
+        if counter == Counter::StartsRejected && label == "limit" {
+            self.1.set(self.1.get() + by);
+        }
+    }
+
     fn record_duration(&self, _timing: Timing, _duration: Duration) {}
     fn set_gauge(&self, _gauge: Gauge, _value: u64) {}
 
@@ -185,3 +190,47 @@
     assert_eq!(&*values[REPORTED].workspace, OTHER_WORKSPACES);
     assert_eq!(*lines.0.lock().expect("no test panicked"), 1, "once a minute");
 }
+
+/// Submits six jobs some time after a version of the rules with a limit of two cores instead of six
+/// was stored; returns the starts that were withdrawn and the most tasks that ran at a time.
+fn jobs_around_falling_limit(submitted_after: Duration) -> (u64, usize) {
+    let values = Rc::new(Values::default());
+    let mut sim = limited_cell(1);
+    sim.meter = Rc::<Values>::clone(&values);
+    sim.run_time = Some(Duration::from_millis(300));
+    sim.rules.workspaces = Workspaces::new([workspace(RED, 9, 6000)]);
+    start(&mut sim);
+    sim.faults.commit_answer_delay = Duration::from_millis(300);
+    sim.rules.version = 2;
+    sim.rules.workspaces = Workspaces::new([workspace(RED, 9, 2000)]);
+    sim.run(submitted_after);
+    for number in 0..6 {
+        sim.call(0, Operation::Submit(red_job(&format!("red{number}"), vec![step(1, 300)])));
+    }
+    let mut most = 0;
+    for _ in 0..200 {
+        sim.run(Duration::from_millis(10));
+        most = most.max(sim.workers.values().map(|worker| worker.running.len()).sum());
+    }
+    for number in 0..6 {
+        let id = format!("red{number}");
+        assert!(sim.wait_for_state(&id, JobState::Completed, 2 * REPORT_TIME), "{id}");
+    }
+    assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+    (values.1.get(), most)
+}
+
+// Guards against starts that are sent after their commit although the limit fell meanwhile, against
+// a withdrawal that no metric shows, and against jobs that are lost by it.
+#[test]
+fn falling_limit_withdraws_starts_that_await_commit() {
+    // The leader learns of the version 1.6 to 2 s after it was stored.
+    let offsets = (60..100).map(|number| Duration::from_millis(25) * number);
+    let results: Vec<(u64, usize)> = offsets.map(jobs_around_falling_limit).collect();
+    assert!(results.iter().any(|(withdrawn, most)| *withdrawn > 0 && *most == 2), "{results:?}");
+    for (withdrawn, most) in &results {
+        // Starts that were sent before go on; those that were not are withdrawn.
+        let is_obeyed = *most <= 2 || *withdrawn as usize + *most == 6;
+        assert!(is_obeyed, "{withdrawn} withdrawn, {most} ran: {results:?}");
+    }
+}
