scheduler: tests of shares that fail without each part

Cause: with floods of ten equal tasks a job, workers had room for large tasks and gangs by themselves, and the order by due time gave equal loads equal parts, so that the tests also passed without collected pieces, the charge for collecting gangs, the second round or the rest.

Change: single tasks of unlike run times, unequal floods, and two more tests.

--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -84,12 +84,25 @@
     }
 }
 
+// Guards against small tasks of a workspace above its share that take each piece of room before
+// the pieces are enough for a large task.
+#[test]
+fn large_tasks_get_their_share_beside_small_ones() {
+    let workspaces = vec![workspace("a", 1), workspace("b", 1)];
+    let mut pool = SharedPool::new(5, workspaces);
+    let large = Load { step: tasks(1, 8), ..singles("b", 8.0) };
+    let parts = used_parts(&mut pool, &[singles("a", 60.0), large], secs(10));
+    assert!((parts["b"] - 0.5).abs() < 0.06, "{parts:?}");
+    assert!(parts["a"] + parts["b"] > 0.9, "{parts:?}");
+}
+
 // Guards against room that is kept for a workspace which does not use it.
 #[test]
 fn unused_share_goes_to_others() {
     let workspaces = vec![workspace("a", 1), workspace("b", 1), workspace("c", 8)];
     let mut pool = SharedPool::new(5, workspaces);
-    let loads = [flood("a"), flood("b"), singles("c", 8.0)];
+    let large = Load { per_second: 48.0, ..flood("b") };
+    let loads = [flood("a"), large, singles("c", 8.0)];
     let parts = used_parts(&mut pool, &loads, secs(20));
     assert!((parts["c"] - 0.1).abs() < 0.01, "{parts:?}");
     assert!((parts["a"] - 0.45).abs() < 0.03, "{parts:?}");
@@ -100,10 +113,11 @@
 #[test]
 fn gang_starts_despite_flood_of_small_tasks() {
     let mut pool = SharedPool::new(5, equal_workspaces());
-    pool.offer(&[flood("w0"), flood("w1")], secs(5));
+    // Single tasks end at unlike times, so that a worker rarely has room for a task of the gang.
+    pool.offer(&[singles("w0", 60.0), singles("w1", 60.0)], secs(5));
     // Half of the pool, far beyond the share of its workspace.
     let id = pool.submit("w2", USUAL, gang(10, 4), secs(1));
-    pool.offer(&[flood("w0"), flood("w1"), singles("w2", 25.0)], secs(10));
+    pool.offer(&[singles("w0", 60.0), singles("w1", 60.0), singles("w2", 25.0)], secs(10));
     let wait = pool.first_start(&id).map(|at| at.saturating_sub(NOW + secs(5)));
     assert!(wait.is_some_and(|wait| wait < secs(5)), "{wait:?}");
 }
@@ -126,10 +140,11 @@
 fn flood_of_gangs_keeps_to_its_share() {
     let workspaces = vec![workspace("a", 1), workspace("b", 1)];
     let mut pool = SharedPool::new(10, workspaces);
-    let step = gang(4, 4);
-    let gangs = Load { workspace: "a", queue: USUAL, per_second: 20.0, step, run_time: secs(1) };
-    let others = Load { per_second: 32.0, ..flood("b") };
-    let parts = used_parts(&mut pool, &[gangs, others], secs(20));
+    // Small enough that many of them can collect at a time.
+    let step = gang(2, 4);
+    let gangs = Load { workspace: "a", queue: USUAL, per_second: 40.0, step, run_time: secs(1) };
+    let others = singles("b", 110.0);
+    let parts = used_parts(&mut pool, &[gangs, others], secs(10));
     assert!((parts["b"] - 0.5).abs() < 0.05, "{parts:?}");
     assert!((parts["a"] - 0.5).abs() < 0.1, "{parts:?}");
 }
@@ -175,6 +190,17 @@
     assert!((parts["b"] - 0.75).abs() < 0.03, "{parts:?}");
 }
 
+// Guards against room that stays empty as no share has room for the half of a task.
+#[test]
+fn room_between_shares_is_used() {
+    let names = ["a", "b", "c", "d"];
+    let mut pool = SharedPool::new(5, names.map(|name| workspace(name, 1)).to_vec());
+    let step = tasks(1, 16);
+    let loads = names.map(|name| Load { step: step.clone(), ..singles(name, 4.0) });
+    let parts = used_parts(&mut pool, &loads, secs(10));
+    assert!(parts.values().sum::<f64>() > 0.95, "{parts:?}");
+}
+
 // Guards against a share that is kept, or divided by due time, as its workspace demands what no
 // worker can run.
 #[test]
@@ -183,9 +209,8 @@
     let mut pool = SharedPool::new(5, workspaces);
     let step = Step { requirement: "none".to_owned(), ..tasks(200, 1) };
     pool.submit("c", USUAL, step, secs(1));
-    // The jobs of the first are due earlier than those of the second.
-    pool.offer(&[flood("a")], secs(3));
-    let parts = used_parts(&mut pool, &[flood("a"), flood("b")], secs(10));
+    let large = Load { per_second: 48.0, ..flood("b") };
+    let parts = used_parts(&mut pool, &[flood("a"), large], secs(10));
     assert!((parts["a"] - 0.5).abs() < 0.05, "{parts:?}");
     assert!((parts["b"] - 0.5).abs() < 0.05, "{parts:?}");
 }
