scheduler: gangs above their share do not call for room that is not free yet

Change: it makes no call then. Two tests: collecting gangs count as used, and large tasks exceed a share by half a task at most.

--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -160,6 +160,10 @@
             return Round { named: due.collect(), held: known, is_to_learn: false };
         }
         let awaited = self.round_for_awaited(pending, arrival);
+        // Held room comes before all jobs, and what the others will leave is not known yet.
+        if awaited.is_some() && self.gets_leftovers() {
+            return Round::default();
+        }
         awaited.unwrap_or_else(|| self.round_with_unknown(pending, known))
     }
 
@@ -209,8 +213,7 @@
 
     /// A round for a gang that is expected to have room when the tickets arrive.
     fn round_for_awaited(&self, pending: &PendingStep<'_>, arrival: Duration) -> Option<Round> {
-        // Room that others will leave is not known yet, and held room comes before all jobs.
-        if !pending.spec.is_gang || pending.care != Care::Usual || self.gets_leftovers() {
+        if !pending.spec.is_gang || pending.care != Care::Usual {
             return None;
         }
         let count = pending.waiting_tasks.len() as u32;
--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -149,6 +149,38 @@
     assert!((parts["a"] - 0.5).abs() < 0.1, "{parts:?}");
 }
 
+// Guards against gangs that all begin to collect before the first of them counts as used.
+#[test]
+fn collecting_gangs_count_as_used() {
+    let mut pool = SharedPool::new(10, vec![workspace("a", 1), workspace("b", 1)]);
+    let run_time = |number: u64| Duration::from_millis(600 + number * 61 % 800);
+    (0..700).for_each(|number| {
+        pool.submit("b", USUAL, tasks(1, 1), run_time(number));
+    });
+    pool.run_for(secs(1));
+    (0..100).for_each(|number| {
+        pool.submit("a", USUAL, gang(2, 4), run_time(number));
+    });
+    let mut most = 0;
+    for _ in 0..100 {
+        pool.tick();
+        most = most.max(pool.running_cores("a"));
+    }
+    assert!(pool.running_cores("b") > 0, "the other one has work");
+    // Half of the pool, and one gang.
+    assert!((72..=88).contains(&most), "{most} cores");
+}
+
+// Guards against large tasks that always start below the share, so that their workspace has more
+// than its share on average.
+#[test]
+fn large_tasks_exceed_share_by_half_a_task_at_most() {
+    let mut pool = SharedPool::new(5, vec![workspace("a", 1), workspace("b", 1)]);
+    let large = Load { step: tasks(1, 12), ..singles("a", 6.0) };
+    let parts = used_parts(&mut pool, &[large, singles("b", 60.0)], secs(10));
+    assert!((parts["a"] - 0.5).abs() <= 6.0 / 80.0, "{parts:?}");
+}
+
 // Guards against a share that comes before a priority.
 #[test]
 fn priorities_come_before_shares() {
--- a/crates/scheduler/tests/support/shared.rs
+++ b/crates/scheduler/tests/support/shared.rs
@@ -223,6 +223,12 @@
         self.work.get(workspace).copied().unwrap_or_default() / (cores * span.as_secs_f64())
     }
 
+    /// Cores that a workspace has in use now.
+    pub fn running_cores(&self, workspace: &str) -> u32 {
+        let runs = self.runs.values().filter(|(_, name, _)| &**name == workspace);
+        runs.map(|(.., need)| need.cpu / 1000).sum()
+    }
+
     /// When a job first started; `None` if it waits.
     pub fn first_start(&self, id: &Name) -> Option<Duration> {
         self.submitted[id].first_start
