scheduler: due times follow the queue's factor again

Change: due times, which rank jobs, are those of the estimates and the queue's factor. Admission's slack and a step's remaining path stay learned.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::job::{Job, Phase, Site, TaskKey};
 use crate::placement::Slot;
 use crate::pool::Pool;
-use crate::record::Submission;
+use crate::record::{Step, Submission};
 use crate::rounds::Rounds;
 use crate::rules::{Queue, Rules};
 use crate::runs::Outcome;
@@ -292,24 +292,20 @@
 
     /// Computes the target completion time: arrival, plus the critical path times the queue's factor,
     /// plus the queue's offset.
+    ///
+    /// The path is that of the estimates and the queue's factor: with learned run times, a full pool
+    /// ended fewer jobs in time (docs/issues/011).
     fn compute_due(&self, job: &Job) -> Duration {
         let Some(queue) = self.queue(&job.queue) else { return job.arrived };
-        let critical_path = self.critical_path(&job.submission, &job.queue);
+        let run_time = |step: &Step| self.estimator.run_time(&job.queue, step.estimate);
+        let critical_path = longest_chain(&job.submission, run_time);
         job.arrived + critical_path.mul_f64(queue.target_factor) + queue.target_offset
     }
 
-    /// Expected time of the longest chain of steps.
+    /// Expected time of the longest chain of steps, by learned run times.
     fn critical_path(&self, submission: &Submission, queue: &Name) -> Duration {
         let workspace = Name::new(&submission.workspace);
-        let mut path_lengths = vec![Duration::ZERO; submission.steps.len()];
-        for (step_index, step) in submission.steps.iter().enumerate() {
-            let earliest_start =
-                step.after.iter().filter_map(|earlier| path_lengths.get(*earlier as usize));
-            let earliest_start = earliest_start.max().copied().unwrap_or_default();
-            path_lengths[step_index] =
-                earliest_start + self.predict(queue, &workspace, step).expected;
-        }
-        path_lengths.into_iter().max().unwrap_or_default()
+        longest_chain(submission, |step| self.predict(queue, &workspace, step).expected)
     }
 
     /// Replaces the rules and recomputes the rank of each open job.
@@ -563,6 +559,18 @@
     }
 }
 
+/// Time of the longest chain of steps, given the run time of each.
+fn longest_chain(submission: &Submission, run_time: impl Fn(&Step) -> Duration) -> Duration {
+    let mut path_lengths = vec![Duration::ZERO; submission.steps.len()];
+    for (step_index, step) in submission.steps.iter().enumerate() {
+        let earliest_start =
+            step.after.iter().filter_map(|earlier| path_lengths.get(*earlier as usize));
+        let earliest_start = earliest_start.max().copied().unwrap_or_default();
+        path_lengths[step_index] = earliest_start + run_time(step);
+    }
+    path_lengths.into_iter().max().unwrap_or_default()
+}
+
 /// Delay before a failed advice call is retried; doubled with each further failure.
 const ADVICE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
