control tests: jobs of limits are submitted over the operators' interface

Cause: the leader sets the workspace of a job from the key since both parts are joined, so that the workspace in the tests' submissions was overwritten and four tests failed. Change: the tests submit as operators, who name the workspace.

--- a/crates/control/tests/limits.rs
+++ b/crates/control/tests/limits.rs
@@ -9,7 +9,7 @@
 
 use common::Name;
 use control::{
-    Answer, Counter, Event, Gauge, Meter, OTHER_WORKSPACES, Operation, Timing, View,
+    Answer, Counter, Credential, Event, Gauge, Meter, OTHER_WORKSPACES, Operation, Timing, View,
     WorkspaceGauge, WorkspaceValues,
 };
 use scheduler::{JobState, Resources, Step, Submission, Workspace, Workspaces};
@@ -75,6 +75,8 @@
     let free = (0..FREE_WORKSPACES).map(|number| workspace(&format!("free{number:02}"), 5, 0));
     let all = std::iter::once(workspace(RED, 9, 2000)).chain(free);
     sim.rules = scheduler::Rules { workspaces: Workspaces::new(all), ..rules(false) };
+    // An operator names the workspace of each job, and may ask for views.
+    sim.credential = Credential::Operator;
     sim
 }
 
