scheduler: tests of large tasks in a share and of small backlogs

The tests of shares also passed without the rule that half of a task must fit, and without the least backlog of a workspace. Two tests now fail without them, and the one of large tasks begins with small tasks on all workers, as it passed without collected pieces of room.

--- a/crates/scheduler/tests/shares.rs
+++ b/crates/scheduler/tests/shares.rs
@@ -91,6 +91,8 @@
     let workspaces = vec![workspace("a", 1), workspace("b", 1)];
     let mut pool = SharedPool::new(5, workspaces);
     let large = Load { step: tasks(1, 8), ..singles("b", 8.0) };
+    // The small ones are on all workers first.
+    pool.offer(&[singles("a", 120.0)], secs(3));
     let parts = used_parts(&mut pool, &[singles("a", 60.0), large], secs(10));
     assert!((parts["b"] - 0.5).abs() < 0.06, "{parts:?}");
     assert!(parts["a"] + parts["b"] > 0.9, "{parts:?}");
@@ -175,10 +177,11 @@
 // than its share on average.
 #[test]
 fn large_tasks_exceed_share_by_half_a_task_at_most() {
-    let mut pool = SharedPool::new(5, vec![workspace("a", 1), workspace("b", 1)]);
-    let large = Load { step: tasks(1, 12), ..singles("a", 6.0) };
-    let parts = used_parts(&mut pool, &[large, singles("b", 60.0)], secs(10));
-    assert!((parts["a"] - 0.5).abs() <= 6.0 / 80.0, "{parts:?}");
+    let mut pool = SharedPool::new(10, vec![workspace("a", 1), workspace("b", 2)]);
+    // Of ten places, the shares are 3.3 and 6.7.
+    let whole = |name: &'static str| Load { step: tasks(1, 16), ..singles(name, 14.0) };
+    let parts = used_parts(&mut pool, &[whole("a"), whole("b")], secs(10));
+    assert!((parts["a"] - 0.3).abs() < 0.015, "{parts:?}");
 }
 
 // Guards against a share that comes before a priority.
@@ -356,6 +359,20 @@
     assert_eq!(refusals(&pool, "w9"), 0, "{:?}", pool.refused.get("w9"));
 }
 
+// Guards against a refusal after three jobs in a row that wait for long, as no rate is known.
+#[test]
+fn few_waiting_jobs_are_no_backlog() {
+    let mut pool = SharedPool::new(5, equal_workspaces());
+    pool.has_admission = true;
+    pool.submit("w0", USUAL, tasks(80, 1), secs(20));
+    pool.run_for(secs(3));
+    for _ in 0..4 {
+        pool.submit("w9", USUAL, tasks(1, 1), Duration::from_millis(500));
+        pool.run_for(Duration::from_millis(900));
+    }
+    assert_eq!(refusals(&pool, "w9"), 0);
+}
+
 // Guards against a wait for a share that looks like a lack of room.
 #[test]
 fn explain_names_share_of_postponed_workspace() {
