scheduler: a gang at its workspace's limit keeps no place; tests of limits beside shares

Cause: gangs that collect room keep their place in the order of shares; one that reaches its limit collects none and kept it. The test that a workspace without a limit is served as without workspaces failed, as workspaces share the pool since both parts are joined. Change: such a gang loses its place.

--- a/crates/scheduler/src/placement/order.rs
+++ b/crates/scheduler/src/placement/order.rs
@@ -84,7 +84,10 @@
             let step = step_index as usize;
             let waits =
                 job.ready_steps().any(|ready| ready == step && job.steps[ready].all_waiting());
-            let Some(workspace) = order.index(scheduler, job).filter(|_| waits) else { continue };
+            if !waits || scheduler.is_at_limit(job, step) {
+                continue;
+            }
+            let Some(workspace) = order.index(scheduler, job) else { continue };
             let spec = &job.submission.steps[step];
             order.shares.charge(workspace, &spec.need.times(spec.count));
             order.kept.insert((id, step_index));
