--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -40,7 +40,7 @@
 use crate::step::{Eligibility, StepState};
 use crate::worker::{Assignment, RunState};
 use order::Order;
-use speeds::Haste;
+use speeds::Urgency;
 
 /// Most steps that a pass places or requests advice for.
 const MAX_STEPS_PER_PASS: usize = 150;
@@ -142,7 +142,7 @@
     /// How its tasks are placed, as workers may have crashed under them.
     care: Care,
     /// How much time it has.
-    haste: Haste,
+    urgency: Urgency,
 }
 
 impl Scheduler {
@@ -300,7 +300,7 @@
         let waiting_tasks = waiting_tasks.take(most as usize).collect();
         let refused_by = state.doubt.refused_by.clone();
         let care = self.scheduler.care(id, step_index as u32, self.now);
-        let haste = self.haste(id, step_index);
+        let urgency = self.urgency(id, step_index);
         let candidates = self.find_candidates(queue, &spec);
         let allowed = self.find_allowed(id, step_index, queue, &candidates);
         let pending = PendingStep {
@@ -313,7 +313,7 @@
             ends_at,
             refused_by,
             care,
-            haste,
+            urgency,
         };
         if spec.is_gang { self.place_gang(pending) } else { self.place_tasks(pending) }
     }
--- a/crates/scheduler/src/placement/speeds.rs
+++ b/crates/scheduler/src/placement/speeds.rs
@@ -35,7 +35,7 @@
 
 common::key! {
     /// How much time a step has.
-    pub(super) enum Haste {
+    pub(super) enum Urgency {
         /// It ends late unless it starts soon, on a fast worker.
         Tight,
         /// Neither of both, or speeds do not differ.
@@ -62,17 +62,17 @@
 
 impl Pass<'_> {
     /// How much time a step has that starts now.
-    pub(super) fn haste(&self, id: &Name, step_index: usize) -> Haste {
+    pub(super) fn urgency(&self, id: &Name, step_index: usize) -> Urgency {
         let job = self.scheduler.jobs.get(id).filter(|_| self.scheduler.forecast.speeds_differ());
-        let Some(job) = job else { return Haste::Usual };
+        let Some(job) = job else { return Urgency::Usual };
         let path = self.scheduler.remaining_path(job, step_index);
         let slack = job.due_at.saturating_sub(self.now + path);
         if slack < path.mul_f64(TIGHT_SLACK) {
-            Haste::Tight
+            Urgency::Tight
         } else if slack > path.mul_f64(AMPLE_SLACK) {
-            Haste::Ample
+            Urgency::Ample
         } else {
-            Haste::Usual
+            Urgency::Usual
         }
     }
 
@@ -81,10 +81,10 @@
         let slot = &self.slots[slot];
         let gain = slot.speed.ln() * UNITS;
         let free = f64::from(slot.free_capacity.cpu) / f64::from(slot.capacity.cpu.max(1)) * UNITS;
-        match pending.haste {
-            Haste::Usual => 0,
-            Haste::Tight => (free - gain) as i64,
-            Haste::Ample => (free + gain) as i64,
+        match pending.urgency {
+            Urgency::Usual => 0,
+            Urgency::Tight => (free - gain) as i64,
+            Urgency::Ample => (free + gain) as i64,
         }
     }
 
@@ -96,9 +96,9 @@
         places: u32,
     ) -> u64 {
         let speed = self.slots[slot].speed;
-        let weight = match pending.haste {
-            Haste::Tight if !pending.spec.is_gang => speed,
-            Haste::Ample if !pending.spec.is_gang => 1.0 / speed,
+        let weight = match pending.urgency {
+            Urgency::Tight if !pending.spec.is_gang => speed,
+            Urgency::Ample if !pending.spec.is_gang => 1.0 / speed,
             _ => 1.0,
         };
         (f64::from(places) * weight * UNITS) as u64
@@ -132,10 +132,10 @@
         let clean: Vec<usize> = feasible.iter().copied().filter(is_clean).collect();
         self.choose_among(pending, &clean)?;
         let mut ranges: Vec<i32> = (-MAX_RANGE..=MAX_RANGE).collect();
-        ranges.sort_by_key(|range| match pending.haste {
-            Haste::Tight => Reverse(*range),
-            Haste::Usual => Reverse(-range.abs()),
-            Haste::Ample => Reverse(-range),
+        ranges.sort_by_key(|range| match pending.urgency {
+            Urgency::Tight => Reverse(*range),
+            Urgency::Usual => Reverse(-range.abs()),
+            Urgency::Ample => Reverse(-range),
         });
         ranges.into_iter().find_map(|range| {
             let middle = f64::from(range) * RANGE_STEP;
