--- a/crates/scheduler/src/placement/advice.rs
+++ b/crates/scheduler/src/placement/advice.rs
@@ -91,9 +91,12 @@
             return;
         }
         let priority = pending.queue.priority;
-        let is_optional =
-            round.is_to_learn && self.has_enough_candidates(pending) && !self.may_preempt(pending);
-        if is_optional && !self.is_worthwhile(pending, &round) {
+        let has_enough = round.is_to_learn && self.has_enough_candidates(pending);
+        if has_enough && !self.is_worthwhile(pending, &round) {
+            return;
+        }
+        let is_optional = has_enough && !self.may_preempt(pending);
+        if is_optional && self.lacks_advice(priority) {
             return;
         }
         let class = CallClass::of(advice.call_duration(round.named.len().min(WORKERS_PER_CALL)));
@@ -132,13 +135,12 @@
         self.set_holds(pending, &round.held);
     }
 
-    /// Whether a gang with enough candidates learns about more workers now: no other step lacks the
-    /// daemons, and there are many of them, or it has waited for long.
+    /// Whether a gang with enough candidates learns about more workers now: there are many of them, or
+    /// it has waited for long.
     fn is_worthwhile(&self, pending: &PendingStep<'_>, round: &Round) -> bool {
         let last_advice_at = self.step_state(pending).map_or(self.now, |step| step.last_advice_at);
         let has_waited = self.now >= last_advice_at + GANG_ADVICE_DELAY;
-        let names_many = round.named.len() >= MIN_WORKERS_PER_GANG_ROUND;
-        (names_many || has_waited) && !self.lacks_advice(pending.queue.priority)
+        round.named.len() >= MIN_WORKERS_PER_GANG_ROUND || has_waited
     }
 
     /// Whether a step of a priority or a higher one lately found no daemon for a call that it needs.
