scheduler tests: what a gang that must start soon learns, and priorities in preemption

Cause: with the parts of preemption taken out one by one on a scratch copy, two showed in no test: that learning is no longer optional, and that only runs of lower priority are preempted (the case of equal priority held for want of time left). Change: a test of learning while another step lacks a daemon; the case of equal priority has time left now.

--- a/crates/scheduler/tests/preemption.rs
+++ b/crates/scheduler/tests/preemption.rs
@@ -6,10 +6,10 @@
 
 use common::Name;
 use scheduler::{
-    ActiveRun, AdvicePolicy, FinishedRun, Listing, Outcome, Queue, RunState, Scheduler, StartOrder,
-    Step, StopOrder, Submission, TaskKey,
+    ActiveRun, AdviceCapacity, AdvicePolicy, FinishedRun, Listing, Outcome, Queue, Resources,
+    RunState, Scheduler, StartOrder, Step, StopOrder, Submission, TaskKey,
 };
-use support::{NO_DELAY, NOW, ample_advice, new_registration, rules, secs, step};
+use support::{NO_DELAY, NOW, advice_policy, ample_advice, new_registration, rules, secs, step};
 
 /// A pool of two-core workers with a queue of gangs and one of sweeps, whose priority is lower.
 fn pool(workers: &[&str], advice: Option<AdvicePolicy>) -> Scheduler {
@@ -157,7 +157,11 @@
     plan(&mut scheduler, NOW + Duration::from_millis(500));
     assert!(scheduler.stops.is_empty(), "a run that has just begun: {:?}", scheduler.stops);
     let mut scheduler = pool(&["w1", "w2"], None);
-    submit(&mut scheduler, "equal", "q", sweep(4), NOW);
+    let mut rules = scheduler.rules.clone().expect("the rules are set");
+    rules.queues[1].priority = rules.queues[0].priority;
+    rules.version = 2;
+    scheduler.set_rules(rules);
+    submit(&mut scheduler, "equal", "sweeps", sweep(4), NOW);
     let starts = plan(&mut scheduler, NOW);
     confirm(&mut scheduler, &starts, NOW);
     submit(&mut scheduler, "gang", "q", gang(3), NOW + secs(2));
@@ -210,3 +214,40 @@
     }
     assert!(stops > 0, "no gang preempted");
 }
+
+/// The advice calls about a gang that knows four busy workers, while another step lacks a daemon.
+fn calls_of_gang_beside_shortage(target_offset: Duration) -> usize {
+    let ids: Vec<String> = (0..40).map(|number| format!("w{number:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = pool(&ids, Some(advice_policy()));
+    let mut rules = scheduler.rules.clone().expect("the rules are set");
+    rules.queues[0].target_offset = target_offset;
+    rules.version = 2;
+    scheduler.set_rules(rules);
+    submit(&mut scheduler, "gang", "q", gang(4), NOW);
+    scheduler.plan(NOW, NO_DELAY, ample_advice());
+    let call = std::mem::take(&mut scheduler.advice_calls).pop().expect("it asks for advice");
+    let allowed: Vec<Name> = call.workers.iter().take(4).cloned().collect();
+    // One worker has room for the other step.
+    for id in &ids[..39] {
+        scheduler.pool.get_mut(id).expect("the worker is known").allocated =
+            Resources { cpu: 2000, mem: 0, gpus: 0 };
+    }
+    let tickets = allowed.into_iter().map(|id| (id, Name::new("t"))).collect();
+    scheduler.apply_advice(&call.key, Some((tickets, secs(1))), NOW);
+
+    let now = NOW + secs(2);
+    submit(&mut scheduler, "other", "q", step(1), now);
+    scheduler.plan(now, NO_DELAY, AdviceCapacity::default());
+    scheduler.advice_calls.clear();
+    scheduler.plan(now + Duration::from_millis(1), NO_DELAY, ample_advice());
+    scheduler.advice_calls.iter().filter(|call| &*call.key.job == "gang").count()
+}
+
+/// Under load some step always lacks a daemon, so a gang whose few workers are busy would never learn
+/// about others; one with time left still leaves the daemons to those that need them.
+#[test]
+fn gang_that_must_start_soon_learns_beside_shortage_of_advice() {
+    assert!(calls_of_gang_beside_shortage(secs(2)) > 0, "it waits for its busy workers");
+    assert_eq!(calls_of_gang_beside_shortage(secs(60)), 0, "it takes daemons from others");
+}
