--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -197,6 +197,56 @@
     Ok(conclude(&cell, !idle.is_empty()))
 }
 
+/// The time of day jumps back on the machine of an executor that has just joined; the executor crashes
+/// once, and then is cut off while it runs tasks.
+pub fn twice(record: &str, has_trouble: bool) -> Result<bool> {
+    const JUMP_MS: i64 = -2400;
+    const CUT: Duration = Duration::from_millis(5500);
+    /// Shortest time for which two runs are there; lines of executors are read within a few ms.
+    const LEAST: Duration = Duration::from_millis(100);
+    let mut executors = executors(|_| "a");
+    let joining = executors.remove(0);
+    let cell = Cell::start_with(record, &executors, Duration::from_millis(6000))?;
+    // `JUMP=0`: the crash and the cut alone.
+    let jump_ms = if std::env::var("JUMP").is_ok_and(|value| value == "0") { 0 } else { JUMP_MS };
+    let step = Step { count: 28, cpu: 4000, ..Step::default() };
+    let submit = |number: u64, run_ms: u64| {
+        if cell.submit(0, &format!("{number:016x}"), &job(&[step], run_ms, false)) {
+            return Ok(());
+        }
+        Err(Error::other("a job was not accepted"))
+    };
+    cell.add_executor(&joining, 0)?;
+    let joined = Instant::now();
+    let at = |time_ms| sleep(Duration::from_millis(time_ms).saturating_sub(joined.elapsed()));
+    for number in 0..8 {
+        at(300 + 200 * number);
+        submit(number, 100)?;
+    }
+    at(1900);
+    if has_trouble {
+        cell.record.add(&format!("the time of day jumps by {jump_ms} ms on {}", joining.id));
+        cell.kill_executor(&joining.id);
+        at(2250);
+        cell.start_executor(&joining.id, jump_ms)?;
+    }
+    at(2550);
+    submit(255, 12_000)?;
+    at(3750);
+    if lock(&cell.events).running_on(&joining.id).is_empty() {
+        return Err(Error::other("the executor runs nothing"));
+    }
+    if has_trouble {
+        cell.cut_executor(&joining.id, CUT)?;
+    }
+    sleep(Duration::from_secs(25));
+    let overlaps = lock(&cell.events).overlaps();
+    for (time, told) in &overlaps {
+        cell.record.add(&format!("{told} were there at the same time for {time:?}"));
+    }
+    Ok(conclude(&cell, overlaps.iter().any(|(time, _)| *time >= LEAST)))
+}
+
 /// Of the jobs that need the only executor of a kind, one in twenty-one can never be done.
 pub fn hopeless(record: &str, has_trouble: bool) -> Result<bool> {
     const GOOD_JOBS: u64 = 20;
--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -145,6 +145,8 @@
     pub events: Arc<Mutex<Events>>,
     pub store: Arc<Store>,
     folder: PathBuf,
+    /// Longest lease (`max_hold_ms`).
+    max_hold: Duration,
     entries: Entries,
     children: Children,
     /// Addresses at which daemons take callers' requests.
@@ -164,6 +166,11 @@
 impl Cell {
     /// Starts the store, the executors and the daemons; waits until all are ready.
     pub fn start(record: &str, executors: &[Executor]) -> Result<Self> {
+        Self::start_with(record, executors, Duration::from_millis(10_000))
+    }
+
+    /// The same with another longest lease.
+    pub fn start_with(record: &str, executors: &[Executor], max_hold: Duration) -> Result<Self> {
         let record =
             Arc::new(Record { started: Instant::now(), file: Mutex::new(File::create(record)?) });
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -175,6 +182,7 @@
             events: Arc::default(),
             store,
             folder,
+            max_hold,
             entries: Arc::default(),
             children: Arc::default(),
             callers: Vec::new(),
@@ -244,7 +252,9 @@
     pub fn start_executor(&self, id: &str, clock_ms: i64) -> Result<()> {
         let address = lock(&self.entries)[id].address;
         let mut command = Command::new(std::env::current_exe()?);
-        command.args(["executor", id, &address.to_string(), &clock_ms.to_string()]);
+        let max_hold_ms = self.max_hold.as_millis().to_string();
+        let (address, clock_ms) = (address.to_string(), clock_ms.to_string());
+        command.args(["executor", id, &address, &clock_ms, &max_hold_ms]);
         let mut child = command.stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?;
         let output = child.stdout.take().ok_or_else(|| Error::other("no output"))?;
         lock(&self.children).insert(id.to_owned(), child);
@@ -291,11 +301,20 @@
         }
     }
 
+    /// Partitions an executor from all daemons for a time; it runs on, and reaches the store.
+    pub fn cut_executor(&self, id: &str, time: Duration) -> Result<()> {
+        self.record.add(&format!("executor {id} is cut off from all daemons for {time:?}"));
+        let mut children = lock(&self.children);
+        let input = children.get_mut(id).and_then(|child| child.stdin.as_mut());
+        let input = input.ok_or_else(|| Error::other("the executor does not run"))?;
+        writeln!(input, "cut {}", time.as_millis())
+    }
+
     fn start_daemon(&mut self, number: u8, store: SocketAddr) -> Result<()> {
         let host = 20 + number;
         let (callers, readiness, peers) = (free_port(host)?, free_port(host)?, free_port(host)?);
         let name = format!("frontend-{number}");
-        let settings = settings(&name, [callers, readiness, peers], store);
+        let settings = settings(&name, [callers, readiness, peers], store, self.max_hold);
         let path = self.folder.join(format!("{name}.toml"));
         std::fs::write(&path, settings)?;
         let log = File::create(self.folder.join(format!("{name}.log")))?;
@@ -458,6 +477,37 @@
         executors.into_iter().flat_map(|executor| self.running_on(executor)).collect()
     }
 
+    /// Times for which two runs of a task were there at the same time, each with what ran.
+    pub fn overlaps(&self) -> Vec<(Duration, String)> {
+        let mut open: BTreeMap<(&str, &str), &Event> = BTreeMap::new();
+        let mut overlaps = Vec::new();
+        let mut runs = Vec::new();
+        for event in &self.runs {
+            let key = (event.executor.as_str(), event.task.as_str());
+            if event.kind == Kind::Started {
+                open.insert(key, event);
+            } else if let Some(start) = open.remove(&key) {
+                runs.push((start, event.at));
+            }
+        }
+        let now = Instant::now();
+        runs.extend(open.into_values().map(|start| (start, now)));
+        for (index, (first, first_end)) in runs.iter().enumerate() {
+            for (second, second_end) in &runs[index + 1..] {
+                let from = first.at.max(second.at);
+                let time = (*first_end).min(*second_end).saturating_duration_since(from);
+                if first.task == second.task && !time.is_zero() {
+                    let told = format!(
+                        "task {} run {} on {} and run {} on {}",
+                        first.task, first.run, first.executor, second.run, second.executor
+                    );
+                    overlaps.push((time, told));
+                }
+            }
+        }
+        overlaps
+    }
+
     /// Whether a task has ended `done`.
     pub fn is_done(&self, task: &str) -> bool {
         let done = Kind::Ended("done".to_owned());
@@ -503,7 +553,12 @@
 }
 
 /// Settings file of a daemon.
-fn settings(name: &str, [callers, readiness, peers]: [SocketAddr; 3], store: SocketAddr) -> String {
+fn settings(
+    name: &str,
+    [callers, readiness, peers]: [SocketAddr; 3],
+    store: SocketAddr,
+    max_hold: Duration,
+) -> String {
     format!(
         r#"node_name = "{name}"
 role = "daemon"
@@ -531,7 +586,7 @@
 bandwidth_mbps = 1000.0
 disk_mb = 0
 [bounds]
-max_hold_ms = 10000
+max_hold_ms = {max_hold_ms}
 stop_timeout_ms = 400
 gang_timeout_ms = 3000
 cancel_ms = 3000
@@ -551,5 +606,6 @@
 "#,
         ip = callers.ip(),
         peers = peers.port(),
+        max_hold_ms = max_hold.as_millis(),
     )
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -42,6 +42,9 @@
     Ok(address)
 }
 
+/// Status of a reply that is lost; its connection ends.
+pub const NO_RESPONSE: u16 = 0;
+
 fn serve_connection(stream: TcpStream, handler: &dyn Fn(&Request) -> Reply) -> Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
@@ -60,6 +63,9 @@
             body: Json::parse(&body).unwrap_or_default(),
         };
         let (status, body) = handler(&request);
+        if status == NO_RESPONSE {
+            return Ok(());
+        }
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,9 +1,10 @@
 //! One executor as a process: runs tasks under a lease and lists running and ended runs.
 //!
 //! It prints a line for each thing that happens to a run, and exits when its standard input closes.
+//! A line `cut MS` there partitions it from all daemons for a time; it runs on.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -11,9 +12,6 @@
 use crate::http::{self, Reply, Request};
 use crate::json::{Json, object};
 
-/// Longest lease (`max_hold_ms`).
-const MAX_HOLD: Duration = Duration::from_millis(10_000);
-
 /// Longest wait of a call for an end.
 const MAX_WAIT_MS: u64 = 2000;
 
@@ -60,24 +58,29 @@
     /// Start of this life by the machine's time of day, in Unix ms.
     born: u64,
     started: Instant,
+    /// Longest lease (`max_hold_ms`).
+    max_hold: Duration,
     state: Mutex<State>,
     ended: Condvar,
+    cut_until: Mutex<Option<Instant>>,
 }
 
 /// Serves an executor until standard input closes.
 ///
 /// `clock_ms` is what the machine's time of day is ahead by.
-pub fn run(id: &str, listen: SocketAddr, clock_ms: i64) -> std::io::Result<()> {
+pub fn run(id: &str, listen: SocketAddr, clock_ms: i64, max_hold: Duration) -> std::io::Result<()> {
     let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     let worker = Arc::new(Worker {
         id: id.to_owned(),
         born: (unix_ms as i64 + clock_ms) as u64,
         started: Instant::now(),
+        max_hold,
         state: Mutex::default(),
         ended: Condvar::new(),
+        cut_until: Mutex::default(),
     });
     let own = Arc::clone(&worker);
-    http::serve(listen, move |request| own.handle(request))?;
+    http::serve(listen, move |request| own.handle_over_link(request))?;
     print(&format!("up {}", worker.born));
     let own = Arc::clone(&worker);
     std::thread::spawn(move || {
@@ -86,8 +89,11 @@
             own.settle(&mut own.lock());
         }
     });
-    // What is read has no meaning.
-    std::io::stdin().read_to_end(&mut Vec::new())?;
+    for line in std::io::stdin().lines() {
+        if let Some(time_ms) = line?.strip_prefix("cut ").and_then(|text| text.parse().ok()) {
+            *worker.cut() = Some(Instant::now() + Duration::from_millis(time_ms));
+        }
+    }
     Ok(())
 }
 
@@ -103,6 +109,26 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn cut(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.cut_until.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Handles a request; while the link is cut, requests and responses are lost.
+    fn handle_over_link(&self, request: &Request) -> Reply {
+        let remaining =
+            || self.cut().map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()));
+        let mut wait = remaining();
+        if wait.is_zero() {
+            let reply = self.handle(request);
+            wait = remaining();
+            if wait.is_zero() {
+                return reply;
+            }
+        }
+        std::thread::sleep(wait);
+        (http::NO_RESPONSE, Json::Null)
+    }
+
     fn reply(&self, status: u16, reason: &str) -> Reply {
         let clock_ms: Json = (self.started.elapsed().as_millis() as u64).into();
         if reason.is_empty() {
@@ -155,7 +181,7 @@
         state.fencing_token = token;
         if let Some(deadline_ms) = body.get("deadline_ms").number() {
             let now = Instant::now();
-            let end = (self.started + Duration::from_millis(deadline_ms)).min(now + MAX_HOLD);
+            let end = (self.started + Duration::from_millis(deadline_ms)).min(now + self.max_hold);
             if end > now && state.lease_end.is_none_or(|present| end > present) {
                 state.lease_end = Some(end);
             }
