--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -17,6 +17,9 @@
 /// Time for which a job may have nothing running.
 const IDLE: Duration = Duration::from_secs(3);
 
+/// Shortest time for which two runs are there; lines of executors are read within a few ms.
+const LEAST_OVERLAP: Duration = Duration::from_millis(100);
+
 /// A step of equal tasks.
 #[derive(Debug, Clone, Copy, Default)]
 struct Step {
@@ -202,8 +205,6 @@
 pub fn twice(record: &str, has_trouble: bool) -> Result<bool> {
     const JUMP_MS: i64 = -2400;
     const CUT: Duration = Duration::from_millis(5500);
-    /// Shortest time for which two runs are there; lines of executors are read within a few ms.
-    const LEAST: Duration = Duration::from_millis(100);
     let mut executors = executors(|_| "a");
     let joining = executors.remove(0);
     let cell = Cell::start_with(record, &executors, Duration::from_millis(6000))?;
@@ -240,11 +241,42 @@
         cell.cut_executor(&joining.id, CUT)?;
     }
     sleep(Duration::from_secs(25));
+    Ok(conclude(&cell, has_overlap(&cell)))
+}
+
+/// An idle executor crashes once and starts again; it is given tasks at once, and then is cut off while it
+/// runs them.
+pub fn restart(record: &str, has_trouble: bool) -> Result<bool> {
+    const CUT: Duration = Duration::from_millis(5500);
+    let cell = Cell::start(record, &executors(|_| "a"))?;
+    let step = Step { count: 28, cpu: 4000, ..Step::default() };
+    sleep(Duration::from_secs(15));
+    if has_trouble {
+        cell.kill_executor("i-0");
+        sleep(Duration::from_millis(300));
+        cell.start_executor("i-0", 0)?;
+    }
+    if !cell.submit(0, "5c0e7a21d94b36f8", &job(&[step], 12_000, false)) {
+        return Err(Error::other("the job was not accepted"));
+    }
+    sleep(Duration::from_millis(100));
+    if lock(&cell.events).running_on("i-0").is_empty() {
+        return Err(Error::other("the executor runs nothing"));
+    }
+    if has_trouble {
+        cell.cut_executor("i-0", CUT)?;
+    }
+    sleep(Duration::from_secs(25));
+    Ok(conclude(&cell, has_overlap(&cell)))
+}
+
+/// Whether two runs of a task were there at the same time; records them.
+fn has_overlap(cell: &Cell) -> bool {
     let overlaps = lock(&cell.events).overlaps();
     for (time, told) in &overlaps {
         cell.record.add(&format!("{told} were there at the same time for {time:?}"));
     }
-    Ok(conclude(&cell, overlaps.iter().any(|(time, _)| *time >= LEAST)))
+    overlaps.iter().any(|(time, _)| *time >= LEAST_OVERLAP)
 }
 
 /// Of the jobs that need the only executor of a kind, one in twenty-one can never be done.
@@ -277,7 +309,7 @@
     Ok(conclude(&cell, !idle.is_empty()))
 }
 
-/// A gang that needs all executors waits for one that is busy; a long job needs a quarter of one.
+/// A gang that needs all executors waits for one that is busy; a long job needs a third of one.
 pub fn gang(record: &str, has_trouble: bool) -> Result<bool> {
     let cell = Cell::start(record, &executors(|_| "a"))?;
     let mut accepted = Vec::new();
@@ -288,12 +320,12 @@
         sleep(Duration::from_millis(500));
         if is_accepted { Ok(()) } else { Err(Error::other("a job was not accepted")) }
     };
-    submit(1, Step { count: 1, cpu: 12_000, ..Step::default() }, 60_000)?;
+    submit(1, Step { count: 2, cpu: 6000, ..Step::default() }, 50_000)?;
     if has_trouble {
-        let all = EXECUTORS as u64;
-        submit(2, Step { count: all, cpu: 14_000, is_gang: true, ..Step::default() }, 2000)?;
+        let all = 2 * EXECUTORS as u64;
+        submit(2, Step { count: all, cpu: 7500, is_gang: true, ..Step::default() }, 2000)?;
     }
-    submit(3, Step { count: 1, cpu: 5000, ..Step::default() }, 60_000)?;
+    submit(3, Step { count: 1, cpu: 5000, ..Step::default() }, 50_000)?;
     let idle = idle_jobs(&cell, &accepted);
     // The gang itself has no room.
     Ok(conclude(&cell, idle.iter().any(|id| id.ends_with('3'))))
--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -40,6 +40,9 @@
 /// How long a client waits for a response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Lines of a daemon's log that the record has if it is not ready in time.
+const MAX_LOG_LINES: usize = 40;
+
 /// Status with which a case ends that could not run.
 pub const COULD_NOT_RUN: i32 = 2;
 
@@ -333,6 +336,10 @@
         };
         while !ready.send().is_ok_and(|response| response.status == 200) {
             if Instant::now() > deadline {
+                let log = std::fs::read_to_string(self.folder.join(format!("{name}.log")));
+                for line in log.unwrap_or_default().lines().take(MAX_LOG_LINES) {
+                    self.record.add(&format!("{name}: {line}"));
+                }
                 return Err(Error::other(format!("{name} is not ready")));
             }
             std::thread::sleep(Duration::from_millis(100));
@@ -343,7 +350,13 @@
     }
 
     /// A client's call at a daemon.
-    pub fn call(&self, daemon: usize, method: &str, id: &str, body: Option<&Json>) -> Result<Response> {
+    pub fn call(
+        &self,
+        daemon: usize,
+        method: &str,
+        id: &str,
+        body: Option<&Json>,
+    ) -> Result<Response> {
         let call = Call {
             address: self.callers[daemon % self.callers.len()],
             method,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -22,6 +22,7 @@
         ["crashes", record] => cases::crashes(record, has_trouble),
         ["gang", record] => cases::gang(record, has_trouble),
         ["hopeless", record] => cases::hopeless(record, has_trouble),
+        ["restart", record] => cases::restart(record, has_trouble),
         ["twice", record] => cases::twice(record, has_trouble),
         ["born", record] => cases::born(record, has_trouble),
         _ => Err(Error::other("unknown case")),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -47,11 +47,8 @@
 impl Store {
     /// Starts the store on a free port of loopback.
     pub fn start() -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        let store = Self {
-            rows: Mutex::default(),
-            changed: Condvar::new(),
-            started: Instant::now(),
-        };
+        let store =
+            Self { rows: Mutex::default(), changed: Condvar::new(), started: Instant::now() };
         let store = Arc::new(store);
         let own = Arc::clone(&store);
         let address = http::serve(([127, 0, 0, 1], 0).into(), move |request| own.handle(request))?;
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -115,8 +115,9 @@
 
     /// Handles a request; while the link is cut, requests and responses are lost.
     fn handle_over_link(&self, request: &Request) -> Reply {
-        let remaining =
-            || self.cut().map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()));
+        let remaining = || {
+            self.cut().map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()))
+        };
         let mut wait = remaining();
         if wait.is_zero() {
             let reply = self.handle(request);
