control: what is known of a worker's life is one value, made anew with each life

Cause: clock, end of the lease, acknowledged position and name of a life were fields beside each other. The end of a lease was reckoned by the clock of the former life, which the next one took for the longest lease; a lower `born`, or a lower clock in the reply to an order, was passed over as an old one.

Change: control::lead::life::Life ties all of it to one life. A lower clock, another name in a list of runs or another one in the list of workers begins a new value; names are compared for equality only, and the time of a request tells whether its answer may be of a former life. A run whose start got no answer is kept for the longest lease. The scheduler takes registrations in the order of the list.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -69,6 +69,9 @@
     5311 RunLost "run lost with its worker";
     5312 SilenceExplained "heard of a worker that a run was lost with";
     5313 WorkspaceAtLimit "workspace at its limit";
+    5314 LaterLifeAnswered "a later life of a worker answered an order";
+    5315 WorkerRegisteredAnew "worker registered by another life";
+    5316 FormerLifeAnswered "list of runs may come from a former life of its worker; ignored";
     5401 JobAccepted "job accepted";
     5402 JobEnded "job ended";
     5403 RequestRefused "request refused";
--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -2,7 +2,9 @@
 //!
 //! The end of a lease is a reading of the worker's clock, which may run slow. The leader keeps
 //! the latest lease end that it sent, and treats a lease as expired only once the slowest
-//! possible clock must have passed that end.
+//! possible clock must have passed that end. All this is known of one life of the worker: see
+//! [`Life`]. A run whose start was not confirmed may be one of a later life that has not been heard of,
+//! so it ends with the longest lease that may have been granted since.
 //!
 //! A new leader that cannot reach a worker waits for the longest lease from its claim on. So a
 //! leader grants no lease that ends later than that after the store last confirmed that it leads:
@@ -12,18 +14,19 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Loss, Outcome, Registration};
+use scheduler::{Assignment, Loss, Outcome, Registration, TaskKey};
 
 use crate::action::Action;
 use crate::event::{log_event, log_job_event};
 use crate::input::RenewReply;
+use crate::lead::life::{Life, Origin, longest_expiry};
 use crate::lead::{Leader, journal::Effect};
 use crate::load::Late;
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
 
 /// Length of a lease that is granted; below the platform's maximum.
-const LEASE_LENGTH: Duration = Duration::from_secs(4);
+pub(super) const LEASE_LENGTH: Duration = Duration::from_secs(4);
 
 /// Longest time that a worker holds a renewal open while no run finishes.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
@@ -37,12 +40,6 @@
 /// Longest time that the next renewal is held back until listed finished runs are durable.
 const ACK_COMMIT_WAIT: Duration = Duration::from_millis(500);
 
-/// Slowest possible rate of a worker's clock, relative to the leader's.
-const MIN_CLOCK_RATE: f64 = 0.98;
-
-/// Added to the end of a lease before it counts as expired.
-const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(150);
-
 /// Interval between renewals of a worker without runs.
 const IDLE_RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -66,42 +63,27 @@
     Later(Option<Duration>),
 }
 
-/// Latest known reading of a worker's clock.
-#[derive(Debug, Clone, Copy)]
-struct WorkerClock {
-    /// The reading, in ms.
-    clock_ms: u64,
-    /// When the reading arrived, by the leader's clock.
-    received_at: Duration,
-}
-
 /// Lease and renewal state of one worker.
 #[derive(Debug)]
 struct WorkerLease {
     /// Address that accepts orders; empty until it is known.
     address: Name,
-    /// Start of the worker's incarnation, in ms of Unix time.
-    incarnation: u64,
-    /// None until the worker's current incarnation has answered.
-    clock: Option<WorkerClock>,
-    /// When the current incarnation's first list arrived; earlier orders may have reached another.
-    listed_since: Duration,
+    /// Life that its latest registration names.
+    registered: u64,
+    /// Life that sent its latest list of runs; 0 before the first.
+    listed: u64,
+    /// The latest life that was heard of.
+    life: Life,
+    /// End of the time within which the requests that extend a lease have been carried out or given up.
+    extended_until: Duration,
     /// When the latest answer of the worker arrived; zero before the first.
     last_answer: Duration,
-    /// Latest lease end that may be in force, in the worker's ms.
-    lease_end_ms: u64,
-    /// Position to acknowledge with the next renewal; 0 for none.
-    ack_position: u64,
-    /// Highest listed position that is not acknowledged yet; 0 for none.
-    unacked_position: u64,
     /// Call number of the renewal under way, and when it was sent.
     renewal: Option<(u64, Duration)>,
     /// Earliest time of the next renewal.
     next_renewal: Duration,
     /// Failed renewals in a row.
     failures: u32,
-    /// When this leader took over; former leaders' leases are counted from then.
-    leader_since: Duration,
     /// Its entry in the queue of due checks; none if it has none.
     next_check: Option<Duration>,
 }
@@ -205,26 +187,20 @@
         Some(lease)
     }
 
-    /// Adds a newly registered worker, or updates the address of a known one.
+    /// Adds a newly registered worker, or updates the address and the life of a known one.
+    ///
+    /// The list of workers tells of changes in their order, so the registration is a later one.
     pub fn update_registration(&mut self, ctx: &Context, registration: &Registration) {
         if let Some(lease) = self.workers.get_mut(&registration.id) {
-            if registration.incarnation >= lease.incarnation
-                && lease.address != registration.address
-            {
-                self.unchecked.insert(registration.id.clone());
-                lease.address = registration.address.clone();
-            }
+            self.unchecked.insert(registration.id.clone());
+            lease.address = registration.address.clone();
+            lease.update_registered(ctx, registration);
             return;
         }
         log_event!(ctx, WorkerListed, "worker" => %registration.id,
             "born" => registration.incarnation, "cpu" => registration.capacity.cpu,
             "mem" => registration.capacity.mem);
-        let lease = WorkerLease::new(
-            registration.address.clone(),
-            registration.incarnation,
-            self.elected_at,
-            ctx.now,
-        );
+        let lease = WorkerLease::new(registration, self.elected_at, ctx.now);
         self.workers.insert(registration.id.clone(), lease);
     }
 
@@ -242,25 +218,31 @@
         self.workers.get(id).map(|lease| lease.address.clone())
     }
 
-    /// Extends a worker's lease and returns its end, in the worker's ms.
-    pub fn extend_lease(&mut self, ctx: &Context, id: &str) -> Option<u64> {
+    /// Extends a worker's lease for an order with a timeout and returns its end, in the worker's ms.
+    pub fn extend_lease(&mut self, ctx: &Context, id: &str, timeout: Duration) -> Option<u64> {
         let limit = self.limit(ctx);
-        self.workers.get_mut(id)?.extend(ctx.now, limit)
+        self.workers.get_mut(id)?.extend(ctx.now, limit, timeout)
     }
 
-    /// Updates a worker's clock from the reply to an order sent at `sent`, if that is later.
-    ///
-    /// The reply to an order that was sent before the current incarnation was known may show the
-    /// clock of a former one.
-    pub fn update_clock(&mut self, id: &str, clock_ms: u64, sent: Duration, now: Duration) {
+    /// Updates a worker's clock from the reply to an order sent at `sent`, which may be the first that
+    /// is heard of a later life; 0 if the reply has no reading.
+    pub fn update_clock(&mut self, ctx: &Context, id: &str, clock_ms: u64, sent: Duration) {
         let Some(lease) = self.get_mut(id) else { return };
-        lease.last_answer = now;
-        if clock_ms > 0
-            && sent >= lease.listed_since
-            && lease.clock.is_some_and(|clock| clock_ms > clock.clock_ms)
-        {
-            lease.clock = Some(WorkerClock { clock_ms, received_at: now });
+        lease.last_answer = ctx.now;
+        if clock_ms == 0 {
+            return;
+        }
+        match lease.life.origin(clock_ms, sent) {
+            Origin::Known => {}
+            Origin::Later => {
+                log_event!(ctx, LaterLifeAnswered, "worker" => id, "born" => lease.life.incarnation,
+                    "clock_ms" => clock_ms, "known_clock_ms" => lease.life.clock_ms());
+                lease.begin_life(0, ctx.now);
+                lease.next_renewal = lease.next_renewal.min(ctx.now);
+            }
+            Origin::Unclear => return,
         }
+        lease.life.record_reading(clock_ms, ctx.now, ctx.config.max_lease);
     }
 
     /// Whether a worker has answered since `sent`, so that a reply to a request sent then does not
@@ -271,8 +253,9 @@
 
     /// Acknowledges finished runs up to a durable position with the worker's next renewal.
     pub fn acknowledge(&mut self, now: Duration, id: &str, incarnation: u64, position: u64) {
-        if let Some(lease) = self.get_mut(id).filter(|lease| lease.incarnation == incarnation) {
-            lease.ack_position = lease.ack_position.max(position);
+        if let Some(lease) = self.get_mut(id).filter(|lease| lease.life.incarnation == incarnation)
+        {
+            lease.life.ack_position = lease.life.ack_position.max(position);
             lease.next_renewal = lease.next_renewal.min(now);
         }
     }
@@ -285,68 +268,68 @@
     }
 }
 
-impl WorkerClock {
-    /// The latest reading that the clock may show now, in ms.
-    fn latest_ms(&self, now: Duration) -> u64 {
-        self.clock_ms + now.saturating_sub(self.received_at).as_millis() as u64
-    }
-
-    /// The earliest reading that the clock may show now, in ms.
-    fn earliest_ms(&self, now: Duration) -> u64 {
-        let elapsed = now.saturating_sub(self.received_at).mul_f64(MIN_CLOCK_RATE);
-        self.clock_ms + elapsed.as_millis() as u64
-    }
-}
-
 impl WorkerLease {
-    fn new(address: Name, incarnation: u64, elected_at: Duration, now: Duration) -> Self {
+    fn new(registration: &Registration, elected_at: Duration, now: Duration) -> Self {
         Self {
-            address,
-            incarnation,
-            clock: None,
-            listed_since: Duration::ZERO,
+            address: registration.address.clone(),
+            registered: registration.incarnation,
+            listed: 0,
+            // Former leaders' leases are counted from when this one took over.
+            life: Life::new(registration.incarnation, now, elected_at),
+            extended_until: Duration::ZERO,
             last_answer: Duration::ZERO,
-            lease_end_ms: 0,
-            ack_position: 0,
-            unacked_position: 0,
             renewal: None,
             next_renewal: now,
             failures: 0,
-            leader_since: elected_at,
             next_check: None,
         }
     }
 
-    /// Extends the lease from now, up to a limit, and returns its end, in the worker's ms.
+    /// Replaces what is known of the worker by a later life, which may still carry out the orders that
+    /// are under way.
+    fn begin_life(&mut self, incarnation: u64, now: Duration) {
+        self.life = Life::new(incarnation, now, self.extended_until.max(now));
+    }
+
+    /// Begins a life that a registration is the first to name; its next list decides.
     ///
-    /// Returns none until the worker's clock is known. The end counts as in force from now on,
-    /// as the worker may receive it.
-    fn extend(&mut self, now: Duration, limit: Duration) -> Option<u64> {
-        let length = LEASE_LENGTH.min(limit.saturating_sub(now));
-        let end = self.clock?.latest_ms(now) + length.as_millis() as u64;
-        self.lease_end_ms = self.lease_end_ms.max(end);
+    /// A life that only a reply to an order has told of has no name yet, so it may be this one.
+    fn update_registered(&mut self, ctx: &Context, registration: &Registration) {
+        let incarnation = registration.incarnation;
+        let is_new = incarnation != self.registered && incarnation != self.life.incarnation;
+        self.registered = incarnation;
+        if is_new && incarnation > 0 && self.life.incarnation > 0 {
+            log_event!(ctx, WorkerRegisteredAnew, "worker" => %registration.id,
+                "born" => incarnation, "former_born" => self.life.incarnation,
+                "known_clock_ms" => self.life.clock_ms());
+            self.begin_life(incarnation, ctx.now);
+            self.next_renewal = self.next_renewal.min(ctx.now);
+        }
+    }
+
+    /// Extends the lease from now, up to a limit, by a request with a timeout.
+    ///
+    /// Returns its end, in the worker's ms; none until the worker's clock is known.
+    fn extend(&mut self, now: Duration, limit: Duration, timeout: Duration) -> Option<u64> {
+        let end = self.life.extend(now, limit)?;
+        self.extended_until = self.extended_until.max(now + timeout);
         Some(end)
     }
 
-    /// When all leases expire unless they are renewed.
-    fn expires_at(&self, max_lease: Duration) -> Duration {
-        let Some(clock) = self.clock else {
-            return self.leader_since
-                + max_lease.mul_f64(1.0 / MIN_CLOCK_RATE)
-                + LEASE_EXPIRY_MARGIN;
-        };
-        let last_ms = self.lease_end_ms + LEASE_EXPIRY_MARGIN.as_millis() as u64 + 1;
-        let remaining = Duration::from_millis(last_ms.saturating_sub(clock.clock_ms));
-        clock.received_at + remaining.mul_f64(1.0 / MIN_CLOCK_RATE)
+    /// When a run has ended unless the lease is extended.
+    fn run_expires_at(&self, run: &Assignment, max_lease: Duration) -> Duration {
+        let expiry = self.life.expires_at(max_lease);
+        if run.fate.is_unconfirmed() {
+            return expiry.max(self.extended_until + longest_expiry(max_lease));
+        }
+        expiry
     }
 
-    /// Whether all leases have expired, so that the worker's runs have ended.
-    fn is_expired(&self, now: Duration, max_lease: Duration) -> bool {
-        let Some(clock) = self.clock else {
-            let longest = max_lease.mul_f64(1.0 / MIN_CLOCK_RATE) + LEASE_EXPIRY_MARGIN;
-            return now >= self.leader_since + longest;
-        };
-        clock.earliest_ms(now) > self.lease_end_ms + LEASE_EXPIRY_MARGIN.as_millis() as u64
+    /// Whether a list comes from the life that is known, and not from another one of its name.
+    fn is_listed_by_known(&self, incarnation: u64, clock_ms: u64, sent: Duration) -> bool {
+        let known = self.life.incarnation;
+        let may_be_known = known == incarnation || known == 0 || incarnation == 0;
+        may_be_known && self.life.origin(clock_ms, sent) != Origin::Later
     }
 }
 
@@ -365,15 +348,7 @@
                 LeaseCheck::Renew(due_at) => {
                     due.insert((due_at, id));
                 }
-                LeaseCheck::Expired => {
-                    let lease = self.leases.workers.get(&id);
-                    let has_answered = lease.is_some_and(|lease| lease.clock.is_some());
-                    let led_for = ctx.now.saturating_sub(self.elected_at);
-                    log_event!(ctx, WorkerRunsAbandoned, "worker" => %id,
-                        "reason" => "lease expired", "epoch" => self.epoch,
-                        "answered" => has_answered, "led_ms" => led_for.as_millis() as u64);
-                    self.abandon_runs(ctx, &id, Loss::Silence);
-                }
+                LeaseCheck::Expired => self.abandon_expired_runs(ctx, &id),
                 LeaseCheck::Later(next_check) => self.leases.schedule_check(&id, next_check),
             }
         }
@@ -390,25 +365,25 @@
     fn check_lease(&mut self, ctx: &Context, id: &Name) -> LeaseCheck {
         let Some(worker) = self.scheduler.pool.get(id) else { return LeaseCheck::Later(None) };
         let elected_at = self.leases.elected_at;
-        let lease = self.leases.workers.entry(id.clone()).or_insert_with(|| {
-            WorkerLease::new(
-                worker.registration.address.clone(),
-                worker.registration.incarnation,
-                elected_at,
-                ctx.now,
-            )
-        });
+        let lease = self
+            .leases
+            .workers
+            .entry(id.clone())
+            .or_insert_with(|| WorkerLease::new(&worker.registration, elected_at, ctx.now));
         let has_runs = !worker.assignments.is_empty();
         let may_expire = has_runs && (lease.failures > 0 || lease.address.is_empty());
-        if may_expire && lease.is_expired(ctx.now, ctx.config.max_lease) {
+        let expiries = worker.assignments.values();
+        let expiries = expiries.map(|run| lease.run_expires_at(run, ctx.config.max_lease));
+        let expiry = if may_expire { expiries.min() } else { None };
+        if expiry.is_some_and(|at| at <= ctx.now) {
             return LeaseCheck::Expired;
         }
-        let expiry = may_expire.then(|| lease.expires_at(ctx.config.max_lease));
         let expiry = expiry.map(|at| at.max(ctx.now + MIN_CHECK_INTERVAL));
         if lease.renewal.is_some() || lease.address.is_empty() {
             return LeaseCheck::Later(expiry);
         }
-        let needs_renewal = !worker.has_current_token || has_runs || lease.unacked_position > 0;
+        let needs_renewal =
+            !worker.has_current_token || has_runs || lease.life.unacked_position > 0;
         let idle_interval = if needs_renewal { Duration::ZERO } else { IDLE_RENEWAL_INTERVAL };
         let due_at = lease.next_renewal + idle_interval;
         if ctx.now >= due_at {
@@ -424,13 +399,15 @@
         let limit = self.leases.limit(ctx);
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         let has_runs = !worker.assignments.is_empty();
-        let ack = std::mem::take(&mut lease.ack_position);
+        let ack = std::mem::take(&mut lease.life.ack_position);
         let is_settled =
-            worker.has_current_token && lease.failures == 0 && lease.unacked_position <= ack;
+            worker.has_current_token && lease.failures == 0 && lease.life.unacked_position <= ack;
         let max_wait = if is_settled && has_runs { LONG_POLL_WAIT } else { Duration::ZERO };
         // The lease of an unresponsive worker is not extended, so that it expires and the
         // worker's runs can be abandoned.
-        let lease_end_ms = if lease.failures == 0 { lease.extend(ctx.now, limit) } else { None };
+        let timeout = max_wait + RENEWAL_TIMEOUT_SLACK;
+        let lease_end_ms =
+            if lease.failures == 0 { lease.extend(ctx.now, limit, timeout) } else { None };
         let call = ctx.next_call_id();
         lease.renewal = Some((call, ctx.now));
         self.leases.renewals.insert(call, id.clone());
@@ -442,22 +419,51 @@
             fencing_token: self.epoch,
             lease_end_ms,
             acked_position: ack,
-            incarnation: lease.incarnation,
+            incarnation: lease.life.incarnation,
             max_wait,
-            timeout: max_wait + RENEWAL_TIMEOUT_SLACK,
+            timeout,
         });
         // Its expiry, if any, is due before the reply.
         self.leases.unchecked.insert(id.clone());
     }
 
+    /// Abandons the runs of an unresponsive worker whose leases have expired.
+    fn abandon_expired_runs(&mut self, ctx: &mut Context, id: &Name) {
+        let (now, max_lease) = (ctx.now, ctx.config.max_lease);
+        let Some(worker) = self.scheduler.pool.get(id) else { return };
+        let Some(lease) = self.leases.workers.get(id) else { return };
+        let expired = worker.assignments.iter();
+        let expired = expired.filter(|(_, run)| lease.run_expires_at(run, max_lease) <= now);
+        let expired: BTreeSet<TaskKey> = expired.map(|(key, _)| key.clone()).collect();
+        let kept = worker.assignments.len() - expired.len();
+        let led_for = now.saturating_sub(self.elected_at);
+        log_event!(ctx, WorkerRunsAbandoned, "worker" => %id, "reason" => "lease expired",
+            "epoch" => self.epoch, "answered" => lease.life.has_answered(),
+            "born" => lease.life.incarnation, "clock_ms" => lease.life.clock_ms(),
+            "lease_end_ms" => lease.life.lease_end_ms(), "unconfirmed" => kept,
+            "led_ms" => led_for.as_millis() as u64);
+        self.abandon_runs_of(ctx, id, Loss::Silence, |key| expired.contains(key));
+    }
+
     /// Abandons all runs of a worker, whose tasks are then placed again.
     pub(super) fn abandon_runs(&mut self, ctx: &mut Context, id: &Name, loss: Loss) {
+        self.abandon_runs_of(ctx, id, loss, |_| true);
+    }
+
+    /// Abandons the runs of some tasks on a worker.
+    fn abandon_runs_of(
+        &mut self,
+        ctx: &mut Context,
+        id: &Name,
+        loss: Loss,
+        is_meant: impl Fn(&TaskKey) -> bool,
+    ) {
         ctx.meter.add(Counter::Workers, "written_off", 1);
         let store_clock_ms = self.store_time_ms(ctx.now);
         let worker = self.scheduler.pool.get(id);
         let is_draining = worker.is_some_and(|worker| worker.registration.is_draining);
         let loss = if is_draining { Loss::Departure } else { loss };
-        self.scheduler.abandon_runs(id, loss, ctx.now, store_clock_ms);
+        self.scheduler.abandon_runs_of(id, loss, is_meant, ctx.now, store_clock_ms);
         self.log_losses(ctx);
         if self.scheduler.pool.get(id).is_none() {
             self.leases.remove(id);
@@ -501,7 +507,7 @@
             RenewReply::Refused | RenewReply::Failed => {
                 let is_refusal = matches!(reply, RenewReply::Refused);
                 lease.failures += 1;
-                lease.ack_position = 0;
+                lease.life.ack_position = 0;
                 lease.next_renewal = ctx.now + RENEWAL_RETRY_DELAY;
                 if let Some(worker) = self.scheduler.pool.get_mut(&id)
                     && worker.is_reachable
@@ -527,29 +533,33 @@
     ) {
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         let now = ctx.now;
-        let is_new_incarnation = listing.incarnation > lease.incarnation
-            && lease.incarnation > 0
-            && lease.clock.is_some();
+        lease.last_answer = now;
+        let is_known = lease.is_listed_by_known(listing.incarnation, clock_ms, sent);
+        if !is_known && lease.life.may_be_former(sent) {
+            log_event!(ctx, FormerLifeAnswered, "worker" => %id, "born" => listing.incarnation,
+                "known_born" => lease.life.incarnation);
+            lease.next_renewal = now;
+            return;
+        }
+        let is_new_incarnation = lease.listed > 0
+            && listing.incarnation > 0
+            && (listing.incarnation != lease.listed || !is_known);
         if is_new_incarnation {
             log_event!(ctx, WorkerRestarted, "worker" => %id, "born" => listing.incarnation);
-            lease.ack_position = 0;
-            lease.clock = None;
-            lease.lease_end_ms = 0;
         }
-        lease.incarnation = listing.incarnation.max(lease.incarnation);
+        if !is_known {
+            lease.begin_life(listing.incarnation, now);
+        }
+        if listing.incarnation > 0 {
+            lease.life.incarnation = listing.incarnation;
+        }
+        lease.listed = lease.life.incarnation;
         if lease.failures > 0 {
             log_event!(ctx, WorkerRecovered, "worker" => %id, "failures" => lease.failures);
         }
         lease.failures = 0;
-        lease.last_answer = now;
-        if lease.clock.is_none() {
-            lease.listed_since = now;
-            lease.lease_end_ms = clock_ms + ctx.config.max_lease.as_millis() as u64;
-        }
-        if lease.clock.is_none_or(|clock| clock_ms >= clock.clock_ms) {
-            lease.clock = Some(WorkerClock { clock_ms, received_at: now });
-        }
-        let incarnation = lease.incarnation;
+        lease.life.record_reading(clock_ms, now, ctx.config.max_lease);
+        let incarnation = lease.life.incarnation;
         let store_clock_ms = self.store_time_ms(now);
         let position = self.scheduler.apply_listing(
             id,
@@ -566,8 +576,8 @@
         }
         let Some(lease) = self.leases.workers.get_mut(id) else { return };
         lease.next_renewal = now;
-        lease.unacked_position = position;
-        if position > 0 && position > lease.ack_position {
+        lease.life.unacked_position = position;
+        if position > 0 && position > lease.life.ack_position {
             lease.next_renewal = now + ACK_COMMIT_WAIT;
             self.journal.enqueue(std::mem::take(&mut self.scheduler.changed_jobs));
             self.journal.defer(Effect::AcknowledgeFinishedRuns {
--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod journal;
 mod leases;
+mod life;
 mod measure;
 mod orders;
 mod peers;
--- a/crates/control/src/lead/orders.rs
+++ b/crates/control/src/lead/orders.rs
@@ -81,7 +81,7 @@
         let has_ended = job.phase != Phase::Open;
         let is_withdrawn = has_ended || (needs_ticket && ticket.is_none());
         let address = self.leases.address(&start.worker);
-        let lease_end_ms = self.leases.extend_lease(ctx, &start.worker);
+        let lease_end_ms = self.leases.extend_lease(ctx, &start.worker, START_TIMEOUT);
         let max_connections = self.max_connections(&start.worker);
         let (Some(address), Some(lease_end_ms), Some(checkpoint), true, false) =
             (address, lease_end_ms, checkpoint, may_send, has_ended || (is_withdrawn && is_first))
@@ -217,12 +217,12 @@
         let now = ctx.now;
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.leases.update_clock(&start.worker, clock_ms, sent, now);
+                self.leases.update_clock(ctx, &start.worker, clock_ms, sent);
                 self.record_started(ctx, &start);
                 self.scheduler.confirm_start(&start, now);
             }
             OrderReply::Refused { clock_ms, reason } => {
-                self.leases.update_clock(&start.worker, clock_ms, sent, now);
+                self.leases.update_clock(ctx, &start.worker, clock_ms, sent);
                 if reason == Refusal::StaleToken {
                     self.journal.request_commit();
                 }
@@ -358,7 +358,7 @@
     ) {
         match reply {
             OrderReply::Done { clock_ms } => {
-                self.leases.update_clock(&stop.worker, *clock_ms, sent, ctx.now);
+                self.leases.update_clock(ctx, &stop.worker, *clock_ms, sent);
                 if let Some(mark) = mark {
                     self.scheduler.confirm_stop(&stop, mark, ctx.now);
                 }
--- a/crates/control/tests/support/fakes.rs
+++ b/crates/control/tests/support/fakes.rs
@@ -197,7 +197,11 @@
 
     /// Restarts the worker under the same id and address; its runs are lost, its clock starts anew.
     pub fn restart(&mut self, now: Duration) {
-        let incarnation = self.incarnation + 1;
+        self.restart_as(self.incarnation + 1, now);
+    }
+
+    /// The same with any start by the time of day, which may have jumped.
+    pub fn restart_as(&mut self, incarnation: u64, now: Duration) {
         let (id, address) = (self.id.clone(), self.address.clone());
         self.lose_runs();
         let lost = std::mem::take(&mut self.lost);
--- a/crates/scheduler/src/crash.rs
+++ b/crates/scheduler/src/crash.rs
@@ -200,12 +200,29 @@
     /// Ends all runs of a worker once none can still be active: the worker is gone, or its lease has
     /// expired.
     pub fn abandon_runs(&mut self, id: &Name, loss: Loss, now: Duration, store_clock_ms: u64) {
+        self.abandon_runs_of(id, loss, |_| true, now, store_clock_ms);
+    }
+
+    /// Ends the runs of some tasks on a worker, which can no longer be active.
+    pub fn abandon_runs_of(
+        &mut self,
+        id: &Name,
+        loss: Loss,
+        is_meant: impl Fn(&TaskKey) -> bool,
+        now: Duration,
+        store_clock_ms: u64,
+    ) {
         let Some(worker) = self.pool.get_mut(id) else { return };
-        worker.allocated = crate::Resources::default();
-        worker.used_by.clear();
-        let runs: Vec<_> = worker.assignments.drain().collect();
+        let was_one_step = is_one_step(worker.assignments.keys());
+        let meant = worker.assignments.iter().filter(|(key, _)| is_meant(key));
+        let meant: Vec<_> = meant.map(|(key, run)| (key.clone(), run.run)).collect();
+        let runs = meant.into_iter().filter_map(|(key, run)| {
+            let assignment = worker.release(&key, run)?;
+            Some((key, assignment))
+        });
+        let runs: Vec<_> = runs.collect();
         let until = worker.silent_since.unwrap_or(now);
-        if !worker.is_listed {
+        if !worker.is_listed && worker.assignments.is_empty() {
             self.pool.remove(id);
         }
         if loss != Loss::Silence {
@@ -215,7 +232,7 @@
         for (key, assignment) in &runs {
             self.finish_run(key, assignment.run, Outcome::LeaseExpired, now, store_clock_ms);
         }
-        self.fail_crashing(&tasks, is_one_step(&runs), store_clock_ms);
+        self.fail_crashing(&tasks, was_one_step, store_clock_ms);
     }
 
     /// Records the runs that were lost with a worker, which fell silent at `until`; returns the tasks
@@ -338,7 +355,7 @@
     /// Takes note that an incarnation of a worker answers.
     pub(crate) fn settle_silence(&mut self, id: &Name, incarnation: u64, store_clock_ms: u64) {
         if self.silences.contains_key(id) {
-            let is_former = |site: &Site| site.is_before(incarnation);
+            let is_former = |site: &Site| site.is_other(incarnation);
             self.explain_silence(id, Some(Loss::Crash), is_former, store_clock_ms);
             self.explain_silence(id, None, |_| true, store_clock_ms);
         }
@@ -464,6 +481,9 @@
 impl Worker {
     /// Takes note of the runs of former incarnations, which a list of the present one lacks.
     ///
+    /// A run is placed only once its worker's incarnation has listed its runs, so that any other one
+    /// that lists them is later.
+    ///
     /// What is still on its way to the worker is stopped.
     pub(crate) fn take_crashed_runs(
         &mut self,
@@ -472,7 +492,10 @@
     ) -> Vec<(TaskKey, Assignment)> {
         let mut crashed = Vec::new();
         for (key, run) in &mut self.assignments {
-            let is_former = run.incarnation > 0 && run.incarnation < incarnation && !run.is_lost;
+            let is_former = run.incarnation > 0
+                && incarnation > 0
+                && run.incarnation != incarnation
+                && !run.is_lost;
             let has_run = run.state == RunState::Recovered
                 || run.fate.is_seen()
                 || run.fate.has_unanswered_send();
@@ -487,12 +510,17 @@
 
 /// Whether a registration is that of a later life of a worker, or of a later worker in its place.
 fn is_successor(registration: &Registration, id: &Name, site: &Site) -> bool {
-    (registration.id == *id || registration.address == site.address)
-        && site.is_before(registration.incarnation)
+    // The list of workers names the life that a run was placed in before the run is placed, and those of
+    // one worker in their order. An earlier worker at the address may still be listed.
+    if registration.id == *id {
+        return site.is_other(registration.incarnation);
+    }
+    registration.address == site.address && site.is_before(registration.incarnation)
 }
 
 /// Whether all runs are of one step.
-pub(crate) fn is_one_step(runs: &[(TaskKey, Assignment)]) -> bool {
-    let first = runs.first().map(|(key, _)| (&key.job, key.step));
-    runs.iter().all(|(key, _)| Some((&key.job, key.step)) == first)
+pub(crate) fn is_one_step<'a>(runs: impl IntoIterator<Item = &'a TaskKey>) -> bool {
+    let mut steps = runs.into_iter().map(|key| (&key.job, key.step));
+    let first = steps.next();
+    steps.all(|step| Some(step) == first)
 }
--- a/crates/scheduler/src/fate.rs
+++ b/crates/scheduler/src/fate.rs
@@ -83,6 +83,12 @@
         self.is_seen || self.open_sends > 0 || self.unanswered_sends > 0
     }
 
+    /// Whether a send may have taken effect that the worker has not confirmed, so that it is unknown in
+    /// which life of the worker.
+    pub fn is_unconfirmed(&self) -> bool {
+        !self.is_seen && self.may_have_started()
+    }
+
     /// Whether a send without an answer may still take effect.
     pub fn has_unanswered_send(&self) -> bool {
         self.unanswered_sends > self.withdrawn_sends
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -135,7 +135,12 @@
 }
 
 impl Site {
-    /// Whether a life of a worker that began at `incarnation` is a later one.
+    /// Whether a life of the same worker is another one.
+    pub(crate) fn is_other(&self, incarnation: u64) -> bool {
+        self.incarnation > 0 && incarnation > 0 && self.incarnation != incarnation
+    }
+
+    /// Whether a life of another worker began later.
     pub(crate) fn is_before(&self, incarnation: u64) -> bool {
         self.incarnation > 0 && self.incarnation < incarnation
     }
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -38,9 +38,10 @@
         self.workers.values()
     }
 
-    /// Adds a worker or updates its registration; registrations of older incarnations are ignored.
+    /// Adds a worker or replaces its registration by a later one.
     ///
-    /// Runs of a previous incarnation stay assigned until the new one lists its runs.
+    /// Runs of a previous incarnation stay assigned until the new one lists its runs. The names of
+    /// incarnations tell nothing of their order: the list of workers does.
     pub fn register(&mut self, registration: Registration) {
         let Some(worker) = self.workers.get_mut(&registration.id) else {
             self.changed.push(registration.id.clone());
@@ -51,13 +52,13 @@
             self.changed.push(registration.id.clone());
         }
         worker.is_listed = true;
-        let known = worker.registration.incarnation.max(worker.listed_incarnation);
-        if known < registration.incarnation {
+        let incarnation = registration.incarnation;
+        if incarnation != worker.registration.incarnation
+            && incarnation != worker.listed_incarnation
+        {
             worker.has_current_token = false;
         }
-        if worker.registration.incarnation <= registration.incarnation {
-            worker.registration = registration;
-        }
+        worker.registration = registration;
     }
 
     /// Removes a worker; returns its assigned runs.
--- a/crates/scheduler/src/reconcile.rs
+++ b/crates/scheduler/src/reconcile.rs
@@ -37,10 +37,12 @@
         last_position
     }
 
-    /// Forgets what is known of a worker's former incarnations if a later one lists its runs.
+    /// Forgets what is known of a worker's former incarnations if another one lists its runs.
+    ///
+    /// Lists arrive in the order in which they were asked for, so that one is later.
     fn forget_former_incarnation(&mut self, id: &Name, incarnation: u64) {
         let Some(worker) = self.pool.get_mut(id) else { return };
-        if worker.listed_incarnation >= incarnation {
+        if worker.listed_incarnation == incarnation || incarnation == 0 {
             return;
         }
         let former = std::mem::replace(&mut worker.listed_incarnation, incarnation);
@@ -181,7 +183,7 @@
         for (key, run) in ended_runs {
             self.finish_run(&key, run, Outcome::LeaseExpired, now, store_clock_ms);
         }
-        self.fail_crashing(&lost, is_one_step(&crashed), store_clock_ms);
+        self.fail_crashing(&lost, is_one_step(crashed.iter().map(|(key, _)| key)), store_clock_ms);
         for key in listed {
             self.mark_job_started(&key.job, now);
         }
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -138,7 +138,8 @@
 
     /// Where it takes orders now.
     pub(crate) fn site(&mut self) -> Arc<Site> {
-        let incarnation = self.registration.incarnation.max(self.listed_incarnation);
+        let listed = self.listed_incarnation;
+        let incarnation = if listed > 0 { listed } else { self.registration.incarnation };
         let address = &self.registration.address;
         if self.site.incarnation != incarnation || self.site.address != *address {
             self.site = Arc::new(Site { address: address.clone(), incarnation });
@@ -184,8 +185,8 @@
     /// The next incarnation may have other labels and another capacity. Registrations without an
     /// incarnation count as those of any.
     pub fn is_described(&self) -> bool {
-        let registered = self.registration.incarnation;
-        registered == 0 || self.listed_incarnation <= registered
+        let (registered, listed) = (self.registration.incarnation, self.listed_incarnation);
+        registered == 0 || listed == 0 || listed == registered
     }
 
     /// Adds a run and allocates its capacity.
