scheduler: refused starts and failed runs count against a worker by job

Cause: three failed runs in a row closed a worker to all jobs, though all were of one job; each run that was under way as that began doubled it, up to 24 s; the trial after it went to the failing job again, as the older one. Refused starts of one job kept a worker from others likewise.

Change: a worker keeps them by job. It is closed to the job that fails there, and to all jobs only once runs of three jobs failed; runs under way do not count again; trials go first to jobs that have not failed there.

--- a/crates/control/src/lead/mod.rs
+++ b/crates/control/src/lead/mod.rs
@@ -618,8 +618,13 @@
         }
         self.resend_stops(ctx);
         self.log_withdrawn_starts(ctx);
-        for worker in std::mem::take(&mut self.scheduler.newly_quarantined) {
-            log_event!(ctx, WorkerQuarantined, "worker" => %worker);
+        for id in std::mem::take(&mut self.scheduler.newly_quarantined) {
+            let worker = self.scheduler.pool.get(&id);
+            let closed_for = worker.map(|worker| worker.quarantined_until.saturating_sub(ctx.now));
+            log_event!(ctx, WorkerQuarantined, "worker" => %id,
+                "failures" => worker.map(|worker| worker.consecutive_failures),
+                "jobs" => worker.map(scheduler::Worker::failing_jobs),
+                "closed_to_all_ms" => closed_for.map(|span| span.as_millis() as u64));
             ctx.meter.add(Counter::Workers, "avoided", 1);
         }
         self.journal.enqueue(std::mem::take(&mut self.scheduler.changed_jobs));
--- a/crates/control/src/lead/views.rs
+++ b/crates/control/src/lead/views.rs
@@ -207,6 +207,8 @@
         "runs unknown tasks"
     } else if worker.quarantined_until > ctx.now {
         "avoided"
+    } else if worker.needs_trial() {
+        "on trial"
     } else {
         "open"
     }
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -188,9 +188,9 @@
 }
 
 impl Awaited {
-    /// A worker, awaited until the end of its backoff.
-    pub(crate) fn after_backoff(worker: &Worker, now: Duration) -> Self {
-        let after = worker.quarantined_until.saturating_sub(now);
+    /// A worker, awaited until the end of its backoff for a job.
+    pub(crate) fn after_backoff(worker: &Worker, job: &str, now: Duration) -> Self {
+        let after = worker.opens_at(job).saturating_sub(now);
         Self { worker: worker.registration.id.clone(), after }
     }
 }
@@ -272,7 +272,7 @@
                 self.next_worker_with_room(job, step_index, now)
             }
             WaitReason::Backoff { worker } => {
-                self.pool.get(worker).map(|worker| Awaited::after_backoff(worker, now))
+                self.pool.get(worker).map(|worker| Awaited::after_backoff(worker, &job.id, now))
             }
             _ => None,
         };
@@ -294,7 +294,11 @@
             return WaitReason::EarlierStep(*earlier);
         }
         let Some(queue) = self.queue(&job.queue) else { return WaitReason::NoQueue };
-        let is_candidate = |worker: &&Worker| worker.is_usable(now) && worker.can_run(queue, spec);
+        let is_candidate = |worker: &&Worker| {
+            worker.is_usable(now)
+                && !worker.is_closed_to(&job.id, now)
+                && worker.can_run(queue, spec)
+        };
         if !self.pool.iter().any(|worker| is_candidate(&worker)) {
             return WaitReason::NoWorker;
         }
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -1,9 +1,14 @@
 //! Health of the workers: refused starts and failed runs, and the backoff that follows from them.
 //!
-//! A worker whose start was refused as unhealthy or stayed unanswered gets no further ones until
-//! its backoff has ended, and then one trial start; a confirmed trial ends the backoffs, any other
-//! result begins a longer one. Runs that fail one after the other have the same effect, and there
-//! the trial has to last. Until then other workers with room are preferred.
+//! A refused or unanswered start and a failed run may be the fault of the worker or of the job. Each
+//! worker keeps them by job: the job stays away from the worker for a backoff that grows with each
+//! further one. The worker is passed over by all jobs only for a first backoff after a refused start, and
+//! as several jobs had starts refused or runs failed there; that backoff grows with the number of such jobs.
+//!
+//! Until a run there ends `done`, or a start is confirmed, the worker takes trial starts only, one
+//! at a time, if no other worker has room. A trial after failed runs has to last. Jobs without such a
+//! start or run on the worker have their trial first: one job that can never be done leaves a worker that
+//! alone fits to the others.
 //!
 //! What a second worker says of the same step tells of the step: it does not count against that
 //! worker, and the starts of a step that several workers refused are delayed.
@@ -17,16 +22,22 @@
 use crate::step::StepState;
 use crate::worker::{Assignment, RunState, Worker};
 
-/// First backoff after a refused start; doubled with each further one.
+/// First backoff after a refused start; doubled with each further one of a job, and with each further job.
 const BASE_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Longest backoff after refused starts.
 const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 
-/// Consecutive failed runs after which a worker is quarantined.
+/// Consecutive failed runs after which a worker is closed to the jobs of further ones.
 const QUARANTINE_AFTER_FAILURES: u32 = 3;
 
-/// First quarantine period; doubled with each further failure.
+/// Jobs with failed runs after which a worker is quarantined for all jobs.
+const QUARANTINE_AFTER_JOBS: u32 = 3;
+
+/// Jobs whose refused starts and failed runs a worker keeps, the latest ones.
+const MAX_DOUBTED_JOBS: usize = 32;
+
+/// First quarantine period; doubled with each further failure or job.
 const BASE_QUARANTINE: Duration = Duration::from_secs(3);
 
 /// Longest quarantine period.
@@ -59,6 +70,23 @@
     }
 }
 
+common::data! {
+    /// Starts refused and runs failed on a worker that are of one job, since its last success.
+    #[derive(Default)]
+    pub struct JobDoubt {
+        /// The job.
+        job: Name,
+        /// Starts that were refused or stayed unanswered after the end of the former backoff.
+        refused_starts: u32,
+        /// Runs that failed after the end of the former backoff.
+        failed_runs: u32,
+        /// Quarantines of the worker for the job.
+        quarantines: u32,
+        /// Until when the worker is closed to the job; zero if it is not.
+        closed_until: Duration,
+    }
+}
+
 /// A delay that doubles, up to a longest one.
 fn doubled(base: Duration, doublings: u32, longest: Duration) -> Duration {
     (base * (1 << doublings.min(MAX_DOUBLINGS))).min(longest)
@@ -66,8 +94,8 @@
 
 impl Worker {
     /// Whether it takes trial starts only.
-    pub(crate) fn needs_trial(&self) -> bool {
-        self.refused_starts > 0 || self.consecutive_failures >= QUARANTINE_AFTER_FAILURES
+    pub fn needs_trial(&self) -> bool {
+        self.refusing_jobs() > 0 || self.consecutive_failures >= QUARANTINE_AFTER_FAILURES
     }
 
     /// Whether it is passed over: for a backoff, or for a trial that is under way.
@@ -88,40 +116,105 @@
         self.needs_trial() && self.assignments.values().any(is_trial)
     }
 
-    /// Ends its backoff and quarantine, after a successful run or a restart.
+    /// Whether it is closed to a job.
+    pub(crate) fn is_closed_to(&self, job: &str, now: Duration) -> bool {
+        self.doubts.iter().any(|doubt| *doubt.job == *job && doubt.closed_until > now)
+    }
+
+    /// When it is open to a job.
+    pub(crate) fn opens_at(&self, job: &str) -> Duration {
+        let own = self.doubts.iter().find(|doubt| *doubt.job == *job);
+        own.map_or(Duration::ZERO, |doubt| doubt.closed_until).max(self.quarantined_until)
+    }
+
+    /// Jobs to which it is closed, and those that take a trial after the others.
+    pub(crate) fn doubted_jobs(&self, now: Duration) -> (Vec<Name>, Vec<Name>) {
+        let jobs = self.doubts.iter().map(|doubt| doubt.job.clone());
+        jobs.partition(|job| self.is_closed_to(job, now))
+    }
+
+    /// Number of jobs whose starts it refused or left unanswered.
+    fn refusing_jobs(&self) -> u32 {
+        self.doubts.iter().filter(|doubt| doubt.refused_starts > 0).count() as u32
+    }
+
+    /// Number of jobs whose runs failed on it since the last success.
+    pub fn failing_jobs(&self) -> u32 {
+        self.doubts.iter().filter(|doubt| doubt.failed_runs > 0).count() as u32
+    }
+
+    /// What speaks against a job on it.
+    fn doubt_mut(&mut self, job: &Name) -> &mut JobDoubt {
+        let position = self.doubts.iter().position(|doubt| doubt.job == *job);
+        let position = position.unwrap_or_else(|| {
+            if self.doubts.len() >= MAX_DOUBTED_JOBS {
+                self.doubts.remove(0);
+            }
+            self.doubts.push(JobDoubt { job: job.clone(), ..JobDoubt::default() });
+            self.doubts.len() - 1
+        });
+        &mut self.doubts[position]
+    }
+
+    /// Ends its backoffs and quarantines, after a successful run or a restart.
     pub(crate) fn end_quarantine(&mut self) {
         self.consecutive_failures = 0;
-        self.refused_starts = 0;
+        self.doubts.clear();
         self.quarantined_until = Duration::ZERO;
     }
 
-    /// Records a failed run; true if the worker is now quarantined.
-    pub fn record_failure(&mut self, now: Duration) -> bool {
+    /// Records a failed run of a job; true if the worker is now closed to the job, or to all.
+    ///
+    /// Runs that were under way when the quarantine began do not make it longer.
+    pub fn record_failure(&mut self, job: &Name, now: Duration) -> bool {
         self.consecutive_failures += 1;
-        if self.consecutive_failures < QUARANTINE_AFTER_FAILURES {
+        let failures = self.consecutive_failures;
+        let doubt = self.doubt_mut(job);
+        if doubt.closed_until > now {
             return false;
         }
-        let doublings = self.consecutive_failures - QUARANTINE_AFTER_FAILURES;
-        let period = doubled(BASE_QUARANTINE, doublings, MAX_QUARANTINE);
-        self.quarantined_until = self.quarantined_until.max(now + period);
+        let is_first = doubt.failed_runs == 0;
+        doubt.failed_runs += 1;
+        if failures < QUARANTINE_AFTER_FAILURES {
+            return false;
+        }
+        doubt.closed_until = now + doubled(BASE_QUARANTINE, doubt.quarantines, MAX_QUARANTINE);
+        doubt.quarantines += 1;
+        let jobs = self.failing_jobs();
+        if is_first && jobs >= QUARANTINE_AFTER_JOBS {
+            let period = doubled(BASE_QUARANTINE, jobs - QUARANTINE_AFTER_JOBS, MAX_QUARANTINE);
+            self.quarantined_until = self.quarantined_until.max(now + period);
+        }
         true
     }
 
-    /// Records a start that was refused or stayed unanswered.
+    /// Records a start of a job that was refused or stayed unanswered.
     ///
     /// Those that were on their way when the backoff began do not make it longer.
-    fn record_refusal(&mut self, now: Duration) {
+    fn record_refusal(&mut self, job: &Name, now: Duration) {
         if self.quarantined_until > now {
             return;
         }
-        self.quarantined_until = now + doubled(BASE_BACKOFF, self.refused_starts, MAX_BACKOFF);
-        self.refused_starts += 1;
+        let doubt = self.doubt_mut(job);
+        if doubt.closed_until > now {
+            return;
+        }
+        let is_first = doubt.refused_starts == 0;
+        doubt.closed_until = now + doubled(BASE_BACKOFF, doubt.refused_starts, MAX_BACKOFF);
+        doubt.refused_starts += 1;
+        if is_first {
+            let jobs = self.refusing_jobs();
+            self.quarantined_until = now + doubled(BASE_BACKOFF, jobs - 1, MAX_BACKOFF);
+        }
     }
 
     /// Records a confirmed start, which ends backoffs if it is the trial.
     fn record_confirmation(&mut self, now: Duration) {
         if self.quarantined_until <= now {
-            self.refused_starts = 0;
+            self.doubts.retain(|doubt| doubt.failed_runs > 0);
+            for doubt in &mut self.doubts {
+                doubt.refused_starts = 0;
+            }
         }
     }
 }
@@ -151,7 +244,7 @@
         let step = self.step_mut(&start.key);
         let is_of_worker = step.is_none_or(|step| step.record_refusal(&start.worker, now));
         if is_of_worker && let Some(worker) = self.pool.get_mut(&start.worker) {
-            worker.record_refusal(now);
+            worker.record_refusal(&start.key.job, now);
         }
     }
 
@@ -182,7 +275,7 @@
         let first = step.map(|step| step.doubt.failed_on.get_or_insert_with(|| id.clone()));
         if first.is_none_or(|first| first == id)
             && let Some(worker) = self.pool.get_mut(id)
-            && worker.record_failure(now)
+            && worker.record_failure(&key.job, now)
         {
             self.newly_quarantined.push(id.clone());
         }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -24,7 +24,7 @@
 pub use limits::{Resource, WorkspaceFigures};
 
 use std::cell::OnceCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -70,6 +70,10 @@
     /// Whether its worker takes one task, or the tasks of one gang, as a trial, and others with room
     /// are preferred.
     is_trial: bool,
+    /// Jobs to which its worker is closed.
+    closed_to: Vec<Name>,
+    /// Jobs that take a trial on it after the others, as their runs failed or starts were refused there.
+    last_for: Vec<Name>,
     /// Capacity that was free when a trial was placed.
     pub(crate) withheld: Resources,
     /// Whether a gang collects room on its worker.
@@ -118,6 +122,8 @@
     lent_until: Duration,
     /// Whether the expected start of a gang was refreshed.
     has_refreshed_wait: bool,
+    /// Whether trials are left by the jobs that take them first.
+    are_trials_left: bool,
     /// What workspaces with a limit may still start.
     budgets: Budgets,
     /// Shares of the workspaces; `None` if the rules have none.
@@ -156,25 +162,30 @@
         mut advice_capacity: AdviceCapacity,
     ) {
         let usable = self.pool.iter().filter(|worker| worker.is_usable(now));
-        let slots = usable.map(|worker| Slot {
-            id: worker.registration.id.clone(),
-            capacity: worker.registration.capacity,
-            free_capacity: worker.free(),
-            expected_use: Resources::default(),
-            called_for: Resources::default(),
-            reserved: Resources::default(),
-            held: Resources::default(),
-            reserved_for: None,
-            lent: Resources::default(),
-            lent_until: Duration::ZERO,
-            is_trial: worker.needs_trial(),
-            withheld: Resources::default(),
-            is_collected: false,
-            is_trial_placed: false,
-            suspect: None,
-            ends: OnceCell::new(),
-            speed: self.forecast.speed(&worker.registration.id),
-            is_slow: self.forecast.is_slow(&worker.registration.id, now),
+        let slots = usable.map(|worker| {
+            let (closed_to, last_for) = worker.doubted_jobs(now);
+            Slot {
+                id: worker.registration.id.clone(),
+                capacity: worker.registration.capacity,
+                free_capacity: worker.free(),
+                expected_use: Resources::default(),
+                called_for: Resources::default(),
+                reserved: Resources::default(),
+                held: Resources::default(),
+                reserved_for: None,
+                lent: Resources::default(),
+                lent_until: Duration::ZERO,
+                is_trial: worker.needs_trial(),
+                withheld: Resources::default(),
+                is_collected: false,
+                is_trial_placed: false,
+                suspect: None,
+                ends: OnceCell::new(),
+                speed: self.forecast.speed(&worker.registration.id),
+                is_slow: self.forecast.is_slow(&worker.registration.id, now),
+                closed_to,
+                last_for,
+            }
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -205,6 +216,7 @@
             largest_lent: Resources::default(),
             lent_until: Duration::ZERO,
             has_refreshed_wait: false,
+            are_trials_left: false,
             budgets,
             order,
         };
@@ -213,6 +225,7 @@
         pass.update_largest_free();
         pass.largest_lent = pass.largest_free;
         pass.visit_jobs();
+        pass.place_last_trials();
         let (slots, reached) = (pass.slots, pass.budgets.reached());
         self.last_slots = slots;
         self.record_limits(&reached, now);
@@ -246,6 +259,22 @@
         }
     }
 
+    /// Places jobs on trial workers that failed or refused them, if no other job has taken the trial.
+    fn place_last_trials(&mut self) {
+        let is_left = |slot: &&Slot| slot.is_trial && !slot.is_trial_placed;
+        let slots = self.slots.iter().filter(is_left);
+        let last: HashSet<Name> = slots.flat_map(|slot| slot.last_for.iter().cloned()).collect();
+        if last.is_empty() {
+            return;
+        }
+        self.are_trials_left = true;
+        let ranked = self.scheduler.ranked_jobs.iter().map(|(_, _, id)| id);
+        let ranked: Vec<Name> = ranked.filter(|id| last.contains(*id)).cloned().collect();
+        for id in ranked {
+            self.place_job(&id);
+        }
+    }
+
     /// Recomputes the largest free capacity over all slots.
     fn update_largest_free(&mut self) {
         let capacities = self.slots.iter().map(|slot| slot.free_capacity);
@@ -415,6 +444,9 @@
     /// Number of tasks of a step that a slot would hold with a free capacity.
     fn fitting_in(&self, pending: &PendingStep<'_>, slot: usize, free: &Resources) -> u32 {
         let slot = &self.slots[slot];
+        if !slot.is_open_to(pending.key.0, self.are_trials_left) {
+            return 0;
+        }
         let copies = pending.spec.need.max_copies_in(free);
         let copies = if slot.is_trial && !pending.spec.is_gang { copies.min(1) } else { copies };
         if copies == 0 || pending.spec.spread == 0 {
@@ -551,6 +583,12 @@
 }
 
 impl Slot {
+    /// Whether its worker takes tasks of a job, now or once the jobs that are first have had their turn.
+    fn is_open_to(&self, job: &Name, are_trials_left: bool) -> bool {
+        let is_later = self.is_trial && !are_trials_left && self.last_for.contains(job);
+        !is_later && !self.closed_to.contains(job)
+    }
+
     /// Leaves no room once the trial of its worker is placed.
     fn end_trial(&mut self) {
         if self.is_trial {
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -39,6 +39,7 @@
         let step = &job.steps[step_index];
         let is_allowed = |worker: &&Worker| {
             worker.is_usable(now)
+                && !worker.is_closed_to(&job.id, now)
                 && worker.can_run(queue, spec)
                 && (queue.advice.is_none() || step.is_allowed(&worker.registration.id))
         };
@@ -102,7 +103,7 @@
         None
     }
 
-    /// The worker whose quarantine ends first, of those that could run a step.
+    /// The worker whose quarantine for a job ends first, of those that could run its step.
     pub(crate) fn next_released_worker(
         &self,
         job: &Job,
@@ -112,11 +113,11 @@
         let queue = self.queue(&job.queue)?;
         let spec = &job.submission.steps[step_index];
         let quarantined = self.pool.iter().filter(|worker| {
-            let until = worker.quarantined_until;
+            let until = worker.opens_at(&job.id);
             until > now && worker.is_usable(until) && worker.can_run(queue, spec)
         });
-        let next = quarantined.min_by_key(|worker| worker.quarantined_until)?;
-        Some(Awaited::after_backoff(next, now))
+        let next = quarantined.min_by_key(|worker| worker.opens_at(&job.id))?;
+        Some(Awaited::after_backoff(next, &job.id, now))
     }
 
     /// The worker with room for a task of a step that is passed over, and released first.
@@ -132,13 +133,13 @@
         let key = (&job.id, step_index as u32);
         let has_room = |worker: &&Worker| {
             worker.is_open()
-                && worker.is_passed_over(now)
+                && (worker.is_passed_over(now) || worker.is_closed_to(&job.id, now))
                 && worker.can_run(queue, spec)
                 && (queue.advice.is_none() || step.is_allowed(&worker.registration.id))
                 && worker.places(key, spec, &worker.free()) > 0
         };
         let passed_over = self.pool.iter().filter(has_room);
-        let next = passed_over.min_by_key(|worker| worker.quarantined_until)?;
+        let next = passed_over.min_by_key(|worker| worker.opens_at(&job.id))?;
         Some(next.registration.id.clone())
     }
 
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -7,6 +7,7 @@
 use common::Name;
 
 use crate::fate::Fate;
+use crate::health::JobDoubt;
 use crate::job::{Site, TaskKey};
 use crate::record::{Resources, Step};
 use crate::rules::Queue;
@@ -102,9 +103,9 @@
         pub has_unknown_runs: bool,
         /// Failed runs since the last success.
         pub consecutive_failures: u32,
-        /// Starts in a row that it refused as unhealthy or left unanswered.
-        pub refused_starts: u32,
-        /// End of its backoff or quarantine; zero if it had none since a success.
+        /// Refused starts and failed runs since then, by job.
+        pub(crate) doubts: Vec<JobDoubt>,
+        /// End of its backoff or quarantine for all jobs; zero if it had none since a success.
         pub quarantined_until: Duration,
     }
 }
@@ -125,7 +126,7 @@
             assignments: HashMap::new(),
             has_unknown_runs: false,
             consecutive_failures: 0,
-            refused_starts: 0,
+            doubts: Vec::new(),
             quarantined_until: Duration::ZERO,
         }
     }
--- a/crates/scheduler/tests/health.rs
+++ b/crates/scheduler/tests/health.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use common::Name;
-use scheduler::{Outcome, Phase, Refusal, RunState, Scheduler, StartOrder, Step};
-use support::{NO_DELAY, NOW, ample_advice, pool, secs, step, submit};
+use scheduler::{Outcome, Phase, Refusal, Rules, RunState, Scheduler, StartOrder, Step};
+use support::{NO_DELAY, NOW, ample_advice, new_registration, pool, secs, step, submit};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -190,6 +190,130 @@
     assert_eq!(place(&mut scheduler, NOW + ms(200)).len(), 4);
 }
 
+/// A pool of one worker with room for eight tasks.
+fn pool_of_one() -> Scheduler {
+    let mut scheduler = pool(&[], None);
+    scheduler.pool.register(new_registration("w1", 8000));
+    scheduler.pool.get_mut("w1").expect("the worker is registered").has_current_token = true;
+    scheduler
+}
+
+/// Places what fits and lets all of it fail; returns the jobs of the runs.
+fn fail_all(scheduler: &mut Scheduler, now: Duration) -> Vec<Name> {
+    let starts = place(scheduler, now);
+    for start in &starts {
+        confirm(scheduler, start, now);
+    }
+    for start in &starts {
+        end(scheduler, start, Outcome::Failed, now);
+    }
+    starts.into_iter().map(|start| start.key.job).collect()
+}
+
+// Guards against a job that can never be done and closes the only worker that fits another one.
+#[test]
+fn hopeless_job_leaves_its_only_worker_to_others() {
+    let mut scheduler = pool_of_one();
+    submit(&mut scheduler, "bad", vec![step(8)]);
+    assert_eq!(fail_all(&mut scheduler, NOW).len(), 8);
+    assert_eq!(scheduler.newly_quarantined, [Name::new("w1")], "the third run closes it");
+    submit(&mut scheduler, "good", vec![step(2)]);
+    let trial = place(&mut scheduler, NOW);
+    assert_eq!(trial.iter().map(|start| &*start.key.job).collect::<Vec<_>>(), ["good"]);
+    confirm(&mut scheduler, &trial[0], NOW);
+    assert_eq!(place(&mut scheduler, NOW + ms(900)).len(), 0, "the trial has to last");
+    end(&mut scheduler, &trial[0], Outcome::Done, NOW + ms(900));
+    let starts = place(&mut scheduler, NOW + ms(900));
+    assert_eq!(starts.len(), 8, "the success speaks for the worker");
+}
+
+// Guards against runs that were under way as a quarantine began and doubled it one by one.
+#[test]
+fn failures_under_way_do_not_lengthen_quarantine() {
+    let mut scheduler = pool_of_one();
+    let mut rules = support::rules(None);
+    rules.queues[0].max_attempts = 9;
+    scheduler.set_rules(Rules { version: 2, ..rules });
+    submit(&mut scheduler, "bad", vec![step(8)]);
+    fail_all(&mut scheduler, NOW);
+    assert_eq!(place(&mut scheduler, NOW + ms(2999)).len(), 0);
+    assert_eq!(fail_all(&mut scheduler, NOW + secs(3)).len(), 1, "one trial");
+    assert_eq!(place(&mut scheduler, NOW + ms(8999)).len(), 0, "its failure counts");
+    assert_eq!(place(&mut scheduler, NOW + secs(9)).len(), 1);
+}
+
+// Guards against a trial that jobs whose runs failed on the worker take before those that have none there.
+#[test]
+fn trial_goes_first_to_job_that_has_not_failed() {
+    let mut scheduler = pool_of_one();
+    for id in ["bad1", "bad2", "bad3"] {
+        submit(&mut scheduler, id, vec![step(2)]);
+    }
+    assert_eq!(fail_all(&mut scheduler, NOW).len(), 6);
+    assert_eq!(place(&mut scheduler, NOW + ms(2999)).len(), 0, "it is closed to all");
+    submit(&mut scheduler, "good", vec![step(1)]);
+    let trial = place(&mut scheduler, NOW + secs(4));
+    assert_eq!(trial.iter().map(|start| &*start.key.job).collect::<Vec<_>>(), ["good"]);
+}
+
+// Guards against a job whose starts are always refused and that keeps the only worker from another one.
+#[test]
+fn refused_job_leaves_its_only_worker_to_others() {
+    let mut scheduler = pool(&["w1"], None);
+    submit(&mut scheduler, "bad", vec![step(1)]);
+    for tick in 0..1000 {
+        let now = NOW + ms(tick * 10);
+        if let Some(start) = place(&mut scheduler, now).first() {
+            refuse(&mut scheduler, start, Refusal::Unhealthy, now);
+        }
+        if tick >= 100 {
+            let wait = scheduler.first_wait("bad", now).map(|wait| wait.to_string());
+            assert!(wait.is_some_and(|wait| wait.contains("worker w1")), "at {now:?}");
+        }
+    }
+    submit(&mut scheduler, "good", vec![step(1)]);
+    let starts = place(&mut scheduler, NOW + secs(10));
+    assert_eq!(starts.iter().map(|start| &*start.key.job).collect::<Vec<_>>(), ["good"]);
+}
+
+// Guards against good jobs that wait behind a stream of hopeless ones for the only worker that fits them
+// all: one job in twenty can never be done, as many as come at once on the users' days.
+#[test]
+fn hopeless_share_of_stream_leaves_good_jobs_running() {
+    let mut scheduler = pool_of_one();
+    let mut running: Vec<(Duration, StartOrder)> = Vec::new();
+    let (mut waiting_since, mut longest) = (None, Duration::ZERO);
+    for tick in 0..3000_u64 {
+        let now = NOW + ms(tick * 20);
+        if tick % 10 == 0 && tick < 2000 {
+            let number = tick / 10;
+            let (kind, count) = if number % 20 == 7 { ("bad", 8) } else { ("good", 1) };
+            submit(&mut scheduler, &format!("{kind}{number}"), vec![step(count)]);
+        }
+        for (_, start) in running.extract_if(.., |(end, _)| *end <= now) {
+            let is_bad = start.key.job.starts_with("bad");
+            let outcome = if is_bad { Outcome::Failed } else { Outcome::Done };
+            end(&mut scheduler, &start, outcome, now);
+        }
+        for start in place(&mut scheduler, now) {
+            confirm(&mut scheduler, &start, now);
+            let is_bad = start.key.job.starts_with("bad");
+            running.push((now + ms(if is_bad { 50 } else { 100 }), start));
+        }
+        let is_running = running.iter().any(|(_, start)| start.key.job.starts_with("good"));
+        let is_open = |(id, job): (&Name, &scheduler::Job)| {
+            id.starts_with("good") && job.phase == Phase::Open
+        };
+        let is_idle = !is_running && scheduler.jobs.iter().any(is_open);
+        waiting_since = if is_idle { waiting_since.or(Some(now)) } else { None };
+        longest =
+            longest.max(waiting_since.map_or(Duration::ZERO, |since| now.saturating_sub(since)));
+    }
+    assert!(longest < secs(3), "good jobs had nothing running for {longest:?}");
+    let is_open = |job: &&scheduler::Job| job.phase == Phase::Open;
+    assert_eq!(scheduler.jobs.values().filter(is_open).count(), 0);
+}
+
 #[test]
 fn wait_names_worker_that_is_passed_over() {
     let mut scheduler = pool(&["w1", "w2"], None);
