control, scheduler tests: lives that are not listed, and restarts with names that go up and down

Starts in a life that the leader has not read a row of, answered and unanswered; a crash under a lower name; random schedules of lossy paths in which next lives have higher or lower names.

--- a/crates/control/tests/lives.rs
+++ b/crates/control/tests/lives.rs
@@ -30,6 +30,13 @@
     Lost,
 }
 
+/// Whether the leader reads the list of workers before the cut is over.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Rows {
+    Read,
+    Missing,
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -79,9 +86,10 @@
 /// longest lease: the runs were given up and started again while it still had them.
 ///
 /// The times are those from the restart to the starts, and from the starts to the cut, in ms.
-fn play_cut_after_restart(born: Born, answers: Answers, nodes: usize) {
+fn play_cut_after_restart(born: Born, answers: Answers, rows: Rows) {
     for (to_start, to_cut) in [(0, 4), (0, 100), (50, 4), (150, 100), (300, 30), (390, 4)] {
-        let mut sim = start_cell(1, nodes);
+        let mut sim = start_cell(1, 1);
+        sim.faults.is_feed_down = rows == Rows::Missing;
         restart(&mut sim, born);
         sim.run(ms(to_start));
         if answers == Answers::Lost {
@@ -92,8 +100,9 @@
         sim.run(ms(to_cut));
         cut(&mut sim, ms(9000));
         sim.lossy_workers.clear();
+        sim.faults.is_feed_down = false;
         sim.run(ms(40_000));
-        let case = format!("{born:?} {answers:?} {to_start} {to_cut}");
+        let case = format!("{born:?} {answers:?} {rows:?} {to_start} {to_cut}");
         assert_eq!(sim.violations, Vec::<String>::new(), "{case}");
         assert_eq!(sim.state("j1"), Some(Answer::State(JobState::Completed)), "{case}");
     }
@@ -101,27 +110,41 @@
 
 #[test]
 fn starts_in_later_life_run_once_over_a_cut() {
-    play_cut_after_restart(Born::Later, Answers::Arrive, 1);
+    play_cut_after_restart(Born::Later, Answers::Arrive, Rows::Read);
 }
 
 #[test]
 fn starts_in_life_with_lower_name_run_once_over_a_cut() {
-    play_cut_after_restart(Born::Earlier, Answers::Arrive, 1);
+    play_cut_after_restart(Born::Earlier, Answers::Arrive, Rows::Read);
 }
 
 #[test]
 fn starts_in_life_of_same_name_run_once_over_a_cut() {
-    play_cut_after_restart(Born::Same, Answers::Arrive, 1);
+    play_cut_after_restart(Born::Same, Answers::Arrive, Rows::Read);
+}
+
+#[test]
+fn starts_in_unlisted_life_run_once_over_a_cut() {
+    for born in ALL_BORN {
+        play_cut_after_restart(born, Answers::Arrive, Rows::Missing);
+    }
 }
 
 #[test]
 fn unanswered_starts_in_later_life_run_once_over_a_cut() {
-    play_cut_after_restart(Born::Later, Answers::Lost, 1);
+    play_cut_after_restart(Born::Later, Answers::Lost, Rows::Read);
 }
 
 #[test]
 fn unanswered_starts_in_life_with_lower_name_run_once_over_a_cut() {
-    play_cut_after_restart(Born::Earlier, Answers::Lost, 1);
+    play_cut_after_restart(Born::Earlier, Answers::Lost, Rows::Read);
+}
+
+#[test]
+fn unanswered_starts_in_unlisted_life_run_once_over_a_cut() {
+    for born in ALL_BORN {
+        play_cut_after_restart(born, Answers::Lost, Rows::Missing);
+    }
 }
 
 // Guards against the same fault in a leader that has known the worker's next life for a while.
--- a/crates/control/tests/paths.rs
+++ b/crates/control/tests/paths.rs
@@ -138,21 +138,54 @@
     }
 }
 
+/// Restarts of workers and leaders.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Restarts {
+    None,
+    /// The next life of a worker has a higher name.
+    Rising,
+    /// It has a higher or a lower one, as the time of day jumps.
+    Jumping,
+}
+
+/// Name of the first lives of workers whose time of day jumps.
+const FIRST_LIFE: u64 = 1 << 20;
+
 /// Random path faults of one seed.
 struct Schedule {
     sim: Simulation,
     submitted_jobs: u64,
-    /// Whether workers restart and leaders are killed.
-    has_restarts: bool,
+    /// Whether workers restart and leaders are killed, and how the workers' next lives are named.
+    restarts: Restarts,
+    /// Number of workers' restarts so far.
+    restarted: u64,
     /// When each restarting worker is reachable.
     restarting: Vec<(Duration, Name)>,
 }
 
 impl Schedule {
-    fn new(seed: u64, has_restarts: bool) -> Self {
+    fn new(seed: u64, restarts: Restarts) -> Self {
         let mut sim = Simulation::new(seed, NODES, WORKERS as usize);
         sim.rules = support::rules(seed.is_multiple_of(2));
-        Self { sim, submitted_jobs: 0, has_restarts, restarting: Vec::new() }
+        if restarts == Restarts::Jumping {
+            for worker in sim.workers.values_mut() {
+                worker.incarnation = FIRST_LIFE;
+            }
+        }
+        Self { sim, submitted_jobs: 0, restarts, restarted: 0, restarting: Vec::new() }
+    }
+
+    /// Restarts a worker under its id.
+    fn restart_worker(&mut self, name: &Name) {
+        self.restarted += 1;
+        let (now, restarted) = (self.sim.now, self.restarted);
+        let is_lower = self.restarts == Restarts::Jumping && self.sim.random(2) == 0;
+        let worker = self.sim.workers.get_mut(name).expect("the worker exists");
+        match self.restarts {
+            Restarts::Jumping if is_lower => worker.restart_as(FIRST_LIFE - restarted, now),
+            Restarts::Jumping => worker.restart_as(FIRST_LIFE + restarted, now),
+            _ => worker.restart(now),
+        }
     }
 
     fn submit(&mut self) {
@@ -191,9 +224,9 @@
     fn restart_something(&mut self) {
         if self.sim.random(2) == 0 {
             let name = worker_name(self.sim.random(WORKERS));
-            let (has_new_address, now) = (self.sim.random(2) == 0, self.sim.now);
+            let has_new_address = self.sim.random(2) == 0;
+            self.restart_worker(&name);
             let worker = self.sim.workers.get_mut(&name).expect("the worker exists");
-            worker.restart(now);
             worker.is_reachable = false;
             if has_new_address {
                 worker.address = Name::from(format!("{name}-{}", worker.incarnation).as_str());
@@ -222,7 +255,7 @@
             match self.sim.random(16) {
                 0..=7 => self.submit(),
                 8 => self.change_paths(),
-                9 if self.has_restarts => self.restart_something(),
+                9 if self.restarts != Restarts::None => self.restart_something(),
                 _ => {}
             }
             let pause = self.sim.random(200);
@@ -250,12 +283,12 @@
 }
 
 /// Runs the schedules of consecutive seeds; none may violate an invariant.
-fn run_schedules(has_restarts: bool) {
+fn run_schedules(restarts: Restarts) {
     let first = env_number("BRONZERAIL_SEED", 1);
     let count = env_number("BRONZERAIL_SCHEDULES", DEFAULT_SEED_COUNT);
     let mut failed = Vec::new();
     for seed in first..first + count {
-        let violations = Schedule::new(seed, has_restarts).run_schedule();
+        let violations = Schedule::new(seed, restarts).run_schedule();
         if !violations.is_empty() {
             failed.push((seed, violations));
         }
@@ -265,10 +298,16 @@
 
 #[test]
 fn lossy_paths_tasks_run_once() {
-    run_schedules(false);
+    run_schedules(Restarts::None);
 }
 
 #[test]
 fn lossy_paths_and_restarts_tasks_run_once() {
-    run_schedules(true);
+    run_schedules(Restarts::Rising);
+}
+
+// Guards against what is known of a worker's former life and decides about one with a lower name.
+#[test]
+fn lossy_paths_and_restarts_of_any_name_tasks_run_once() {
+    run_schedules(Restarts::Jumping);
 }
--- a/crates/scheduler/tests/crashes.rs
+++ b/crates/scheduler/tests/crashes.rs
@@ -286,6 +286,30 @@
     assert_eq!(phase(&scheduler, "j1"), Phase::Open);
 }
 
+// Guards against a crash that is not noticed, as the worker's next life has a lower name.
+#[test]
+fn worker_that_restarted_with_lower_name_has_crashed() {
+    for loss in [None, Some(Loss::Silence)] {
+        let mut scheduler = pool(&[], None);
+        let id = Name::new("w1");
+        scheduler.register(Registration { incarnation: 9, ..new_registration("w1", 2000) }, 0);
+        scheduler.apply_listing(&id, &empty_listing(9), false, NOW, NOW, 0);
+        submit(&mut scheduler, "j1", vec![step(1)]);
+        assert_eq!(place(&mut scheduler, NOW).len(), 1);
+        let later = NOW + EARLY;
+        if let Some(loss) = loss {
+            scheduler.abandon_runs(&id, loss, later, 0);
+        }
+        scheduler.apply_listing(&id, &empty_listing(4), true, later, later, 0);
+        let (proven, doubtful) = crash_counts(&scheduler);
+        assert_eq!(proven + doubtful, 1, "{loss:?}");
+        assert_eq!(place(&mut scheduler, later), Vec::new(), "its registration is not known");
+        scheduler.register(Registration { incarnation: 4, ..new_registration("w1", 2000) }, 0);
+        scheduler.apply_listing(&id, &empty_listing(4), false, later, later, 0);
+        assert_eq!(place(&mut scheduler, later + secs(9)).len(), 1, "{loss:?}");
+    }
+}
+
 // Guards against a job that fails as its workers were silent, left the list and came back unharmed.
 #[test]
 fn silent_worker_that_left_the_list_and_answers_again_counts_for_nothing() {
