scheduler: a step that no other worker fits is tried on one that is passed over

Callers could still wait behind hopeless jobs: failed runs of three jobs close a worker to all, up to 24 s, also the only one that fits a good job.

Change: 2.5 s after its first quarantine or backoff since a success a worker takes trials of steps that no other worker fits; jobs that failed there wait for its end.

--- a/crates/control/src/lead/leases.rs
+++ b/crates/control/src/lead/leases.rs
@@ -25,9 +25,6 @@
 use crate::meter::{Counter, Timing};
 use crate::node::Context;
 
-/// Length of a lease that is granted; below the platform's maximum.
-pub(super) const LEASE_LENGTH: Duration = Duration::from_secs(4);
-
 /// Longest time that a worker holds a renewal open while no run finishes.
 const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -372,9 +369,9 @@
             .or_insert_with(|| WorkerLease::new(&worker.registration, elected_at, ctx.now));
         let has_runs = !worker.assignments.is_empty();
         let may_expire = has_runs && (lease.failures > 0 || lease.address.is_empty());
-        let expiries = worker.assignments.values();
-        let expiries = expiries.map(|run| lease.run_expires_at(run, ctx.config.max_lease));
-        let expiry = if may_expire { expiries.min() } else { None };
+        let run_expiry = |run| lease.run_expires_at(run, ctx.config.max_lease);
+        let expiry =
+            if may_expire { worker.assignments.values().map(run_expiry).min() } else { None };
         if expiry.is_some_and(|at| at <= ctx.now) {
             return LeaseCheck::Expired;
         }
--- a/crates/control/src/lead/life.rs
+++ b/crates/control/src/lead/life.rs
@@ -9,7 +9,8 @@
 
 use std::time::Duration;
 
-use crate::lead::leases::LEASE_LENGTH;
+/// Length of a lease that is granted; below the platform's maximum.
+const LEASE_LENGTH: Duration = Duration::from_secs(4);
 
 /// Slowest possible rate of a worker's clock, relative to the leader's.
 const MIN_CLOCK_RATE: f64 = 0.98;
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -8,7 +8,8 @@
 //! Until a run there ends `done`, or a start is confirmed, the worker takes trial starts only, one
 //! at a time, if no other worker has room. A trial after failed runs has to last. Jobs without such a
 //! start or run on the worker have their trial first: one job that can never be done leaves a worker that
-//! alone fits to the others.
+//! alone fits to the others. A step that no other worker fits does not wait for the end of a long
+//! backoff.
 //!
 //! What a second worker says of the same step tells of the step: it does not count against that
 //! worker, and the starts of a step that several workers refused are delayed.
@@ -40,6 +41,12 @@
 /// First quarantine period; doubled with each further failure or job.
 const BASE_QUARANTINE: Duration = Duration::from_secs(3);
 
+/// Time from a worker's first backoff or quarantine since a success after which it takes trials of steps
+/// that no other worker fits.
+///
+/// Shorter than the time for which a job may have nothing running.
+const LAST_RESORT_AFTER: Duration = Duration::from_millis(2500);
+
 /// Longest quarantine period.
 const MAX_QUARANTINE: Duration = Duration::from_secs(24);
 
@@ -103,6 +110,12 @@
         self.quarantined_until > now || self.has_trial(now)
     }
 
+    /// Whether it takes a trial of a step that no other worker fits, although it is passed over.
+    pub(crate) fn is_last_resort(&self, now: Duration) -> bool {
+        let is_due = self.quarantined_since.is_some_and(|since| now >= since + LAST_RESORT_AFTER);
+        is_due && self.is_open() && self.quarantined_until > now && !self.has_trial(now)
+    }
+
     /// Whether it needs a trial and one is under way.
     fn has_trial(&self, now: Duration) -> bool {
         let is_trial = |assignment: &Assignment| match assignment.state {
@@ -127,10 +140,15 @@
         own.map_or(Duration::ZERO, |doubt| doubt.closed_until).max(self.quarantined_until)
     }
 
-    /// Jobs to which it is closed, and those that take a trial after the others.
-    pub(crate) fn doubted_jobs(&self, now: Duration) -> (Vec<Name>, Vec<Name>) {
-        let jobs = self.doubts.iter().map(|doubt| doubt.job.clone());
-        jobs.partition(|job| self.is_closed_to(job, now))
+    /// Jobs to which it is closed.
+    pub(crate) fn jobs_kept_away(&self, now: Duration) -> Vec<Name> {
+        let closed = self.doubts.iter().filter(|doubt| doubt.closed_until > now);
+        closed.map(|doubt| doubt.job.clone()).collect()
+    }
+
+    /// Jobs whose starts it refused or whose runs failed on it.
+    pub(crate) fn doubted_jobs(&self) -> Vec<Name> {
+        self.doubts.iter().map(|doubt| doubt.job.clone()).collect()
     }
 
     /// Number of jobs whose starts it refused or left unanswered.
@@ -161,6 +179,7 @@
         self.consecutive_failures = 0;
         self.doubts.clear();
         self.quarantined_until = Duration::ZERO;
+        self.quarantined_since = None;
     }
 
     /// Records a failed run of a job; true if the worker is now closed to the job, or to all.
@@ -183,7 +202,12 @@
         let jobs = self.failing_jobs();
         if is_first && jobs >= QUARANTINE_AFTER_JOBS {
             let period = doubled(BASE_QUARANTINE, jobs - QUARANTINE_AFTER_JOBS, MAX_QUARANTINE);
-            self.quarantined_until = self.quarantined_until.max(now + period);
+            let until = self.quarantined_until.max(now + period);
+            self.quarantined_until = until;
+            self.quarantined_since.get_or_insert(now);
+            for doubt in self.doubts.iter_mut().filter(|doubt| doubt.failed_runs > 0) {
+                doubt.closed_until = doubt.closed_until.max(until);
+            }
         }
         true
     }
@@ -205,6 +229,7 @@
         if is_first {
             let jobs = self.refusing_jobs();
             self.quarantined_until = now + doubled(BASE_BACKOFF, jobs - 1, MAX_BACKOFF);
+            self.quarantined_since.get_or_insert(now);
         }
     }
 
@@ -215,6 +240,9 @@
             for doubt in &mut self.doubts {
                 doubt.refused_starts = 0;
             }
+            if self.doubts.is_empty() {
+                self.quarantined_since = None;
+            }
         }
     }
 }
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -38,7 +38,7 @@
 use crate::rules::Queue;
 use crate::scheduler::{Scheduler, StartOrder};
 use crate::step::{Eligibility, StepState};
-use crate::worker::{Assignment, RunState};
+use crate::worker::{Assignment, RunState, Worker};
 use order::Order;
 use speeds::Urgency;
 
@@ -70,6 +70,8 @@
     /// Whether its worker takes one task, or the tasks of one gang, as a trial, and others with room
     /// are preferred.
     is_trial: bool,
+    /// Whether its worker is passed over but by steps that no other worker fits.
+    is_last_resort: bool,
     /// Jobs to which its worker is closed.
     closed_to: Vec<Name>,
     /// Jobs that take a trial on it after the others, as their runs failed or starts were refused there.
@@ -97,6 +99,8 @@
     slots: Vec<usize>,
     /// Whether each slot is one of them.
     is_candidate: Vec<bool>,
+    /// Whether the workers of all of them are passed over.
+    are_last_resorts: bool,
 }
 
 /// State of one scheduling pass over the open jobs.
@@ -161,31 +165,30 @@
         write_delay: Duration,
         mut advice_capacity: AdviceCapacity,
     ) {
-        let usable = self.pool.iter().filter(|worker| worker.is_usable(now));
-        let slots = usable.map(|worker| {
-            let (closed_to, last_for) = worker.doubted_jobs(now);
-            Slot {
-                id: worker.registration.id.clone(),
-                capacity: worker.registration.capacity,
-                free_capacity: worker.free(),
-                expected_use: Resources::default(),
-                called_for: Resources::default(),
-                reserved: Resources::default(),
-                held: Resources::default(),
-                reserved_for: None,
-                lent: Resources::default(),
-                lent_until: Duration::ZERO,
-                is_trial: worker.needs_trial(),
-                withheld: Resources::default(),
-                is_collected: false,
-                is_trial_placed: false,
-                suspect: None,
-                ends: OnceCell::new(),
-                speed: self.forecast.speed(&worker.registration.id),
-                is_slow: self.forecast.is_slow(&worker.registration.id, now),
-                closed_to,
-                last_for,
-            }
+        let is_used = |worker: &&Worker| worker.is_usable(now) || worker.is_last_resort(now);
+        let usable = self.pool.iter().filter(is_used);
+        let slots = usable.map(|worker| Slot {
+            id: worker.registration.id.clone(),
+            capacity: worker.registration.capacity,
+            free_capacity: worker.free(),
+            expected_use: Resources::default(),
+            called_for: Resources::default(),
+            reserved: Resources::default(),
+            held: Resources::default(),
+            reserved_for: None,
+            lent: Resources::default(),
+            lent_until: Duration::ZERO,
+            is_trial: worker.needs_trial(),
+            is_last_resort: !worker.is_usable(now),
+            closed_to: worker.jobs_kept_away(now),
+            last_for: worker.doubted_jobs(),
+            withheld: Resources::default(),
+            is_collected: false,
+            is_trial_placed: false,
+            suspect: None,
+            ends: OnceCell::new(),
+            speed: self.forecast.speed(&worker.registration.id),
+            is_slow: self.forecast.is_slow(&worker.registration.id, now),
         });
         let slots: Vec<_> = slots.collect();
         self.last_slots.clear();
@@ -259,7 +262,7 @@
         }
     }
 
-    /// Places jobs on trial workers that failed or refused them, if no other job has taken the trial.
+    /// Places jobs on workers on trial that failed or refused them, if no other job has taken the trial.
     fn place_last_trials(&mut self) {
         let is_left = |slot: &&Slot| slot.is_trial && !slot.is_trial_placed;
         let slots = self.slots.iter().filter(is_left);
@@ -355,8 +358,10 @@
             let can_run =
                 |slot: &Slot| pool.get(&slot.id).is_some_and(|worker| worker.can_run(queue, spec));
             let is_candidate: Vec<bool> = slots.iter().map(can_run).collect();
-            let slots = (0..slots.len()).filter(|slot| is_candidate[*slot]).collect();
-            Rc::new(Candidates { slots, is_candidate })
+            let candidates = (0..slots.len()).filter(|slot| is_candidate[*slot]);
+            let candidates: Vec<usize> = candidates.collect();
+            let are_last_resorts = candidates.iter().all(|slot| slots[*slot].is_last_resort);
+            Rc::new(Candidates { slots: candidates, is_candidate, are_last_resorts })
         });
         Rc::clone(candidates)
     }
@@ -444,7 +449,8 @@
     /// Number of tasks of a step that a slot would hold with a free capacity.
     fn fitting_in(&self, pending: &PendingStep<'_>, slot: usize, free: &Resources) -> u32 {
         let slot = &self.slots[slot];
-        if !slot.is_open_to(pending.key.0, self.are_trials_left) {
+        let is_passed_over = slot.is_last_resort && !pending.candidates.are_last_resorts;
+        if is_passed_over || !slot.is_open_to(pending.key.0, self.are_trials_left) {
             return 0;
         }
         let copies = pending.spec.need.max_copies_in(free);
--- a/crates/scheduler/src/worker.rs
+++ b/crates/scheduler/src/worker.rs
@@ -107,6 +107,8 @@
         pub(crate) doubts: Vec<JobDoubt>,
         /// End of its backoff or quarantine for all jobs; zero if it had none since a success.
         pub quarantined_until: Duration,
+        /// When the first backoff or quarantine for all jobs since a success began.
+        pub(crate) quarantined_since: Option<Duration>,
     }
 }
 
@@ -128,6 +130,7 @@
             consecutive_failures: 0,
             doubts: Vec::new(),
             quarantined_until: Duration::ZERO,
+            quarantined_since: None,
         }
     }
 
