scheduler: room on workers of last resort makes no pass longer

Suspected, not shown: in a full pool the free room of one worker that is passed over let each waiting step be visited in each pass. Such room now counts for steps that no other worker fits only.

--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -118,7 +118,9 @@
     start_arrival: Duration,
     /// Steps that this pass has placed or requested advice for.
     steps_handled: usize,
-    /// Maximum of each resource over all slots.
+    /// Whether a worker that is passed over takes trials of steps that no other one fits.
+    has_last_resorts: bool,
+    /// Maximum of each resource over all slots but those of last resort.
     largest_free: Resources,
     /// The same at the start of the pass, with all that is lent since.
     largest_lent: Resources,
@@ -203,6 +205,7 @@
                 advice_capacity.set_short(class);
             }
         }
+        let has_last_resorts = slots.iter().any(|slot| slot.is_last_resort);
         let order = Order::new(self, &slots);
         let slot_indexes = slots.iter().enumerate().map(|(index, slot)| (slot.id.clone(), index));
         let budgets = Budgets::new(self);
@@ -215,6 +218,7 @@
             now,
             start_arrival: now + write_delay,
             steps_handled: 0,
+            has_last_resorts,
             largest_free: Resources::default(),
             largest_lent: Resources::default(),
             lent_until: Duration::ZERO,
@@ -278,9 +282,20 @@
         }
     }
 
-    /// Recomputes the largest free capacity over all slots.
+    /// Whether only workers that are passed over can run a step.
+    fn needs_last_resort(&mut self, id: &Name, step_index: usize, queue: &Queue) -> bool {
+        if !self.has_last_resorts {
+            return false;
+        }
+        let Some(job) = self.scheduler.jobs.get(id) else { return false };
+        let spec = job.submission.steps[step_index].clone();
+        self.find_candidates(queue, &spec).are_last_resorts
+    }
+
+    /// Recomputes the largest free capacity over all slots but those of last resort, which few steps use.
     fn update_largest_free(&mut self) {
-        let capacities = self.slots.iter().map(|slot| slot.free_capacity);
+        let usual = self.slots.iter().filter(|slot| !slot.is_last_resort);
+        let capacities = usual.map(|slot| slot.free_capacity);
         self.largest_free =
             capacities.fold(Resources::default(), |most, slot_capacity| Resources {
                 cpu: most.cpu.max(slot_capacity.cpu),
@@ -292,6 +307,7 @@
     /// Places at most some tasks of a step, unless they cannot fit or its gang has runs.
     fn place_step(&mut self, id: &Name, step_index: usize, queue: &Queue, most: u32) {
         let ends_at = self.latest_end(id, step_index, queue);
+        let needs_last_resort = self.needs_last_resort(id, step_index, queue);
         let Some(job) = self.scheduler.jobs.get_mut(id) else { return };
         let spec = &job.submission.steps[step_index];
         let state = &mut job.steps[step_index];
@@ -302,7 +318,8 @@
         if spec.is_gang && !state.all_waiting() {
             return;
         }
-        let may_fit = !state.holds.is_empty()
+        let may_fit = needs_last_resort
+            || !state.holds.is_empty()
             || spec.need.fits_in(&self.largest_free)
             || (ends_at <= self.lent_until && spec.need.fits_in(&self.largest_lent));
         if !spec.is_gang && !may_fit {
