control: a start that a list of the former life overtakes is noticed as a later life's

Callers could see a task run on two workers at once: the reply to a start that was sent before the latest reading of its worker's clock arrived was never taken for that of a later life, so that the lease went by the former clock.

Cause: Life::origin compared clocks only for requests sent after that reading. Change: for an earlier request the known clock read no less than the reading less the time in between, which is compared as well.

Evidence: start_overtaken_by_list_runs_once_over_a_cut fails before (offset 700 ms, three tasks on two workers).

--- a/crates/control/src/lead/life.rs
+++ b/crates/control/src/lead/life.rs
@@ -66,10 +66,11 @@
         self.clock_ms + now.saturating_sub(self.received_at).as_millis() as u64
     }
 
-    /// The earliest reading that the clock may show at a time after this reading, in ms.
+    /// The earliest reading that the clock may show at a time before or after this reading, in ms.
     fn earliest_ms(&self, at: Duration) -> u64 {
+        let before = self.received_at.saturating_sub(at).as_millis() as u64;
         let elapsed = at.saturating_sub(self.received_at).mul_f64(MIN_CLOCK_RATE);
-        self.clock_ms + elapsed.as_millis() as u64
+        (self.clock_ms + elapsed.as_millis() as u64).saturating_sub(before)
     }
 }
 
@@ -116,7 +117,7 @@
             return Origin::Unclear;
         };
         let tolerated_ms = clock_ms + CLOCK_TOLERANCE.as_millis() as u64;
-        if sent >= reading.received_at && tolerated_ms < reading.earliest_ms(sent) {
+        if tolerated_ms < reading.earliest_ms(sent) {
             return Origin::Later;
         }
         Origin::Known
--- a/crates/control/tests/lives.rs
+++ b/crates/control/tests/lives.rs
@@ -209,3 +209,28 @@
         assert_eq!(sim.violations, Vec::<String>::new(), "{born:?}");
     }
 }
+
+// Guards against a start that a list of the former life overtakes: the lower clock of the next life, which
+// carries it out, is then taken for an earlier reading of the former one.
+#[test]
+fn start_overtaken_by_list_runs_once_over_a_cut() {
+    for offset in (0..1000).step_by(50) {
+        let mut sim = start_cell(5, 1);
+        sim.call(0, Operation::Submit(job("j0", vec![step(1, 13_000)])));
+        sim.run(ms(100 + offset));
+        sim.faults.is_feed_down = true;
+        sim.faults.path =
+            PathFaults { request_delay: ms(300), spares_renewals: true, ..PathFaults::default() };
+        sim.lossy_workers.insert(first_worker());
+        sim.call(0, Operation::Submit(job("j1", vec![step(PLACES - 1, 13_000)])));
+        sim.run(ms(270));
+        restart(&mut sim, Born::Later);
+        sim.run_until(ms(100), |sim| sim.workers["w0"].running.len() == PLACES as usize - 1);
+        sim.run(ms(4));
+        cut(&mut sim, ms(9000));
+        sim.lossy_workers.clear();
+        sim.faults.is_feed_down = false;
+        sim.run(ms(40_000));
+        assert_eq!(sim.violations, Vec::<String>::new(), "{offset}");
+    }
+}
